--- /dev/null
+++ b/Makefile
@@ -0,0 +1,50 @@
+GOLANGCI_VERSION := v2.15.0
+BUF_VERSION := v1.75.0
+TOOLS := $(CURDIR)/.tools
+LINT := $(TOOLS)/golangci-lint-$(GOLANGCI_VERSION)
+BUF := $(TOOLS)/buf-$(BUF_VERSION)
+
+.PHONY: all build test lint golden demo up bench measure generate clean
+
+all: build
+
+build:
+	go build -o bin/ ./cmd/...
+
+# The linter and buf do not share a module file with other tools: the first
+# needs modules that cannot be had, the second an unreleased protobuf.
+$(LINT):
+	GOBIN=$(TOOLS) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
+	mv $(TOOLS)/golangci-lint $@
+
+$(BUF):
+	GOBIN=$(TOOLS) go install github.com/bufbuild/buf/cmd/buf@$(BUF_VERSION)
+	mv $(TOOLS)/buf $@
+
+lint: $(LINT)
+	$(LINT) run ./...
+
+test: lint
+	go vet ./...
+	go test -race ./...
+
+golden:
+	go test ./internal/session -update
+
+demo: build
+	scripts/stack.sh demo
+
+up: build
+	scripts/stack.sh up
+
+bench:
+	go test -run '^$$' -bench . -benchmem ./...
+
+measure:
+	go run ./internal/session/measure -out out/measure.json
+
+generate: $(BUF)
+	$(BUF) generate
+
+clean:
+	rm -rf bin out
--- /dev/null
+++ b/internal/core/agent/run.go
@@ -0,0 +1,37 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/gladegauge/gladegauge/internal/core/queue"
+)
+
+// run is an attempt that holds a slot.
+type run struct {
+	item *queue.Item
+	// claimed is false while the grant awaits its entry.
+	claimed bool
+	floor   bool
+	// stopping is true after a Stop and before its Stopped.
+	stopping    bool
+	withdrawn   bool
+	preemptions int
+	granted     time.Time
+	started     time.Time
+	// produced is the number of tokens of the whole answer so far.
+	produced int
+	// observed and observedAt are the last point of the speed measurement.
+	observed   int
+	observedAt time.Time
+}
+
+// preemptibleFor reports whether a request of the tier may take the slot.
+func (r *run) preemptibleFor(tier int) bool {
+	return r.claimed &&
+		!r.stopping &&
+		!r.floor &&
+		!r.item.Class.Protected &&
+		r.item.Class.Repeatable &&
+		r.item.Class.Tier > tier &&
+		r.preemptions < maxPreemptions
+}
--- /dev/null
+++ b/internal/core/config/class.go
@@ -0,0 +1,50 @@
+package config
+
+import "time"
+
+// Tiers is the number of priority tiers; tier 1 is the highest.
+const Tiers = 5
+
+// Class is a kind of request with one latency target and one priority tier.
+type Class struct {
+	Name string
+	// Tier is 1 (highest) to Tiers (lowest).
+	Tier       int
+	Protected  bool
+	Repeatable bool
+	// FirstToken is the target for the first token; 0 means none.
+	FirstToken time.Duration
+	// Completion is the target for the whole answer; 0 means none.
+	Completion time.Duration
+	// Useful is the time after which the answer no longer matters.
+	Useful time.Duration
+	// FloorShare is the share of an upstream's work that the class gets
+	// whenever it waits, from 0 to MaxFloorShare.
+	FloorShare     float64
+	ExpectedTokens int
+	// Objective is the share of requests that should meet the target.
+	Objective float64
+
+	organisations map[string]bool
+}
+
+// Allows reports whether the organisation may use the class.
+func (c *Class) Allows(organisation string) bool {
+	return len(c.organisations) == 0 || c.organisations[organisation]
+}
+
+// StartTarget is the time by which a request should have begun to be served.
+func (c *Class) StartTarget() time.Duration {
+	if c.FirstToken > 0 {
+		return c.FirstToken
+	}
+	return c.Completion
+}
+
+// Met reports whether an answer with these times met the targets.
+func (c *Class) Met(firstToken, completion time.Duration) bool {
+	if c.FirstToken > 0 && firstToken > c.FirstToken {
+		return false
+	}
+	return c.Completion == 0 || completion <= c.Completion
+}
--- /dev/null
+++ b/internal/core/entry/entry.go
@@ -0,0 +1,155 @@
+// Package entry decides for one entry host which requests go on, and where.
+//
+// It joins the organisations' limits, the gates, the table of agents and the
+// retry budgets. It has no input or output, and it is owned by one goroutine.
+//
+// # Usage
+//
+//	e := entry.New(entry.Options{ID: id, Zone: zone}, cfg, rng)
+//	e.SetMembers(set)
+//	r, rejection := e.Admit(now, call)
+//	if rejection != nil {
+//		return rejection
+//	}
+//	effects := r.Start(now)
+package entry
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/gladegauge/gladegauge/internal/core/agent"
+	"github.com/gladegauge/gladegauge/internal/core/config"
+	"github.com/gladegauge/gladegauge/internal/core/dispatch"
+	"github.com/gladegauge/gladegauge/internal/core/gate"
+	"github.com/gladegauge/gladegauge/internal/core/limit"
+	"github.com/gladegauge/gladegauge/internal/core/member"
+	"github.com/gladegauge/gladegauge/internal/core/retry"
+	"github.com/gladegauge/gladegauge/internal/core/route"
+)
+
+// Options are the settings of an entry.
+type Options struct {
+	Route    route.Options
+	Dispatch dispatch.Options
+	// NoGates sends every request to the agents; the baseline.
+	NoGates bool
+}
+
+// Entry is the control state of one entry host. It is not safe for concurrent
+// use.
+type Entry struct {
+	options Options
+	cfg     *config.Config
+	set     *member.Set
+	table   *route.Table
+	limiter *limit.Limiter
+	gates   *gate.Gates
+	budgets map[string]*retry.Budget
+}
+
+// New returns an entry that knows no hosts.
+func New(o Options, cfg *config.Config, rng *rand.Rand) *Entry {
+	return &Entry{
+		options: o,
+		cfg:     cfg,
+		set:     member.NewSet(),
+		table:   route.New(o.Route, rng),
+		limiter: limit.New(),
+		gates:   gate.New(),
+		budgets: make(map[string]*retry.Budget),
+	}
+}
+
+// Config returns the configuration in force.
+func (e *Entry) Config() *config.Config { return e.cfg }
+
+// SetConfig takes a new configuration into force.
+func (e *Entry) SetConfig(cfg *config.Config) { e.cfg = cfg }
+
+// SetMembers takes a new list of hosts into force.
+func (e *Entry) SetMembers(set *member.Set) {
+	e.set = set
+	e.table.SetMembers(set)
+}
+
+// Members returns the list of hosts in force.
+func (e *Entry) Members() *member.Set { return e.set }
+
+// Table returns the entry's view of the agents.
+func (e *Entry) Table() *route.Table { return e.table }
+
+// Call is one caller's request.
+type Call struct {
+	Organisation *config.Organisation
+	Class        *config.Class
+	Pool         *config.Pool
+	Prefix       uint64
+	// Bound is the agent of an idempotency key, or zero.
+	Bound member.Host
+}
+
+// Rejection says why a request does not go on. It did not run.
+type Rejection struct {
+	// Limited is true for the organisation's rate limit, false for overload.
+	Limited    bool
+	RetryAfter time.Duration
+}
+
+// Ticket is an admitted request.
+type Ticket struct {
+	*dispatch.Request
+	key gate.Key
+}
+
+// Admit takes a request in, or rejects it at once.
+func (e *Entry) Admit(now time.Time, c Call) (*Ticket, *Rejection) {
+	if wait, ok := e.limiter.Take(now, c.Organisation, e.set.Entries()); !ok {
+		return nil, &Rejection{Limited: true, RetryAfter: wait}
+	}
+	key := gate.Key{Pool: c.Pool.Name, Class: c.Class.Name, Organisation: c.Organisation.Name}
+	if wait, ok := e.gates.Pass(now, key); !ok && !e.options.NoGates {
+		return nil, &Rejection{RetryAfter: wait}
+	}
+	spec := dispatch.Spec{
+		Class:   c.Class,
+		Pool:    c.Pool.Name,
+		Arrived: now,
+		Prefix:  c.Prefix,
+		Bound:   c.Bound,
+	}
+	seams := dispatch.Seams{Pick: e.table.Pick, Spend: e.budget(c.Pool.Name).Spend}
+	return &Ticket{Request: dispatch.New(spec, e.options.Dispatch, seams), key: key}, nil
+}
+
+func (e *Entry) budget(pool string) *retry.Budget {
+	b, ok := e.budgets[pool]
+	if !ok {
+		b = retry.NewBudget(retry.DefaultShare, retry.DefaultReserve)
+		e.budgets[pool] = b
+	}
+	return b
+}
+
+// Heard takes an agent's load.
+func (e *Entry) Heard(now time.Time, id string, l agent.Load) {
+	e.table.Answered(now, id, l)
+}
+
+// Settled tells that an offer to the agent has its first answer.
+func (e *Entry) Settled(id string) { e.table.Settled(id) }
+
+// Lost tells that an agent could not be reached or its upstream broke off.
+func (e *Entry) Lost(now time.Time, id string) { e.table.Failed(now, id) }
+
+// Finished takes the outcome of a request; id is the agent that ran it, if any.
+func (e *Entry) Finished(now time.Time, t *Ticket, id string, o dispatch.Outcome) {
+	switch {
+	case o.Result == dispatch.Completed:
+		e.table.Succeeded(id)
+		e.budget(t.key.Pool).Success()
+		e.gates.Admitted(t.key)
+	case o.Result == dispatch.NotRun && o.Reason == agent.Overload:
+		e.gates.Refused(now, t.key, o.RetryAfter)
+	}
+}
--- /dev/null
+++ b/internal/core/limit/limit.go
@@ -0,0 +1,91 @@
+// Package limit enforces the organisations' request rates.
+//
+// No process sees all requests, so each entry enforces its share: the rate
+// over the number of live entries. When entries come or go the share changes
+// at once, and what an organisation has saved up is kept.
+//
+// # Usage
+//
+//	l := limit.New()
+//	wait, ok := l.Take(now, organisation, liveEntries)
+package limit
+
+import (
+	"math"
+	"time"
+
+	"github.com/gladegauge/gladegauge/internal/core/config"
+)
+
+// sweepEvery is the number of calls between two sweeps of full buckets.
+const sweepEvery = 4096
+
+type bucket struct {
+	tokens float64
+	burst  float64
+	rate   float64
+	at     time.Time
+}
+
+// Limiter holds a bucket for each organisation with a limit that called
+// lately. It is not safe for concurrent use.
+type Limiter struct {
+	buckets map[string]*bucket
+	calls   int
+}
+
+// New returns a limiter with all buckets full.
+func New() *Limiter {
+	return &Limiter{buckets: make(map[string]*bucket)}
+}
+
+// Take takes one request of the organisation. If none is left it returns how
+// long until there is one.
+func (l *Limiter) Take(now time.Time, o *config.Organisation, entries int) (time.Duration, bool) {
+	if o.Rate <= 0 {
+		return 0, true
+	}
+	l.calls++
+	if l.calls%sweepEvery == 0 {
+		l.sweep(now)
+	}
+	b := l.bucket(now, o, max(1, entries))
+	if b.tokens >= 1 {
+		b.tokens--
+		return 0, true
+	}
+	seconds := (1 - b.tokens) / b.rate
+	return time.Duration(math.Ceil(seconds*1000)) * time.Millisecond, false
+}
+
+func (l *Limiter) bucket(now time.Time, o *config.Organisation, entries int) *bucket {
+	rate := o.Rate / float64(entries)
+	burst := max(1, float64(o.Burst)/float64(entries))
+	b, ok := l.buckets[o.Name]
+	if !ok {
+		b = &bucket{tokens: burst, at: now}
+		l.buckets[o.Name] = b
+	}
+	b.rate = rate
+	b.burst = burst
+	b.refill(now)
+	return b
+}
+
+func (b *bucket) refill(now time.Time) {
+	if d := now.Sub(b.at); d > 0 {
+		b.tokens += b.rate * d.Seconds()
+		b.at = now
+	}
+	b.tokens = min(b.tokens, b.burst)
+}
+
+// sweep forgets full buckets.
+func (l *Limiter) sweep(now time.Time) {
+	for name, b := range l.buckets {
+		b.refill(now)
+		if b.tokens >= b.burst {
+			delete(l.buckets, name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/queue/class.go
@@ -0,0 +1,188 @@
+package queue
+
+import (
+	"container/list"
+	"time"
+
+	"github.com/gladegauge/gladegauge/internal/core/config"
+)
+
+// lateEvery is how many requests of a class run on time for each late one.
+const lateEvery = 16
+
+// sweepEvery is how many pops pass between two sweeps of idle accounts.
+const sweepEvery = 1024
+
+// classQueue holds the waiting requests of one class.
+type classQueue struct {
+	class    *config.Class
+	accounts map[string]*account
+	lanes    [lanes]indexed[*account]
+	backlogs indexed[*account]
+	byAge    list.List
+	vtime    float64
+	credit   float64
+	// share is the sum of the items' shares.
+	share float64
+	// cost is the learnt mean of tokens of one answer.
+	cost float64
+	pops int
+}
+
+func newClassQueue(c *config.Class) *classQueue {
+	cq := &classQueue{
+		class:    c,
+		accounts: make(map[string]*account),
+		cost:     float64(c.ExpectedTokens),
+	}
+	for i := range cq.lanes {
+		cq.lanes[i] = indexed[*account]{
+			less:  func(a, b *account) bool { return a.pass < b.pass },
+			place: func(a *account, n int) { a.place[i] = n },
+		}
+	}
+	cq.backlogs = indexed[*account]{
+		less:  func(a, b *account) bool { return a.backlog() > b.backlog() },
+		place: func(a *account, n int) { a.longest = n },
+	}
+	return cq
+}
+
+func (cq *classQueue) len() int { return cq.byAge.Len() }
+
+// account returns the organisation's account. One that comes back does not
+// get credit for the time it was away.
+func (cq *classQueue) account(name string, weight float64) *account {
+	a, ok := cq.accounts[name]
+	if !ok {
+		a = newAccount(name, weight, cq.vtime)
+		cq.accounts[name] = a
+	}
+	a.weight = max(weight, 1e-6)
+	if a.waiting == 0 {
+		a.pass = max(a.pass, cq.vtime)
+	}
+	return a
+}
+
+func (cq *classQueue) push(it *Item, front bool) {
+	a := cq.account(it.Organisation, it.Weight)
+	it.owner = a
+	a.waiting++
+	cq.share += it.share()
+	cq.insertByAge(it)
+	cq.enter(it, front)
+	cq.fixBacklog(a)
+}
+
+// insertByAge keeps the list in order of arrival; most arrive in order.
+func (cq *classQueue) insertByAge(it *Item) {
+	at := cq.byAge.Back()
+	for at != nil && at.Value.(*Item).Arrived.After(it.Arrived) {
+		at = at.Prev()
+	}
+	if at == nil {
+		it.age = cq.byAge.PushFront(it)
+		return
+	}
+	it.age = cq.byAge.InsertAfter(it, at)
+}
+
+// enter puts the item into the lane that it.late names.
+func (cq *classQueue) enter(it *Item, front bool) {
+	lane := laneOf(it)
+	items := &it.owner.items[lane]
+	if front {
+		it.turn = items.PushFront(it)
+	} else {
+		it.turn = items.PushBack(it)
+	}
+	if it.owner.place[lane] == outside {
+		cq.lanes[lane].push(it.owner)
+	}
+}
+
+func laneOf(it *Item) int {
+	if it.late {
+		return late
+	}
+	return fresh
+}
+
+// leave takes the item out of its lane.
+func (cq *classQueue) leave(it *Item) {
+	lane := laneOf(it)
+	it.owner.items[lane].Remove(it.turn)
+	if it.owner.items[lane].Len() == 0 {
+		cq.lanes[lane].remove(it.owner.place[lane])
+	}
+}
+
+func (cq *classQueue) remove(it *Item) {
+	cq.leave(it)
+	cq.byAge.Remove(it.age)
+	cq.share -= it.share()
+	it.owner.waiting--
+	cq.fixBacklog(it.owner)
+	if cq.len() == 0 {
+		cq.share = 0
+		cq.credit = 0
+	}
+}
+
+func (cq *classQueue) fixBacklog(a *account) {
+	switch {
+	case a.waiting == 0 && a.longest != outside:
+		cq.backlogs.remove(a.longest)
+	case a.waiting > 0 && a.longest == outside:
+		cq.backlogs.push(a)
+	case a.waiting > 0:
+		cq.backlogs.fix(a.longest)
+	}
+}
+
+// head returns the request that is next in the class.
+func (cq *classQueue) head(now time.Time) *Item {
+	cq.moveLate(now)
+	lane := fresh
+	if cq.lanes[fresh].len() == 0 || (cq.lanes[late].len() > 0 && cq.pops%lateEvery == lateEvery-1) {
+		lane = late
+	}
+	if cq.lanes[lane].len() == 0 {
+		return nil
+	}
+	return cq.lanes[lane].first().items[lane].Front().Value.(*Item)
+}
+
+// moveLate moves requests whose start is overdue to the late lane, as far as
+// they stand at the head.
+func (cq *classQueue) moveLate(now time.Time) {
+	for cq.lanes[fresh].len() > 0 {
+		it := cq.lanes[fresh].first().items[fresh].Front().Value.(*Item)
+		if it.Slack(now) >= 0 {
+			return
+		}
+		cq.leave(it)
+		it.late = true
+		cq.enter(it, false)
+	}
+}
+
+// charge moves the organisation's turn by tokens, which may be negative.
+func (cq *classQueue) charge(a *account, tokens float64) {
+	a.pass += tokens / a.weight
+	for lane := range cq.lanes {
+		if a.place[lane] != outside {
+			cq.lanes[lane].fix(a.place[lane])
+		}
+	}
+}
+
+// sweep forgets accounts that wait for nothing and owe nothing.
+func (cq *classQueue) sweep() {
+	for name, a := range cq.accounts {
+		if a.waiting == 0 && a.pass <= cq.vtime {
+			delete(cq.accounts, name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/queue/item.go
@@ -0,0 +1,43 @@
+package queue
+
+import (
+	"container/list"
+	"time"
+
+	"github.com/gladegauge/gladegauge/internal/core/config"
+)
+
+// Item is one waiting request.
+type Item struct {
+	ID           string
+	Class        *config.Class
+	Organisation string
+	Weight       float64
+	// Arrived is when the request reached its entry.
+	Arrived time.Time
+	// Copies is the number of agents that hold the request; at least 1.
+	Copies int
+	// Produced is the number of tokens made before a preemption.
+	Produced int
+
+	charged float64
+	late    bool
+	owner   *account
+	turn    *list.Element
+	age     *list.Element
+}
+
+// StartBy is the time by which the item should start.
+func (it *Item) StartBy() time.Time {
+	return it.Arrived.Add(it.Class.StartTarget())
+}
+
+// Slack is the time left until the item should start.
+func (it *Item) Slack(now time.Time) time.Duration {
+	return it.StartBy().Sub(now)
+}
+
+// share is the part of the item that is expected to run here.
+func (it *Item) share() float64 {
+	return 1 / float64(max(1, it.Copies))
+}
--- /dev/null
+++ b/internal/core/queue/queue_test.go
@@ -0,0 +1,216 @@
+package queue
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/gladegauge/gladegauge/internal/core/config"
+)
+
+var t0 = time.Unix(1_800_000_000, 0)
+
+func class(name string, tier int, target time.Duration) *config.Class {
+	return &config.Class{
+		Name: name, Tier: tier, FirstToken: target, Useful: 10 * target,
+		FloorShare: 0.05, ExpectedTokens: 100, Protected: tier == 1, Repeatable: true,
+	}
+}
+
+var (
+	ruling   = class("ruling", 1, time.Second)
+	deck     = class("decklist", 2, 4*time.Second)
+	question = class("question", 2, 2*time.Second)
+	report   = class("report", 5, time.Minute)
+)
+
+func item(id string, c *config.Class, organisation string, at time.Duration) *Item {
+	return &Item{ID: id, Class: c, Organisation: organisation, Weight: 1, Arrived: t0.Add(at), Copies: 1}
+}
+
+// popAll empties the queue and returns the identities in order.
+func popAll(q *Queue, now time.Time) []string {
+	var ids []string
+	for {
+		choice, ok := q.Pop(now)
+		if !ok {
+			return ids
+		}
+		ids = append(ids, choice.Item.ID)
+	}
+}
+
+func TestOrder(t *testing.T) {
+	tests := []struct {
+		name  string
+		items []*Item
+		now   time.Duration
+		want  []string
+	}{
+		{"tiers before arrival", []*Item{
+			item("report", report, "a", 0), item("deck", deck, "a", 1), item("ruling", ruling, "a", 2),
+		}, 10, []string{"ruling", "deck", "report"}},
+		{"slack inside a tier", []*Item{
+			item("deck", deck, "a", 0), item("question", question, "a", time.Second),
+		}, time.Second, []string{"question", "deck"}},
+		{"organisations in turn", []*Item{
+			item("a1", deck, "a", 0), item("a2", deck, "a", 1), item("a3", deck, "a", 2), item("b1", deck, "b", 3),
+		}, 10, []string{"a1", "b1", "a2", "a3"}},
+		{"on time before late", []*Item{
+			item("late", ruling, "a", -2*time.Second), item("fresh", ruling, "b", 0),
+		}, 0, []string{"fresh", "late"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			q := New(Policy{})
+			for _, it := range tt.items {
+				q.Push(it)
+			}
+			is.Equal(popAll(q, t0.Add(tt.now)), tt.want)
+			is.Equal(q.Len(), 0)
+		})
+	}
+}
+
+// TestTurnsAreChargedByTokens lets one organisation's answers be ten times as
+// long; the other one then runs ten times as often.
+func TestTurnsAreChargedByTokens(t *testing.T) {
+	is := is.New(t)
+	q := New(Policy{})
+	tokens := map[string]int{"long": 1000, "short": 100}
+	for i := range 2200 {
+		for name := range tokens {
+			q.Push(item(fmt.Sprintf("%s-%d", name, i), deck, name, time.Duration(i)))
+		}
+	}
+	got := map[string]int{}
+	for range 1100 {
+		choice, _ := q.Pop(t0)
+		name := choice.Item.Organisation
+		got[name] += tokens[name]
+		q.Settle(choice.Item, tokens[name])
+	}
+	ratio := float64(got["long"]) / float64(got["short"])
+	is.True(ratio > 0.95 && ratio < 1.05)
+}
+
+// TestFloorShare keeps the highest tier always waiting; the lowest still gets
+// its share of the tokens, and a bounded wait.
+func TestFloorShare(t *testing.T) {
+	is := is.New(t)
+	q := New(Policy{})
+	for i := range 3000 {
+		q.Push(item(fmt.Sprintf("r%d", i), ruling, "a", 0))
+	}
+	for i := range 100 {
+		q.Push(item(fmt.Sprintf("p%d", i), report, "a", 0))
+	}
+	low, gap, longest := 0, 0, 0
+	for range 1000 {
+		choice, _ := q.Pop(t0)
+		q.Produced(100)
+		q.Settle(choice.Item, 100)
+		gap++
+		if choice.Item.Class == report {
+			is.True(choice.Floor)
+			low++
+			longest = max(longest, gap)
+			gap = 0
+		}
+	}
+	is.True(low >= 45 && low <= 55) // A floor share of 0.05.
+	is.True(longest <= 22)          // The bound: one answer for each 1/0.05 answers.
+}
+
+func TestExpiredLeavesProtected(t *testing.T) {
+	is := is.New(t)
+	q := New(Policy{})
+	q.Push(item("ruling", ruling, "a", 0))
+	q.Push(item("deck", deck, "a", 0))
+	q.Push(item("new", deck, "a", 40*time.Second))
+	expired := q.Expired(t0.Add(40 * time.Second))
+	is.Equal(len(expired), 1)
+	is.Equal(expired[0].ID, "deck")
+	is.Equal(q.Len(), 2)
+}
+
+// TestQueueProperties runs random operations: nothing is lost or doubled, and
+// no tier runs before a higher one but on its floor share.
+func TestQueueProperties(t *testing.T) {
+	classes := []*config.Class{ruling, deck, question, report}
+	rapid.Check(t, func(t *rapid.T) {
+		q := New(Policy{})
+		held := map[string]*Item{}
+		now := t0
+		for i := range rapid.IntRange(1, 120).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "gap")) * time.Millisecond)
+			switch rapid.IntRange(0, 4).Draw(t, "operation") {
+			case 0, 1:
+				it := item(fmt.Sprint(i), rapid.SampledFrom(classes).Draw(t, "class"), rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "organisation"), 0)
+				it.Arrived = now
+				q.Push(it)
+				held[it.ID] = it
+			case 2:
+				choice, ok := q.Pop(now)
+				if ok != (len(held) > 0) {
+					t.Fatalf("pop %v with %d held", ok, len(held))
+				}
+				if ok {
+					checkChoice(t, choice, held)
+					q.Produced(100)
+					q.Settle(choice.Item, rapid.IntRange(1, 500).Draw(t, "tokens"))
+				}
+			case 3:
+				for id := range held {
+					if _, ok := q.Remove(id); !ok {
+						t.Fatalf("%s was lost", id)
+					}
+					delete(held, id)
+					break
+				}
+			case 4:
+				for _, it := range q.Expired(now) {
+					delete(held, it.ID)
+				}
+			}
+			if q.Len() != len(held) || len(q.All()) != len(held) {
+				t.Fatalf("queue has %d and %d, should have %d", q.Len(), len(q.All()), len(held))
+			}
+		}
+	})
+}
+
+func checkChoice(t *rapid.T, choice Choice, held map[string]*Item) {
+	if held[choice.Item.ID] != choice.Item {
+		t.Fatalf("%s was not held", choice.Item.ID)
+	}
+	delete(held, choice.Item.ID)
+	for _, other := range held {
+		if !choice.Floor && other.Class.Tier < choice.Item.Class.Tier {
+			t.Fatalf("%s ran before %s", choice.Item.Class.Name, other.Class.Name)
+		}
+	}
+}
+
+func BenchmarkQueue(b *testing.B) {
+	for _, size := range []struct{ waiting, organisations int }{{100, 64}, {1000, 640}, {10000, 6400}, {40000, 6400}} {
+		b.Run(fmt.Sprintf("waiting=%d", size.waiting), func(b *testing.B) {
+			q := New(Policy{})
+			items := make([]*Item, size.waiting)
+			for i := range items {
+				items[i] = item(fmt.Sprint(i), deck, fmt.Sprint("o", i%size.organisations), time.Duration(i))
+				q.Push(items[i])
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				choice, _ := q.Pop(t0)
+				q.Settle(choice.Item, 100)
+				q.Push(choice.Item)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/e2e/path_test.go
@@ -0,0 +1,437 @@
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/gladegauge/gladegauge/internal/standin/engine"
+	"github.com/gladegauge/gladegauge/internal/standin/service"
+)
+
+const (
+	salishKey = "demo-salish-van-hall"
+	judge     = "judge"
+)
+
+// answer is a response of an entry.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+type apiError struct {
+	Error struct {
+		Code           string  `json:"code"`
+		Param          *string `json:"param"`
+		NotRun         bool    `json:"not_run"`
+		OutcomeUnknown bool    `json:"outcome_unknown"`
+	} `json:"error"`
+}
+
+func (a answer) problem(t *testing.T) apiError {
+	t.Helper()
+	var e apiError
+	if err := json.Unmarshal([]byte(a.body), &e); err != nil {
+		t.Fatalf("not an error: %d %s", a.status, a.body)
+	}
+	return e
+}
+
+// send makes one request; headers are pairs.
+func send(method, url, key, body string, headers ...string) answer {
+	req, err := http.NewRequest(method, url, strings.NewReader(body))
+	if err != nil {
+		return answer{err: err}
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return answer{status: resp.StatusCode, header: resp.Header, body: string(text), err: err}
+}
+
+func chatBody(prompt string, tokens int, stream bool) string {
+	text, _ := json.Marshal(map[string]any{
+		"model": judge, "stream": stream, "max_tokens": tokens,
+		"messages": []map[string]string{{"role": "user", "content": prompt}},
+	})
+	return string(text)
+}
+
+func want(prompt string, tokens int) string {
+	return strings.Join(engine.Answer(prompt+"\n", tokens), "")
+}
+
+// streamText joins the text of a streamed answer; complete is false without
+// its end.
+func streamText(body string) (text string, complete bool) {
+	for _, line := range strings.Split(body, "\n") {
+		data, ok := strings.CutPrefix(line, "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			return text, true
+		}
+		var c struct {
+			Choices []struct{ Delta struct{ Content string } }
+		}
+		if json.Unmarshal([]byte(data), &c) == nil && len(c.Choices) > 0 {
+			text += c.Choices[0].Delta.Content
+		}
+	}
+	return text, false
+}
+
+// TestOpenAIClient uses the official client, unmodified.
+func TestOpenAIClient(t *testing.T) {
+	is := is.New(t)
+	s := newStack(t, "salish")
+	e := s.entry("entry-1", "a")
+	s.agent("agent-1", "a", "judge-model")
+	s.ready()
+	ctx := context.Background()
+	client := openai.NewClient(option.WithBaseURL(e.url("listen")+"/v1"), option.WithAPIKey(salishKey), option.WithMaxRetries(0))
+	params := openai.ChatCompletionNewParams{
+		Model:     judge,
+		MaxTokens: openai.Int(40),
+		Messages:  []openai.ChatCompletionMessageParamUnion{openai.UserMessage("May I counter this?")},
+	}
+	whole, err := client.Chat.Completions.New(ctx, params)
+	is.NoErr(err)
+	is.Equal(whole.Choices[0].Message.Content, want("May I counter this?", 40))
+	is.Equal(whole.Choices[0].FinishReason, "stop")
+	is.Equal(whole.Usage.CompletionTokens, int64(40))
+
+	var streamed strings.Builder
+	stream := client.Chat.Completions.NewStreaming(ctx, params)
+	for stream.Next() {
+		for _, c := range stream.Current().Choices {
+			streamed.WriteString(c.Delta.Content)
+		}
+	}
+	is.NoErr(stream.Err())
+	is.Equal(streamed.String(), whole.Choices[0].Message.Content)
+
+	models, err := client.Models.List(ctx)
+	is.NoErr(err)
+	is.Equal(models.Data[0].ID, judge)
+
+	var apiErr *openai.Error
+	_, err = client.Chat.Completions.New(ctx, params, option.WithAPIKey("wrong"))
+	is.True(errors.As(err, &apiErr))
+	is.Equal(apiErr.StatusCode, http.StatusUnauthorized)
+	is.Equal(apiErr.Code, "invalid_api_key")
+	params.Model = "oracle"
+	_, err = client.Chat.Completions.New(ctx, params)
+	is.True(errors.As(err, &apiErr))
+	is.Equal(apiErr.Code, "model_not_found")
+	params.Model = judge
+	_, err = client.Chat.Completions.New(ctx, params, option.WithHeader("X-Gladegauge-Class", "registration"))
+	is.True(errors.As(err, &apiErr))
+	is.Equal(apiErr.Code, "class_not_served")
+}
+
+// TestBadInput checks that each fault is named and that nothing runs.
+func TestBadInput(t *testing.T) {
+	s := newStack(t, "salish")
+	e := s.entry("entry-1", "a")
+	s.agent("agent-1", "a", "judge-model")
+	s.ready()
+	long := strings.Repeat("x", 10<<20)
+	tests := []struct {
+		name, body string
+		headers    []string
+		status     int
+		code       string
+		param      string
+	}{
+		{"not JSON", "{", nil, 400, "invalid_request", "body"},
+		{"wrong type", `{"model":3}`, nil, 400, "invalid_request", "model"},
+		{"no model", `{"messages":[{}]}`, nil, 400, "invalid_request", "model"},
+		{"no messages", `{"model":"judge"}`, nil, 400, "invalid_request", "messages"},
+		{"negative tokens", `{"model":"judge","messages":[{}],"max_tokens":-1}`, nil, 400, "invalid_request", "max_tokens"},
+		{"too many choices", `{"model":"judge","messages":[{}],"n":99}`, nil, 400, "invalid_request", "n"},
+		{"unknown model", `{"model":"oracle","messages":[{}]}`, nil, 404, "model_not_found", "model"},
+		{"unknown class", chatBody("x", 1, false), []string{"X-Gladegauge-Class", "vip"}, 400, "unknown_class", "X-Gladegauge-Class"},
+		{"made-up key", chatBody("x", 1, false), []string{"Idempotency-Key", "abc"}, 400, "invalid_idempotency_key", "Idempotency-Key"},
+		{"10 MB body", chatBody(long, 1, false), nil, 413, "request_too_large", "body"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			a := send("POST", e.url("listen")+"/v1/chat/completions", salishKey, tt.body, tt.headers...)
+			is.Equal(a.status, tt.status)
+			p := a.problem(t)
+			is.Equal(p.Error.Code, tt.code)
+			is.Equal(*p.Error.Param, tt.param)
+			is.True(p.Error.NotRun)
+		})
+	}
+	t.Run("1 MB header", func(t *testing.T) {
+		is := is.New(t)
+		a := send("POST", e.url("listen")+"/v1/chat/completions", salishKey, "{}", "X-Long", long[:1<<20])
+		is.True(a.err != nil || a.status == http.StatusRequestHeaderFieldsTooLarge)
+	})
+	_, started, _ := s.engines["agent-1"].Counts()
+	is.New(t).Equal(started, 0)
+}
+
+// TestManyStreams checks every byte of 200 streams at a time, and that nothing
+// is left behind.
+func TestManyStreams(t *testing.T) {
+	is := is.New(t)
+	s := newStack(t, "salish")
+	for _, p := range s.doc.GetPools() {
+		p.Slots = 256
+	}
+	s.doc.Revision++
+	s.publishConfig()
+	e := s.entry("entry-1", "a")
+	a := s.agent("agent-1", "a", "judge-model")
+	s.ready()
+	before := metric(e, "go_goroutines")
+	var group errgroup.Group
+	for i := range 200 {
+		group.Go(func() error {
+			prompt := fmt.Sprintf("question %d", i)
+			got := send("POST", e.url("listen")+"/v1/chat/completions", salishKey, chatBody(prompt, 100, true))
+			text, complete := streamText(got.body)
+			if got.err != nil || !complete || text != want(prompt, 100) {
+				return fmt.Errorf("stream %d: status %d, complete %v: %w", i, got.status, complete, got.err)
+			}
+			return nil
+		})
+	}
+	is.NoErr(group.Wait())
+	http.DefaultClient.CloseIdleConnections()
+	eventually(t, "entry's goroutines end", func() bool { return metric(e, "go_goroutines") <= before+8 })
+	eventually(t, "agent's work ends", func() bool { return metric(a, "gladegauge_running") == 0 })
+}
+
+// TestCallerLeaves checks that work is cancelled upstream.
+func TestCallerLeaves(t *testing.T) {
+	is := is.New(t)
+	s := newStack(t, "salish")
+	s.fast = 20 * time.Millisecond
+	e := s.entry("entry-1", "a")
+	s.agent("agent-1", "a", "judge-model")
+	s.ready()
+	ctx, cancel := context.WithCancel(context.Background())
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, e.url("listen")+"/v1/chat/completions", bytes.NewBufferString(chatBody("long", 4000, true)))
+	is.NoErr(err)
+	req.Header.Set("Authorization", "Bearer "+salishKey)
+	resp, err := http.DefaultClient.Do(req)
+	is.NoErr(err)
+	_, err = resp.Body.Read(make([]byte, 10))
+	is.NoErr(err)
+	cancel()
+	_ = resp.Body.Close()
+	eventually(t, "the engine drops the request", func() bool {
+		running, _, dropped := s.engines["agent-1"].Counts()
+		return running == 0 && dropped == 1
+	})
+}
+
+// TestKilledAgent kills an agent while it streams: the answer continues on the
+// other upstream, byte for byte.
+func TestKilledAgent(t *testing.T) {
+	is := is.New(t)
+	s := newStack(t, "salish")
+	s.fast = 10 * time.Millisecond
+	e := s.entry("entry-1", "a")
+	agents := map[string]*proc{
+		"agent-1": s.agent("agent-1", "a", "judge-model"),
+		"agent-2": s.agent("agent-2", "b", "judge-model"),
+	}
+	s.ready()
+	result := make(chan answer, 1)
+	var group errgroup.Group
+	group.Go(func() error {
+		result <- send("POST", e.url("listen")+"/v1/chat/completions", salishKey, chatBody("story", 300, true))
+		return nil
+	})
+	eventually(t, "an engine runs", func() bool {
+		for id := range agents {
+			if running, _, _ := s.engines[id].Counts(); running > 0 && metric(agents[id], "gladegauge_tokens_total") > 20 {
+				agents[id].kill()
+				return true
+			}
+		}
+		return false
+	})
+	got := <-result
+	_ = group.Wait()
+	text, complete := streamText(got.body)
+	is.NoErr(got.err)
+	is.True(complete)
+	is.Equal(text, want("story", 300))
+	is.Equal(metric(e, "gladegauge_resumes_total"), 1.0)
+}
+
+// TestLostRegistration makes a plain service run a call and drop its answer,
+// and kills an agent during another: neither is repeated, and neither is said
+// to be not run.
+func TestLostRegistration(t *testing.T) {
+	is := is.New(t)
+	s := newStack(t, "salish")
+	s.fast = 300 * time.Millisecond
+	e := s.entry("entry-1", "a")
+	agents := map[string]*proc{
+		"agent-1": s.agent("agent-1", "a", "player-app"),
+		"agent-2": s.agent("agent-2", "b", "player-app"),
+	}
+	s.ready()
+	runs := func(ticket string) int {
+		return s.services["agent-1"].Runs()[ticket] + s.services["agent-2"].Runs()[ticket]
+	}
+	register := func(ticket string) answer {
+		return send("POST", e.url("listen")+"/services/player-app/register", salishKey, `{"id":"`+ticket+`"}`)
+	}
+	for _, svc := range s.services {
+		svc.SetFault(service.DropAnswer)
+	}
+	got := register("t1")
+	is.Equal(got.status, http.StatusBadGateway)
+	p := got.problem(t)
+	is.True(p.Error.OutcomeUnknown)
+	is.True(!p.Error.NotRun)
+	is.Equal(got.header.Get("X-Should-Retry"), "false")
+	is.Equal(runs("t1"), 1)
+
+	for _, svc := range s.services {
+		svc.SetFault(service.None)
+	}
+	result := make(chan answer, 1)
+	var group errgroup.Group
+	group.Go(func() error {
+		result <- register("t2")
+		return nil
+	})
+	eventually(t, "the call runs", func() bool {
+		for id, svc := range s.services {
+			if svc.Runs()["t2"] > 0 {
+				agents[id].kill()
+				return true
+			}
+		}
+		return false
+	})
+	got = <-result
+	_ = group.Wait()
+	is.True(got.problem(t).Error.OutcomeUnknown)
+	is.Equal(runs("t2"), 1)
+	is.Equal(register("t3").status, http.StatusOK)
+	is.Equal(runs("t3"), 1)
+}
+
+// TestIdempotencyKey uses a key twice, and after its agent is gone.
+func TestIdempotencyKey(t *testing.T) {
+	is := is.New(t)
+	s := newStack(t, "salish")
+	e := s.entry("entry-1", "a")
+	a := s.agent("agent-1", "a", "player-app")
+	s.ready()
+	issue := func() string {
+		got := send("POST", e.url("listen")+"/v1/idempotency-keys", salishKey, `{"target":"player-app"}`)
+		var k struct{ Key string }
+		is.NoErr(json.Unmarshal([]byte(got.body), &k))
+		return k.Key
+	}
+	use := func(key, ticket string) answer {
+		return send("POST", e.url("listen")+"/services/player-app/register", salishKey, `{"id":"`+ticket+`"}`, "Idempotency-Key", key)
+	}
+	key := issue()
+	is.Equal(use(key, "t1").status, http.StatusOK)
+	again := use(key, "t1")
+	is.Equal(again.status, http.StatusConflict)
+	is.Equal(again.problem(t).Error.Code, "already_run")
+	is.Equal(s.services["agent-1"].Runs()["t1"], 1)
+	other := send("POST", e.url("listen")+"/services/player-app/register", "demo-salish-hope-tables", `{"id":"t2"}`, "Idempotency-Key", issue())
+	is.Equal(other.problem(t).Error.Code, "invalid_idempotency_key")
+	key = issue()
+	a.kill()
+	gone := use(key, "t3")
+	is.True(gone.problem(t).Error.OutcomeUnknown)
+}
+
+// TestPlannedStop stops an agent and an entry in the middle of streams: each
+// stream completes, nothing new is taken, and both exit with 0.
+func TestPlannedStop(t *testing.T) {
+	is := is.New(t)
+	s := newStack(t, "salish")
+	s.fast = 5 * time.Millisecond
+	e := s.entry("entry-1", "a")
+	a := s.agent("agent-1", "a", "judge-model")
+	s.ready()
+	var group errgroup.Group
+	for i := range 8 {
+		group.Go(func() error {
+			prompt := fmt.Sprintf("ruling %d", i)
+			got := send("POST", e.url("listen")+"/v1/chat/completions", salishKey, chatBody(prompt, 200, true))
+			if text, complete := streamText(got.body); got.err != nil || !complete || text != want(prompt, 200) {
+				return fmt.Errorf("stream %d was cut: %d %w", i, got.status, got.err)
+			}
+			return nil
+		})
+	}
+	eventually(t, "all run", func() bool { running, _, _ := s.engines["agent-1"].Counts(); return running == 8 })
+	a.signal(syscall.SIGTERM)
+	eventually(t, "the agent is not ready", func() bool { return status(a.url("ops-listen")+"/readyz") != http.StatusOK })
+	refused := send("POST", e.url("listen")+"/v1/chat/completions", salishKey, chatBody("new", 5, false))
+	is.Equal(refused.status, http.StatusServiceUnavailable)
+	is.True(refused.problem(t).Error.NotRun)
+	is.True(refused.header.Get("Retry-After") != "")
+	e.signal(syscall.SIGTERM)
+	is.NoErr(group.Wait())
+	is.Equal(a.exit(), 0)
+	is.Equal(e.exit(), 0)
+	_, started, dropped := s.engines["agent-1"].Counts()
+	is.Equal(started, 8)
+	is.Equal(dropped, 0)
+}
+
+// TestSecondSignal ends at once and says what it cut.
+func TestSecondSignal(t *testing.T) {
+	is := is.New(t)
+	s := newStack(t, "salish")
+	s.fast = 20 * time.Millisecond
+	e := s.entry("entry-1", "a")
+	a := s.agent("agent-1", "a", "judge-model")
+	s.ready()
+	var group errgroup.Group
+	group.Go(func() error {
+		_ = send("POST", e.url("listen")+"/v1/chat/completions", salishKey, chatBody("x", 4000, true))
+		return nil
+	})
+	eventually(t, "it runs", func() bool { running, _, _ := s.engines["agent-1"].Counts(); return running == 1 })
+	a.signal(syscall.SIGTERM)
+	eventually(t, "the agent is not ready", func() bool { return status(a.url("ops-listen")+"/readyz") != http.StatusOK })
+	a.signal(syscall.SIGTERM)
+	is.Equal(a.exit(), 1)
+	is.True(strings.Contains(a.output(), `"cut":1`))
+	e.kill()
+	_ = group.Wait()
+}
--- /dev/null
+++ b/internal/edge/agentd/session.go
@@ -0,0 +1,382 @@
+package agentd
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/gladegauge/gladegauge/internal/core/agent"
+	"github.com/gladegauge/gladegauge/internal/edge/convert"
+	"github.com/gladegauge/gladegauge/internal/edge/upstream"
+	gladegaugev1 "github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1"
+)
+
+// signalBacklog is more than the effects that one attempt can have.
+const signalBacklog = 32
+
+// heartbeatEvery is the time between signs of life of a run without pieces.
+const heartbeatEvery = time.Second
+
+var errNoOffer = errors.New("offer.attempt: must be set in the first command")
+
+// stream is the entry's end of one attempt.
+type stream = connect.BidiStream[gladegaugev1.AttemptCommand, gladegaugev1.AttemptEvent]
+
+// session is one attempt on its stream. Its goroutine alone sends to the
+// entry; effects reach it from the control loop.
+type session struct {
+	s       *Server
+	id      string
+	offer   *gladegaugev1.Offer
+	stream  *stream
+	signals chan agent.Effect
+	pieces  chan piece
+	// tokens is read by the control loop.
+	tokens atomic.Int64
+
+	calls     errgroup.Group
+	run       *gladegaugev1.Run
+	cancelRun context.CancelFunc
+	running   bool
+	stopping  bool
+	gone      bool
+	offset    int
+	quiet     bool
+}
+
+// piece is a part of the answer, or its end.
+type piece struct {
+	upstream.Piece
+	end *upstream.End
+}
+
+// Attempt carries one attempt from its offer to its end.
+func (s *Server) Attempt(ctx context.Context, st *stream) error {
+	cmd, err := st.Receive()
+	if err != nil {
+		return err
+	}
+	offer := cmd.GetOffer()
+	if offer.GetAttempt() == "" {
+		return connect.NewError(connect.CodeInvalidArgument, errNoOffer)
+	}
+	x := &session{
+		s:       s,
+		id:      offer.GetAttempt(),
+		offer:   offer,
+		stream:  st,
+		signals: make(chan agent.Effect, signalBacklog),
+		pieces:  make(chan piece),
+	}
+	runs := make(chan *gladegaugev1.Run, 1)
+	// Receive returns only after this handler has, so nobody waits for it here.
+	s.receivers.Go(func() error {
+		x.receive(runs)
+		return nil
+	})
+	err = x.serve(ctx, runs)
+	_ = x.calls.Wait()
+	return err
+}
+
+// receive passes on the claim, and closes the channel when the entry is gone.
+func (x *session) receive(runs chan<- *gladegaugev1.Run) {
+	defer close(runs)
+	for {
+		cmd, err := x.stream.Receive()
+		if err != nil {
+			return
+		}
+		if cmd.GetRun() == nil {
+			continue
+		}
+		select {
+		case runs <- cmd.GetRun():
+		default:
+		}
+	}
+}
+
+// serve works until the attempt has ended.
+func (x *session) serve(ctx context.Context, runs <-chan *gladegaugev1.Run) error {
+	if ended, err := x.open(); ended || err != nil {
+		return err
+	}
+	defer x.unregister()
+	heartbeat := time.NewTicker(heartbeatEvery)
+	defer heartbeat.Stop()
+	left := ctx.Done()
+	for {
+		var ended bool
+		var err error
+		select {
+		case effect := <-x.signals:
+			ended, err = x.onEffect(ctx, effect)
+		case run, ok := <-runs:
+			if ok {
+				x.claim(run)
+				continue
+			}
+			runs = nil
+			ended = x.leave()
+		case p := <-x.pieces:
+			ended, err = x.onPiece(p)
+		case <-heartbeat.C:
+			err = x.heartbeat()
+		case <-left:
+			left = nil
+			ended = x.leave()
+		}
+		if err != nil && !x.gone {
+			ended = x.leave()
+		}
+		if ended {
+			return err
+		}
+	}
+}
+
+// open registers the session and makes the offer. It reports true if the
+// attempt ended with that.
+func (x *session) open() (bool, error) {
+	var accepted *gladegaugev1.Accepted
+	known := false
+	ok := x.s.loop.Must(func(now time.Time) {
+		x.s.sync.Heard(x.offer.GetVersion(), "")
+		if x.s.agent == nil {
+			return
+		}
+		if _, known = x.s.sessions[x.id]; known {
+			return
+		}
+		x.s.sessions[x.id] = x
+		x.s.apply(x.s.agent.Offer(now, x.coreOffer(now)))
+		accepted = &gladegaugev1.Accepted{Load: x.s.load(), Incarnation: x.s.incarnation}
+	})
+	switch {
+	case !ok || (accepted == nil && !known):
+		return true, x.refuse(agent.Refuse{Reason: agent.UpstreamDown, RetryAfter: time.Second})
+	case known:
+		return true, x.refuse(agent.Refuse{Reason: agent.Stale})
+	default:
+		return false, x.send(&gladegaugev1.AttemptEvent{Event: &gladegaugev1.AttemptEvent_Accepted{Accepted: accepted}})
+	}
+}
+
+func (x *session) coreOffer(now time.Time) agent.Offer {
+	return agent.Offer{
+		ID:           x.id,
+		Incarnation:  x.offer.GetIncarnation(),
+		Class:        x.offer.GetClass(),
+		Organisation: x.offer.GetOrganisation(),
+		Weight:       x.offer.GetWeight(),
+		Arrived:      now.Add(-time.Duration(x.offer.GetAgeMs()) * time.Millisecond),
+		Copies:       int(x.offer.GetCopies()),
+		Key:          x.offer.GetIdempotencyKey(),
+	}
+}
+
+func (x *session) unregister() {
+	x.s.loop.Must(func(time.Time) { delete(x.s.sessions, x.id) })
+}
+
+// claim asks the agent to start the attempt.
+func (x *session) claim(run *gladegaugev1.Run) {
+	x.run = run
+	x.offset = int(run.GetResumeOffset())
+	x.s.loop.Must(func(now time.Time) { x.s.apply(x.s.agent.Claim(now, x.id)) })
+}
+
+// leave withdraws the attempt, since the entry is gone. It reports true if
+// nothing is left to wait for.
+func (x *session) leave() bool {
+	if !x.gone {
+		x.gone = true
+		x.s.loop.Must(func(now time.Time) { x.s.apply(x.s.agent.Withdraw(now, x.id)) })
+	}
+	return !x.running
+}
+
+// onEffect carries out what the agent decided. It reports true if the attempt
+// has ended.
+func (x *session) onEffect(ctx context.Context, effect agent.Effect) (bool, error) {
+	switch e := effect.(type) {
+	case agent.Grant:
+		granted := &gladegaugev1.Granted{TtlMs: convert.Milliseconds(e.TTL)}
+		return false, x.send(&gladegaugev1.AttemptEvent{Event: &gladegaugev1.AttemptEvent_Granted{Granted: granted}})
+	case agent.Refuse:
+		return true, x.refuse(e)
+	case agent.Start:
+		x.start(ctx)
+	case agent.Stop:
+		x.stopping = true
+		x.cancelRun()
+	case agent.Fail:
+		return true, x.fail(&gladegaugev1.Failed{AlreadyRun: e.AlreadyRun, Detail: "given up after it had begun"})
+	}
+	return false, nil
+}
+
+// start calls the upstream, from where the answer stands.
+func (x *session) start(ctx context.Context) {
+	ctx, x.cancelRun = context.WithCancel(ctx)
+	x.running = true
+	x.stopping = false
+	call := upstream.Call{
+		Method:  x.run.GetMethod(),
+		Path:    x.run.GetPath(),
+		Headers: x.headers(),
+		Body:    x.run.GetBody(),
+		Resume:  x.offset,
+	}
+	x.calls.Go(func() error {
+		end := x.s.upstream.Do(ctx, call, func(p upstream.Piece) error {
+			select {
+			case x.pieces <- piece{Piece: p}:
+				return nil
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		})
+		x.pieces <- piece{end: &end}
+		return nil
+	})
+}
+
+func (x *session) headers() http.Header {
+	h := make(http.Header)
+	for _, header := range x.run.GetHeaders() {
+		h.Add(header.GetName(), header.GetValue())
+	}
+	if class, ok := x.class(); ok {
+		h.Set(upstream.PriorityHeader, strconv.Itoa(class))
+	}
+	return h
+}
+
+// class returns the tier of the attempt's class.
+func (x *session) class() (int, bool) {
+	tier, ok := 0, false
+	x.s.loop.Must(func(time.Time) {
+		if c, found := x.s.sync.Config().Class(x.offer.GetClass()); found {
+			tier, ok = c.Tier, true
+		}
+	})
+	return tier, ok
+}
+
+// onPiece passes on a part of the answer, or ends the attempt.
+func (x *session) onPiece(p piece) (bool, error) {
+	if p.end != nil {
+		return x.onEnd(*p.end)
+	}
+	if p.Head != nil {
+		return false, x.onHead(p.Head)
+	}
+	x.tokens.Add(int64(p.Tokens))
+	x.s.metrics.Tokens.WithLabelValues(x.offer.GetClass()).Add(float64(p.Tokens))
+	chunk := &gladegaugev1.Chunk{Offset: uint64(p.Offset), Data: p.Data, Tokens: uint32(p.Tokens), Next: uint64(p.Next)}
+	err := x.send(&gladegaugev1.AttemptEvent{Event: &gladegaugev1.AttemptEvent_Chunk{Chunk: chunk}})
+	x.offset = p.Next
+	x.quiet = false
+	return false, err
+}
+
+func (x *session) onHead(h *upstream.Head) error {
+	head := &gladegaugev1.Head{Status: uint32(h.Status)}
+	for name, values := range h.Headers {
+		for _, v := range values {
+			head.Headers = append(head.Headers, &gladegaugev1.Header{Name: name, Value: v})
+		}
+	}
+	return x.send(&gladegaugev1.AttemptEvent{Event: &gladegaugev1.AttemptEvent_Head{Head: head}})
+}
+
+// onEnd takes the end of a call to the upstream.
+func (x *session) onEnd(end upstream.End) (bool, error) {
+	x.running = false
+	x.cancelRun()
+	produced := max(1, int(x.tokens.Load()))
+	var load *gladegaugev1.Load
+	stopped := x.stopping && end.Ending != upstream.Complete
+	x.s.loop.Must(func(now time.Time) {
+		if stopped {
+			x.s.apply(x.s.agent.Stopped(now, x.id, produced))
+		} else {
+			x.s.apply(x.s.agent.Ended(now, x.id, coreEnd(end.Ending), produced))
+		}
+		load = x.s.load()
+	})
+	if stopped && !x.gone {
+		return false, nil
+	}
+	if end.Ending != upstream.Complete {
+		x.s.metrics.Wasted.WithLabelValues(x.offer.GetClass()).Add(float64(x.tokens.Load()))
+		return true, x.fail(&gladegaugev1.Failed{NotRun: end.Ending == upstream.NotTaken, Detail: text(end.Err), Load: load})
+	}
+	ended := &gladegaugev1.End{Length: uint64(end.Length), Tokens: uint32(produced), Load: load}
+	return true, x.send(&gladegaugev1.AttemptEvent{Event: &gladegaugev1.AttemptEvent_End{End: ended}})
+}
+
+func text(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+func coreEnd(e upstream.Ending) agent.End {
+	switch e {
+	case upstream.Complete:
+		return agent.Completed
+	case upstream.NotTaken:
+		return agent.NeverRan
+	case upstream.Broken:
+	}
+	return agent.Cut
+}
+
+// heartbeat tells the entry that a run without pieces is alive.
+func (x *session) heartbeat() error {
+	if x.run == nil || !x.quiet {
+		x.quiet = true
+		return nil
+	}
+	return x.send(&gladegaugev1.AttemptEvent{Event: &gladegaugev1.AttemptEvent_Chunk{
+		Chunk: &gladegaugev1.Chunk{Offset: uint64(x.offset), Next: uint64(x.offset)},
+	}})
+}
+
+func (x *session) refuse(e agent.Refuse) error {
+	refused := &gladegaugev1.Refused{
+		Reason:       convert.Reason(e.Reason),
+		RetryAfterMs: convert.Milliseconds(e.RetryAfter),
+	}
+	x.s.loop.Must(func(time.Time) { refused.Load = x.s.load() })
+	return x.send(&gladegaugev1.AttemptEvent{Event: &gladegaugev1.AttemptEvent_Refused{Refused: refused}})
+}
+
+func (x *session) fail(f *gladegaugev1.Failed) error {
+	return x.send(&gladegaugev1.AttemptEvent{Event: &gladegaugev1.AttemptEvent_Failed{Failed: f}})
+}
+
+func (x *session) send(e *gladegaugev1.AttemptEvent) error {
+	if x.gone {
+		return nil
+	}
+	return x.stream.Send(e)
+}
+
+// load returns the message of the present load. It runs in the control loop.
+func (s *Server) load() *gladegaugev1.Load {
+	if s.agent == nil {
+		return nil
+	}
+	return convert.Load(s.agent.Load(), s.sync.Version())
+}
--- /dev/null
+++ b/internal/edge/configdir/configdir.go
@@ -0,0 +1,112 @@
+// Package configdir reads a configuration from a folder of YAML files.
+//
+// Each file holds a part of the protobuf document in its JSON names; lists of
+// several files are joined. Faults name the file and the field.
+//
+// # Usage
+//
+//	doc, err := configdir.Read("examples/tallowbark")
+package configdir
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+	"sigs.k8s.io/yaml"
+
+	gladegaugev1 "github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1"
+)
+
+// Source tells where the parts of a document came from.
+type Source struct {
+	Configuration *gladegaugev1.Configuration
+	files         []span
+}
+
+// span is the part of each list that one file gave.
+type span struct {
+	file   string
+	list   string
+	from   int
+	length int
+}
+
+// Read joins the files of a folder, in order of their names.
+func Read(dir string) (*Source, error) {
+	names, err := filepath.Glob(filepath.Join(dir, "*.yaml"))
+	if err != nil {
+		return nil, errors.Wrapf(err, "read %s", dir)
+	}
+	if len(names) == 0 {
+		return nil, errors.Newf("%s: no .yaml files", dir)
+	}
+	slices.Sort(names)
+	s := &Source{Configuration: &gladegaugev1.Configuration{}}
+	var faults error
+	for _, name := range names {
+		if err := s.add(name); err != nil {
+			faults = errors.CombineErrors(faults, err)
+		}
+	}
+	return s, faults
+}
+
+func (s *Source) add(name string) error {
+	text, err := os.ReadFile(name) //nolint:gosec // The operator names the folder.
+	if err != nil {
+		return errors.Wrapf(err, "read %s", name)
+	}
+	part, err := Parse(text)
+	if err != nil {
+		return errors.Wrapf(err, "%s", name)
+	}
+	file := filepath.Base(name)
+	whole := s.Configuration
+	if part.GetRevision() != 0 && whole.GetRevision() != 0 {
+		return errors.Newf("%s: revision: stands in another file already", name)
+	}
+	s.note(file, "classes", len(whole.GetClasses()), len(part.GetClasses()))
+	s.note(file, "pools", len(whole.GetPools()), len(part.GetPools()))
+	s.note(file, "organisations", len(whole.GetOrganisations()), len(part.GetOrganisations()))
+	proto.Merge(whole, part)
+	return nil
+}
+
+func (s *Source) note(file, list string, from, length int) {
+	if length > 0 {
+		s.files = append(s.files, span{file: file, list: list, from: from, length: length})
+	}
+}
+
+// Parse reads one YAML text. Unknown fields are errors.
+func Parse(text []byte) (*gladegaugev1.Configuration, error) {
+	data, err := yaml.YAMLToJSONStrict(text)
+	if err != nil {
+		return nil, errors.Wrap(err, "not YAML")
+	}
+	part := &gladegaugev1.Configuration{}
+	if err := protojson.Unmarshal(data, part); err != nil {
+		return nil, errors.Wrap(err, "not a configuration")
+	}
+	return part, nil
+}
+
+// Locate puts the file before a fault's field, and makes its index that of the
+// file.
+func (s *Source) Locate(field string) string {
+	list, index, rest, ok := splitField(field)
+	if !ok {
+		return field
+	}
+	for _, sp := range s.files {
+		if sp.list == list && index >= sp.from && index < sp.from+sp.length {
+			return fmt.Sprintf("%s: %s[%d]%s", sp.file, list, index-sp.from, rest)
+		}
+	}
+	return field
+}
--- /dev/null
+++ b/internal/edge/configdir/field.go
@@ -0,0 +1,20 @@
+package configdir
+
+import (
+	"strconv"
+	"strings"
+)
+
+// splitField cuts "classes[3].tier" into "classes", 3 and ".tier".
+func splitField(field string) (list string, index int, rest string, ok bool) {
+	open := strings.IndexByte(field, '[')
+	end := strings.IndexByte(field, ']')
+	if open < 0 || end < open {
+		return "", 0, "", false
+	}
+	index, err := strconv.Atoi(field[open+1 : end])
+	if err != nil {
+		return "", 0, "", false
+	}
+	return field[:open], index, field[end+1:], true
+}
--- /dev/null
+++ b/internal/edge/convert/convert.go
@@ -0,0 +1,59 @@
+// Package convert turns the core's values into messages and back.
+//
+// # Usage
+//
+//	msg := convert.Load(agent.Load(), version)
+package convert
+
+import (
+	"time"
+
+	"github.com/gladegauge/gladegauge/internal/core/agent"
+	gladegaugev1 "github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1"
+)
+
+// Load returns the message of a load.
+func Load(l agent.Load, v *gladegaugev1.Version) *gladegaugev1.Load {
+	msg := &gladegaugev1.Load{
+		FreeSlots: uint32(l.FreeSlots),
+		Queued:    uint32(l.Queued),
+		Leaving:   l.Leaving,
+		Version:   v,
+	}
+	for _, w := range l.Wait {
+		msg.WaitMs = append(msg.WaitMs, Milliseconds(w))
+	}
+	return msg
+}
+
+// LoadOf returns the load in a message.
+func LoadOf(msg *gladegaugev1.Load) agent.Load {
+	l := agent.Load{
+		FreeSlots: int(msg.GetFreeSlots()),
+		Queued:    int(msg.GetQueued()),
+		Leaving:   msg.GetLeaving(),
+	}
+	for i, w := range msg.GetWaitMs() {
+		if i < len(l.Wait) {
+			l.Wait[i] = time.Duration(w) * time.Millisecond
+		}
+	}
+	return l
+}
+
+// Milliseconds rounds up, so that a short time is not none.
+func Milliseconds(d time.Duration) uint32 {
+	const most = time.Duration(1<<32-1) * time.Millisecond
+	d = min(max(d, 0), most)
+	return uint32((d + time.Millisecond - 1) / time.Millisecond)
+}
+
+// Reason returns the message of a reason; both have the same numbers.
+func Reason(r agent.Reason) gladegaugev1.RefusalReason {
+	return gladegaugev1.RefusalReason(r)
+}
+
+// ReasonOf returns the reason in a message.
+func ReasonOf(r gladegaugev1.RefusalReason) agent.Reason {
+	return agent.Reason(r)
+}
--- /dev/null
+++ b/internal/edge/ctl/ctl.go
@@ -0,0 +1,57 @@
+// Package ctl holds the subcommands of the operators' tool.
+//
+// Exit codes: 0 for yes or done, 1 for no or not done, 2 for wrong arguments.
+//
+// # Usage
+//
+//	program.Main(ctl.Commands()...)
+package ctl
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/gladegauge/gladegauge/internal/edge/program"
+	"github.com/gladegauge/gladegauge/internal/edge/rpc"
+	"github.com/gladegauge/gladegauge/internal/edge/settings"
+)
+
+// Commands returns all subcommands.
+func Commands() []*program.Command {
+	return []*program.Command{checkCommand(), buildCommand()}
+}
+
+// connection is the settings of commands that call processes.
+type connection struct {
+	processes string
+	keys      rpc.Keys
+}
+
+func (c *connection) declare(s *settings.Set) {
+	s.String(&c.processes, "processes", "", "IP numbers and ports of the processes to ask, with commas")
+	s.String(&c.keys.Cert, "tls-cert", "", "certificate file of the operator", settings.File)
+	s.String(&c.keys.Key, "tls-key", "", "private key file of the operator", settings.File)
+	s.String(&c.keys.CA, "tls-ca", "", "file of the authorities of the processes' certificates", settings.File)
+	s.Bool(&c.keys.Plain, "insecure-plaintext", false, "call without TLS")
+}
+
+// out writes a command's output.
+func out(format string, args ...any) {
+	_, _ = fmt.Fprintf(os.Stdout, format, args...)
+}
+
+// complain writes an error and returns the exit code for it.
+func complain(w io.Writer, err error) int {
+	_, _ = fmt.Fprintln(w, err)
+	return program.ExitFailure
+}
+
+// oneArgument returns the only argument, or complains.
+func oneArgument(args []string, name string) (string, bool) {
+	if len(args) != 1 {
+		_, _ = fmt.Fprintf(os.Stderr, "%s: exactly one must be given\n", name)
+		return "", false
+	}
+	return args[0], true
+}
--- /dev/null
+++ b/internal/edge/entryd/server.go
@@ -0,0 +1,256 @@
+// Package entryd is the entry's process: it takes callers' requests, carries
+// them to agents and relays the answers.
+//
+// Callers speak the OpenAI-compatible HTTP API to model engines, and plain HTTP
+// to plain services. The class of a request comes from a header, or from the
+// organisation's default for the model.
+//
+// # Usage
+//
+//	s, err := entryd.New(&options)
+//	code := program.Run(ctx, log, s.Service())
+package entryd
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/gladegauge/gladegauge/internal/core/burn"
+	"github.com/gladegauge/gladegauge/internal/core/config"
+	"github.com/gladegauge/gladegauge/internal/core/entry"
+	"github.com/gladegauge/gladegauge/internal/core/member"
+	"github.com/gladegauge/gladegauge/internal/core/route"
+	"github.com/gladegauge/gladegauge/internal/edge/loop"
+	"github.com/gladegauge/gladegauge/internal/edge/metrics"
+	"github.com/gladegauge/gladegauge/internal/edge/ops"
+	"github.com/gladegauge/gladegauge/internal/edge/platform"
+	"github.com/gladegauge/gladegauge/internal/edge/program"
+	"github.com/gladegauge/gladegauge/internal/edge/rpc"
+	"github.com/gladegauge/gladegauge/internal/edge/spread"
+	"github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1/gladegaugev1connect"
+)
+
+// Times and sizes of the process.
+const (
+	tickEvery = 250 * time.Millisecond
+	// maxCallerHeader bounds the headers of a caller's request.
+	maxCallerHeader = 64 << 10
+	// callerHeaderTimeout and callerBodyTimeout bound a slow sender.
+	callerHeaderTimeout = 5 * time.Second
+	callerBodyTimeout   = 30 * time.Second
+)
+
+// Options are the settings of an entry process.
+type Options struct {
+	program.Common
+	Listen     string
+	CallerCert string
+	CallerKey  string
+	MaxBody    int
+	DrainGrace time.Duration
+	Log        zerolog.Logger
+}
+
+// Server is one entry process.
+type Server struct {
+	o        *Options
+	loop     *loop.Loop
+	metrics  *metrics.Metrics
+	sync     *spread.Sync
+	rpcHTTP  *http.Client
+	leaving  atomic.Bool
+	ready    atomic.Bool
+	inFlight atomic.Int64
+	callers  *http.Server
+	// snapshot is read by traffic goroutines.
+	snapshot atomic.Pointer[config.Config]
+	// The fields below belong to the control loop.
+	entry *entry.Entry
+	set   *member.Set
+	burn  *burn.Ledger
+}
+
+// New returns a server that does not listen yet.
+func New(o *Options) (*Server, error) {
+	s := &Server{
+		o:       o,
+		loop:    loop.New(time.Now),
+		metrics: metrics.New(prometheus.NewRegistry()),
+		set:     member.NewSet(),
+		burn:    burn.NewLedger(),
+	}
+	o.Keys.Expiry = func(t time.Time) { s.metrics.CertExpiry.Set(float64(t.Unix())) }
+	client, err := o.Keys.Client()
+	if err != nil {
+		return nil, err
+	}
+	s.rpcHTTP = client
+	count := func(kind, result string) { s.metrics.PlatformCalls.WithLabelValues(kind, result).Inc() }
+	s.sync = spread.New(spread.Options{
+		Self:      member.Host{ID: o.ID, Role: member.Entry, Zone: o.Zone},
+		Loop:      s.loop,
+		Platform:  platform.New(o.Platform, http.DefaultClient, count),
+		HTTP:      client,
+		URL:       o.Keys.URL,
+		Seeds:     program.SplitList(o.Seeds),
+		Metrics:   s.metrics,
+		Log:       o.Log,
+		OnConfig:  s.onConfig,
+		OnMembers: s.onMembers,
+	})
+	return s, nil
+}
+
+// onConfig takes a configuration into force. It runs in the control loop.
+func (s *Server) onConfig(_ time.Time, cfg *config.Config) {
+	if s.entry == nil {
+		options := entry.Options{Route: route.Options{Entry: s.o.ID, Zone: s.o.Zone}}
+		s.entry = entry.New(options, cfg, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))) //nolint:gosec // Choosing agents needs no secrecy.
+		s.entry.SetMembers(s.set)
+	}
+	s.entry.SetConfig(cfg)
+	s.snapshot.Store(cfg)
+}
+
+// onMembers takes a host list into force. It runs in the control loop.
+func (s *Server) onMembers(_ time.Time, set *member.Set) {
+	s.set = set
+	if s.entry != nil {
+		s.entry.SetMembers(set)
+	}
+}
+
+// Service returns the work of the process.
+func (s *Server) Service() program.Service {
+	return program.Service{
+		Run:        s.run,
+		Drain:      s.drain,
+		InProgress: func() int { return int(s.inFlight.Load()) },
+	}
+}
+
+func (s *Server) run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	if err := s.serveCallers(ctx, group); err != nil {
+		return err
+	}
+	if err := s.serveProcesses(ctx, group); err != nil {
+		return err
+	}
+	group.Go(func() error { return s.loop.Run(ctx) })
+	group.Go(func() error { return s.sync.Run(ctx) })
+	group.Go(func() error { return s.loop.Every(ctx, tickEvery, s.tick) })
+	return group.Wait()
+}
+
+// serveCallers listens for callers.
+func (s *Server) serveCallers(ctx context.Context, group *errgroup.Group) error {
+	l, err := program.Listen(s.o.Log, "listen", s.o.Listen)
+	if err != nil {
+		return err
+	}
+	s.callers = &http.Server{
+		Handler:           s.handler(),
+		ReadHeaderTimeout: callerHeaderTimeout,
+		MaxHeaderBytes:    maxCallerHeader,
+	}
+	group.Go(func() error {
+		var err error
+		if s.o.CallerCert != "" {
+			err = s.callers.ServeTLS(l, s.o.CallerCert, s.o.CallerKey)
+		} else {
+			err = s.callers.Serve(l)
+		}
+		return ignoreClosed(err)
+	})
+	group.Go(func() error {
+		<-ctx.Done()
+		_ = s.callers.Close()
+		return nil
+	})
+	return nil
+}
+
+// serveProcesses listens for other processes and operators.
+func (s *Server) serveProcesses(ctx context.Context, group *errgroup.Group) error {
+	rpcListener, err := program.Listen(s.o.Log, "rpc-listen", s.o.RPC)
+	if err != nil {
+		return err
+	}
+	opsListener, err := program.Listen(s.o.Log, "ops-listen", s.o.Ops)
+	if err != nil {
+		return err
+	}
+	rpcServer, err := s.o.Keys.Server(s.rpcHandler())
+	if err != nil {
+		return err
+	}
+	plain := &rpc.Keys{Plain: true}
+	opsServer, err := plain.Server(ops.Handler(s.metrics.Registry, s.notReady))
+	if err != nil {
+		return err
+	}
+	group.Go(func() error { return s.o.Keys.Serve(rpcServer, rpcListener) })
+	group.Go(func() error { return plain.Serve(opsServer, opsListener) })
+	group.Go(func() error {
+		<-ctx.Done()
+		_ = rpcServer.Close()
+		_ = opsServer.Close()
+		return nil
+	})
+	return nil
+}
+
+func (s *Server) rpcHandler() http.Handler {
+	mux := http.NewServeMux()
+	path, h := gladegaugev1connect.NewPeerServiceHandler(s.sync)
+	mux.Handle(path, s.o.Keys.Only(h, rpc.RoleEntry, rpc.RoleAgent))
+	path, h = gladegaugev1connect.NewOperatorServiceHandler(&operator{s: s})
+	mux.Handle(path, s.o.Keys.Only(h, rpc.RoleOperator))
+	return mux
+}
+
+func ignoreClosed(err error) error {
+	if err == http.ErrServerClosed { //nolint:errorlint // The server returns it as it is.
+		return nil
+	}
+	return err
+}
+
+func (s *Server) notReady() string {
+	switch {
+	case s.leaving.Load():
+		return "leaving"
+	case !s.ready.Load():
+		return "no confirmed configuration"
+	default:
+		return ""
+	}
+}
+
+func (s *Server) tick(now time.Time) {
+	s.sync.Tick(now)
+	s.ready.Store(s.sync.Ready())
+}
+
+// drain lets the balancer see that the entry leaves, then stops listening and
+// waits for what is in progress.
+func (s *Server) drain(ctx context.Context) error {
+	s.leaving.Store(true)
+	s.metrics.Leaving.Set(1)
+	t := time.NewTimer(s.o.DrainGrace)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	return s.callers.Shutdown(ctx)
+}
--- /dev/null
+++ b/internal/edge/ops/ops.go
@@ -0,0 +1,31 @@
+// Package ops serves /metrics, /healthz and /readyz of a process.
+//
+// # Usage
+//
+//	h := ops.Handler(registry, ready)
+package ops
+
+import (
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// Handler returns the operators' pages. Ready returns an empty string, or why
+// the process takes no work.
+func Handler(reg *prometheus.Registry, ready func() string) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(reg, promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte("ok\n"))
+	})
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if reason := ready(); reason != "" {
+			http.Error(w, reason, http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = w.Write([]byte("ready\n"))
+	})
+	return mux
+}
--- /dev/null
+++ b/internal/edge/spread/peers.go
@@ -0,0 +1,165 @@
+package spread
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/gladegauge/gladegauge/internal/core/config"
+	"github.com/gladegauge/gladegauge/internal/core/revision"
+	core "github.com/gladegauge/gladegauge/internal/core/spread"
+	gladegaugev1 "github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1"
+)
+
+// addresses returns where the process's peers are; the seeds if none is known.
+func (s *Sync) addresses(ctx context.Context) []string {
+	var addresses []string
+	_ = s.o.Loop.Do(ctx, func(time.Time) {
+		for _, h := range core.Peers(s.set, s.o.Self) {
+			addresses = append(addresses, h.Address)
+		}
+	})
+	if len(addresses) == 0 {
+		return s.o.Seeds
+	}
+	return addresses
+}
+
+// exchangeLoop asks one peer after the other.
+func (s *Sync) exchangeLoop(ctx context.Context) error {
+	for pause(ctx, core.ExchangeEvery/2+jitter(core.ExchangeEvery)) {
+		addresses := s.addresses(ctx)
+		if len(addresses) == 0 {
+			continue
+		}
+		s.turn++
+		s.exchange(ctx, addresses[s.turn%len(addresses)])
+	}
+	return nil
+}
+
+// noticeLoop tells all peers at once when something is new.
+func (s *Sync) noticeLoop(ctx context.Context) error {
+	for {
+		select {
+		case <-s.notices:
+		case <-ctx.Done():
+			return nil
+		}
+		group, gctx := errgroup.WithContext(ctx)
+		for _, address := range s.addresses(ctx) {
+			group.Go(func() error {
+				s.exchange(gctx, address)
+				return nil
+			})
+		}
+		_ = group.Wait()
+	}
+}
+
+// exchange tells a peer the versions in force and fetches what it has newer.
+func (s *Sync) exchange(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	req := &gladegaugev1.ExchangeRequest{From: s.o.Self.ID}
+	if s.o.Loop.Do(ctx, func(time.Time) { req.State = s.state() }) != nil {
+		return false
+	}
+	resp, err := s.peer(address).Exchange(ctx, connect.NewRequest(req))
+	s.countPeer("exchange", err)
+	if err != nil {
+		return false
+	}
+	behind := false
+	err = s.o.Loop.Do(ctx, func(now time.Time) {
+		s.Heard(resp.Msg.GetState().GetVersion(), address)
+		behind = s.behind(resp.Msg.GetState())
+		if !behind {
+			s.fresh.Confirmed(now)
+		}
+	})
+	if err == nil && behind {
+		return s.fetchFrom(ctx, address)
+	}
+	return err == nil
+}
+
+func (s *Sync) countPeer(kind string, err error) {
+	result := "ok"
+	if err != nil {
+		result = "error"
+	}
+	s.o.Metrics.PeerCalls.WithLabelValues(kind, result).Inc()
+}
+
+// pullLoop fetches from processes that were heard to be ahead.
+func (s *Sync) pullLoop(ctx context.Context) error {
+	for {
+		select {
+		case address := <-s.pulls:
+			fetchCtx, cancel := context.WithTimeout(ctx, callTimeout)
+			s.fetchFrom(fetchCtx, address)
+			cancel()
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// fetchFrom fetches all that the peer has newer.
+func (s *Sync) fetchFrom(ctx context.Context, address string) bool {
+	zones := s.wantedZones(ctx, address)
+	resp, err := s.peer(address).Fetch(ctx, connect.NewRequest(&gladegaugev1.FetchRequest{Manifest: true, Zones: zones}))
+	s.countPeer("fetch", err)
+	if err != nil {
+		return false
+	}
+	manifest := resp.Msg.GetManifest()
+	var missing []string
+	wanted := false
+	err = s.o.Loop.Do(ctx, func(now time.Time) {
+		for _, list := range resp.Msg.GetLists() {
+			s.takeList(now, list)
+		}
+		if manifest != nil && s.holder.Consider(manifest) == revision.Newer {
+			wanted = true
+			missing = s.holder.Missing(manifest)
+		}
+	})
+	if err != nil {
+		return false
+	}
+	if wanted && !s.fetchShards(ctx, address, manifest, missing) {
+		return false
+	}
+	return s.o.Loop.Do(ctx, func(now time.Time) { s.fresh.Confirmed(now) }) == nil
+}
+
+func (s *Sync) fetchShards(ctx context.Context, address string, m *gladegaugev1.Manifest, names []string) bool {
+	resp, err := s.peer(address).Fetch(ctx, connect.NewRequest(&gladegaugev1.FetchRequest{Shards: names}))
+	s.countPeer("fetch", err)
+	if err != nil {
+		return false
+	}
+	doc := config.Document{Manifest: m, Shards: make(map[string][]byte)}
+	for _, shard := range resp.Msg.GetShards() {
+		doc.Shards[shard.GetName()] = shard.GetValue()
+	}
+	verdict := revision.Rejected
+	_ = s.o.Loop.Do(ctx, func(now time.Time) { verdict = s.apply(now, doc) })
+	return verdict != revision.Rejected
+}
+
+// wantedZones asks the peer which host lists it has newer.
+func (s *Sync) wantedZones(ctx context.Context, address string) []string {
+	resp, err := s.peer(address).Exchange(ctx, connect.NewRequest(&gladegaugev1.ExchangeRequest{}))
+	s.countPeer("exchange", err)
+	if err != nil {
+		return nil
+	}
+	var zones []string
+	_ = s.o.Loop.Do(ctx, func(time.Time) { zones = s.newerZones(resp.Msg.GetState()) })
+	return zones
+}
--- /dev/null
+++ b/internal/edge/spread/platform.go
@@ -0,0 +1,258 @@
+package spread
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/gladegauge/gladegauge/internal/core/config"
+	"github.com/gladegauge/gladegauge/internal/core/revision"
+	"github.com/gladegauge/gladegauge/internal/edge/platform"
+	gladegaugev1 "github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1"
+)
+
+// bootstrap asks the platform and a seed once, so that the process starts with
+// the newest of both.
+func (s *Sync) bootstrap(ctx context.Context) {
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	s.readAll(callCtx)
+	for _, address := range s.addresses(ctx) {
+		if s.exchange(ctx, address) {
+			return
+		}
+	}
+}
+
+// readAll reads the manifest and all host lists from the platform.
+func (s *Sync) readAll(ctx context.Context) {
+	if v, err := s.o.Platform.Read(ctx, platform.ManifestName); err == nil {
+		s.learnManifest(ctx, v)
+	}
+	s.readHosts(ctx, func(string) bool { return true })
+}
+
+// readHosts reads the host lists of the zones that are wanted. It reports
+// whether every zone that the platform names has a list now.
+func (s *Sync) readHosts(ctx context.Context, wanted func(zone string) bool) bool {
+	v, err := s.o.Platform.Read(ctx, platform.ZonesName)
+	if err != nil {
+		return false
+	}
+	complete := true
+	for _, zone := range strings.Fields(string(v.Data)) {
+		if !wanted(zone) {
+			continue
+		}
+		list, err := s.o.Platform.Read(ctx, platform.HostsName(zone))
+		if err != nil {
+			complete = false
+			continue
+		}
+		s.learnHosts(ctx, list)
+	}
+	return complete
+}
+
+// zonesLoop reads, while the process is a watcher, the lists of zones from
+// which it knows nobody yet; the others come from peers there.
+func (s *Sync) zonesLoop(ctx context.Context) error {
+	wait := retryPause
+	for pause(ctx, wait/2+jitter(wait)) {
+		if !s.isWatcher(ctx) {
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		complete := s.readHosts(callCtx, func(zone string) bool { return s.unknownZone(ctx, zone) })
+		cancel()
+		wait = retryPause
+		if complete {
+			wait = zonesEvery
+		}
+	}
+	return nil
+}
+
+func (s *Sync) unknownZone(ctx context.Context, zone string) bool {
+	unknown := false
+	_ = s.o.Loop.Do(ctx, func(time.Time) { unknown = len(s.set.Zone(zone)) == 0 })
+	return unknown
+}
+
+// watchLoop watches a value while the process is a watcher.
+func (s *Sync) watchLoop(ctx context.Context, watch func(ctx context.Context, after uint64) (uint64, error)) error {
+	var after uint64
+	for ctx.Err() == nil {
+		if !s.isWatcher(ctx) {
+			if !s.waitForChange(ctx) {
+				return nil
+			}
+			continue
+		}
+		next, err := watch(ctx, after)
+		switch {
+		case err == nil:
+			after = next
+		case errors.Is(err, platform.ErrUnchanged):
+		default:
+			// A platform that starts anew may count its versions from the start.
+			after = 0
+			pause(ctx, retryPause/2+jitter(retryPause))
+		}
+	}
+	return nil
+}
+
+func (s *Sync) isWatcher(ctx context.Context) bool {
+	watches := false
+	_ = s.o.Loop.Do(ctx, func(time.Time) {
+		s.recheckWatch()
+		watches = s.watching
+	})
+	return watches
+}
+
+// waitForChange waits until the process may have become a watcher.
+func (s *Sync) waitForChange(ctx context.Context) bool {
+	t := time.NewTimer(retryPause)
+	defer t.Stop()
+	select {
+	case <-s.rewatch:
+		return true
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (s *Sync) watchManifest(ctx context.Context, after uint64) (uint64, error) {
+	v, err := s.o.Platform.Watch(ctx, platform.ManifestName, after, watchWait)
+	if err != nil {
+		s.confirmUnchanged(ctx, err)
+		return after, err
+	}
+	if !s.learnManifest(ctx, v) {
+		return after, errors.Newf("manifest version %d was not taken", v.Version)
+	}
+	return v.Version, nil
+}
+
+func (s *Sync) confirmUnchanged(ctx context.Context, err error) {
+	if errors.Is(err, platform.ErrUnchanged) {
+		_ = s.o.Loop.Do(ctx, func(now time.Time) { s.fresh.Confirmed(now) })
+	}
+}
+
+func (s *Sync) watchHosts(ctx context.Context, after uint64) (uint64, error) {
+	v, err := s.o.Platform.Watch(ctx, platform.HostsName(s.o.Self.Zone), after, watchWait)
+	if err != nil {
+		return after, err
+	}
+	s.learnHosts(ctx, v)
+	return v.Version, nil
+}
+
+func (s *Sync) learnHosts(ctx context.Context, v platform.Value) {
+	list := &gladegaugev1.HostList{}
+	if err := proto.Unmarshal(v.Data, list); err != nil {
+		s.o.Log.Warn().Err(err).Msg("host list cannot be read")
+		return
+	}
+	list.Version = v.Version
+	_ = s.o.Loop.Do(ctx, func(now time.Time) { s.takeList(now, list) })
+}
+
+// learnManifest takes a published manifest into force, or the last good one
+// before it. It reports false if it should be read again.
+func (s *Sync) learnManifest(ctx context.Context, v platform.Value) bool {
+	m := &gladegaugev1.Manifest{}
+	if err := proto.Unmarshal(v.Data, m); err != nil {
+		s.o.Metrics.Rejected.Inc()
+		s.o.Log.Warn().Err(err).Msg("manifest cannot be read")
+		return false
+	}
+	verdict, err := s.fetchPublished(ctx, m)
+	if err != nil {
+		s.o.Log.Warn().Err(err).Uint64("revision", m.GetRevision()).Msg("configuration cannot be fetched")
+		return false
+	}
+	if verdict == revision.Rejected {
+		s.fallBack(ctx, m)
+	}
+	_ = s.o.Loop.Do(ctx, func(now time.Time) { s.fresh.Confirmed(now) })
+	return true
+}
+
+// maxParents bounds how many bad revisions are passed over.
+const maxParents = 8
+
+// fallBack looks for the last good revision before a bad one, if the process
+// has none in force.
+func (s *Sync) fallBack(ctx context.Context, bad *gladegaugev1.Manifest) {
+	for range maxParents {
+		inForce := false
+		_ = s.o.Loop.Do(ctx, func(time.Time) { inForce = s.holder.Config() != nil })
+		if inForce || bad.GetParent() == 0 {
+			return
+		}
+		v, err := s.o.Platform.Read(ctx, platform.ManifestAt(bad.GetParent()))
+		if err != nil {
+			return
+		}
+		parent := &gladegaugev1.Manifest{}
+		if proto.Unmarshal(v.Data, parent) != nil {
+			return
+		}
+		if verdict, err := s.fetchPublished(ctx, parent); err != nil || verdict != revision.Rejected {
+			return
+		}
+		bad = parent
+	}
+}
+
+// fetchPublished reads the shards that a manifest names and the process lacks.
+func (s *Sync) fetchPublished(ctx context.Context, m *gladegaugev1.Manifest) (revision.Verdict, error) {
+	var verdict revision.Verdict
+	var missing []string
+	err := s.o.Loop.Do(ctx, func(time.Time) {
+		verdict = s.holder.Consider(m)
+		missing = s.holder.Missing(m)
+	})
+	if err != nil || verdict != revision.Newer {
+		return verdict, err
+	}
+	doc := config.Document{Manifest: m, Shards: make(map[string][]byte)}
+	for _, ref := range m.GetShards() {
+		if !slices.Contains(missing, ref.GetName()) {
+			continue
+		}
+		v, err := s.o.Platform.Read(ctx, platform.ShardName(ref.GetDigest()))
+		if err != nil {
+			return 0, err
+		}
+		doc.Shards[ref.GetName()] = v.Data
+	}
+	err = s.o.Loop.Do(ctx, func(now time.Time) { verdict = s.apply(now, doc) })
+	return verdict, err
+}
+
+// directLoop reads the platform directly when nobody has answered for long.
+func (s *Sync) directLoop(ctx context.Context) error {
+	for pause(ctx, directBase+jitter(directJitter)) {
+		silent := false
+		_ = s.o.Loop.Do(ctx, func(now time.Time) {
+			silent = s.fresh.Silent(now) || s.holder.Config() == nil
+		})
+		if silent {
+			callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+			s.readAll(callCtx)
+			cancel()
+		}
+	}
+	return nil
+}
