Sessions: a bound of goodput with one slot for each request

Cause: the bound let long answers begin after their target, so that it could not be reached by any scheduler. Change: each request uses one slot at most and must begin in time.

--- a/internal/core/queue/class.go
+++ b/internal/core/queue/class.go
@@ -22,8 +22,8 @@
 // longQuantile is the share of answers that are not longer than what is called
 // long, and firstLong is its first guess, in means.
 const (
-	longQuantile = 0.8
-	firstLong    = 1.4
+	longQuantile = 0.95
+	firstLong    = 3
 )
 
 // classQueue holds the waiting requests of one class.
--- a/internal/session/bound.go
+++ b/internal/session/bound.go
@@ -20,13 +20,16 @@
 	expire time.Duration
 }
 
+// left is the time that the rest of the request needs in one slot.
+func (b *batch) left() time.Duration { return time.Duration(b.slots * float64(time.Second)) }
+
 // bound returns the most tokens on time that any scheduler could have made, by
 // class and over all. Work flows like a fluid: each second the pool's working
-// slots serve what waits, the earliest deadline first, which leaves the least
-// work undone, and what cannot be on time any more is gone. No real scheduler
-// knows the lengths, can split a request or counts a part of one. The figures
-// by class are how this bound happens to share the slots out, not a bound for
-// each class.
+// slots serve what waits, the least slack first, each request in one slot at
+// most, and what cannot be on time any more is gone. It knows all lengths,
+// stops and resumes at no cost, needs the least time for every prompt and
+// counts parts of answers, all of which no real scheduler does. The figures by
+// class are how it happens to share the slots out, not a bound for each class.
 func (s *Session) bound() map[string]float64 {
 	best := map[string]float64{}
 	for _, pool := range s.site.Config.Pools() {
@@ -42,13 +45,13 @@
 	for i := range steps {
 		now := time.Duration(i) * boundStep
 		waiting = append(waiting, arriving[i]...)
-		waiting = slices.DeleteFunc(waiting, func(b *batch) bool { return b.slots <= 0 || b.expire < now })
+		waiting = slices.DeleteFunc(waiting, func(b *batch) bool { return b.slots <= 0 || now+b.left() > b.expire })
 		slices.SortStableFunc(waiting, func(a, b *batch) int {
-			return cmp.Compare(a.expire, b.expire)
+			return cmp.Compare(a.expire-a.left(), b.expire-b.left())
 		})
 		free := s.workingSlots(pool, now)
 		for _, b := range waiting {
-			used := min(free, b.slots)
+			used := min(free, b.slots, boundStep.Seconds())
 			free -= used
 			b.slots -= used
 			best[b.class] += used * b.rate
