At most once under doubled messages; waits counted by real copies; queue in log n

Change: grants, claims and refusals carry the incarnation, and after a claim only the one that granted may say that nothing ran; copies of live attempts have no effect; entries tell agents how many hold an offer now, and no longer re-offer by the clock; agents learn from late answers how far their expected wait can be trusted; requests by age are a heap.

--- a/internal/core/agent/admit.go
+++ b/internal/core/agent/admit.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/gladegauge/gladegauge/internal/core/config"
 	"github.com/gladegauge/gladegauge/internal/core/queue"
 )
 
@@ -46,7 +47,35 @@
 // its target, after all that stands before it.
 func (a *Agent) startsInTime(now time.Time, it *queue.Item) bool {
 	wait, requests := a.waitFor(it.Class, a.queue.Cost(it.Class))
-	return wait == 0 || wait <= time.Duration(admitShare(requests)*float64(it.Slack(now)))
+	share := admitShare(requests) * a.trustOf(it.Class)
+	return wait == 0 || wait <= time.Duration(share*float64(it.Slack(now)))
+}
+
+// Steps of learning how far the expected wait can be trusted. In balance about
+// one request in twenty is late.
+const (
+	trustLoss = 0.97
+	trustGain = 0.001
+	minTrust  = 0.1
+)
+
+// trustOf is the part of its slack that a request of the class may use.
+func (a *Agent) trustOf(class *config.Class) float64 {
+	if t, ok := a.trust[class.Name]; ok {
+		return t
+	}
+	return 1
+}
+
+// learnTrust takes in whether a request of the class was served on time.
+func (a *Agent) learnTrust(class *config.Class, onTime bool) {
+	t := a.trustOf(class)
+	if onTime {
+		t += trustGain
+	} else {
+		t *= trustLoss
+	}
+	a.trust[class.Name] = min(1, max(minTrust, t))
 }
 
 // givesWay reports whether the newcomer's organisation is further behind.
--- a/internal/core/agent/agent.go
+++ b/internal/core/agent/agent.go
@@ -84,6 +84,9 @@
 	// learnt tokens a second.
 	made  [config.Tiers]int
 	rates [windows][config.Tiers]float64
+	// trust is, by class, how much of the slack may be used for waiting, as
+	// learnt from requests that were served on time or late.
+	trust map[string]float64
 	// prompt is the learnt time to the first token, in nanoseconds.
 	prompt   float64
 	leaving  bool
@@ -103,6 +106,7 @@
 		keys:    keyring{},
 		runs:    make(map[string]*run),
 		offers:  make(map[string]Offer),
+		trust:   make(map[string]float64),
 		slots:   o.Slots,
 		speed:   o.Speed,
 	}
@@ -150,6 +154,10 @@
 
 // Offer takes an offer: it waits, is granted a slot, or is refused.
 func (a *Agent) Offer(now time.Time, o Offer) []Effect {
+	if a.ledger.State(o.ID).Live() {
+		// A copy of the message; the attempt has its answers already.
+		return nil
+	}
 	if refusal := a.inadmissible(o); refusal != nil {
 		return []Effect{refusal}
 	}
@@ -160,8 +168,8 @@
 		Organisation: o.Organisation,
 		Weight:       o.Weight,
 		Arrived:      o.Arrived,
-		Copies:       o.Copies,
 		Lead:         a.lead(class),
+		Copies:       o.Copies,
 	}
 	effects, admitted := a.admit(now, it)
 	if !admitted {
@@ -175,11 +183,12 @@
 
 // inadmissible returns the effect for an offer that can never be queued here.
 func (a *Agent) inadmissible(o Offer) Effect {
-	switch state := a.ledger.State(o.ID); {
-	case state.Started():
+	switch a.ledger.State(o.ID) {
+	case ledger.Ran:
 		return Fail{ID: o.ID, AlreadyRun: true}
-	case state != ledger.None:
+	case ledger.NotRun:
 		return Refuse{ID: o.ID, Reason: Stale}
+	case ledger.None, ledger.Waiting, ledger.Granted, ledger.Running:
 	}
 	if o.Incarnation != "" && o.Incarnation != a.options.Incarnation {
 		return Refuse{ID: o.ID, Reason: WrongIncarnation}
@@ -201,9 +210,17 @@
 	return nil
 }
 
-// Claim starts a granted attempt. A claim that comes too late, twice or
-// without a grant starts nothing.
-func (a *Agent) Claim(now time.Time, id string) []Effect {
+// Recount tells how many agents hold a waiting offer now.
+func (a *Agent) Recount(id string, copies int) {
+	a.queue.SetCopies(id, copies)
+}
+
+// Claim starts a granted attempt. A claim that comes too late, twice, without
+// a grant or for another incarnation's grant starts nothing.
+func (a *Agent) Claim(now time.Time, id, incarnation string) []Effect {
+	if incarnation != a.options.Incarnation {
+		return []Effect{Refuse{ID: id, Reason: WrongIncarnation}}
+	}
 	r, ok := a.runs[id]
 	if !ok || r.claimed {
 		return a.strayClaim(id)
@@ -222,8 +239,12 @@
 }
 
 func (a *Agent) strayClaim(id string) []Effect {
-	if a.ledger.State(id).Started() {
+	switch a.ledger.State(id) {
+	case ledger.Ran:
 		return []Effect{Fail{ID: id, AlreadyRun: true}}
+	case ledger.Running:
+		return nil
+	case ledger.None, ledger.Waiting, ledger.Granted, ledger.NotRun:
 	}
 	return []Effect{Refuse{ID: id, Reason: Stale}}
 }
@@ -276,6 +297,9 @@
 	}
 	a.queue.Produced(produced - r.produced)
 	a.made[r.item.Class.Tier-1] += produced - r.produced
+	if r.produced == 0 && r.item.Class.FirstToken > 0 {
+		a.learnTrust(r.item.Class, now.Sub(r.item.Arrived) <= r.item.Class.FirstToken)
+	}
 	if r.produced == 0 {
 		a.prompt += speedRate * float64(now.Sub(r.started)-time.Duration(a.prompt))
 	}
@@ -299,6 +323,9 @@
 	switch end {
 	case Completed:
 		a.queue.Learn(r.item.Class, max(1, r.produced))
+		if r.item.Class.FirstToken == 0 {
+			a.learnTrust(r.item.Class, now.Sub(r.item.Arrived) <= r.item.Class.Completion)
+		}
 		if r.produced <= 1 {
 			a.learnSpeed(1, now.Sub(r.started))
 		}
--- a/internal/core/agent/effect.go
+++ b/internal/core/agent/effect.go
@@ -6,10 +6,12 @@
 // Grant, Refuse, Start, Stop and Fail.
 type Effect interface{ effect() }
 
-// Grant reserves a slot; the entry must claim it within TTL.
+// Grant reserves a slot; the entry must claim it within TTL, from the
+// incarnation that granted it.
 type Grant struct {
-	ID  string
-	TTL time.Duration
+	ID          string
+	TTL         time.Duration
+	Incarnation string
 }
 
 // Refuse says that the attempt did not run here and never will.
--- a/internal/core/agent/load.go
+++ b/internal/core/agent/load.go
@@ -95,6 +95,7 @@
 	for tier, tokens := range a.made {
 		observed := float64(tokens) / d.Seconds()
 		for w, length := range windowLengths {
+			// Rates begin at 0: a burst at the start may end soon.
 			weight := min(1, d.Seconds()/length.Seconds())
 			a.rates[w][tier] += weight * (observed - a.rates[w][tier])
 		}
--- a/internal/core/agent/schedule.go
+++ b/internal/core/agent/schedule.go
@@ -51,7 +51,7 @@
 		return a.start(now, id, r)
 	}
 	a.ledger.Set(now, id, ledger.Granted)
-	return Grant{ID: id, TTL: GrantTTL}
+	return Grant{ID: id, TTL: GrantTTL, Incarnation: a.options.Incarnation}
 }
 
 // makeRoom stops runs of lower tiers for what waits, before a protected
--- a/internal/core/dispatch/effect.go
+++ b/internal/core/dispatch/effect.go
@@ -8,7 +8,7 @@
 )
 
 // Effect is something that the owner of a Request carries out. It is one of
-// Offer, Claim, Withdraw and Finish.
+// Offer, Claim, Recount, Withdraw and Finish.
 type Effect interface{ effect() }
 
 // Offer opens an attempt at an agent.
@@ -23,6 +23,14 @@
 type Claim struct {
 	Attempt int
 	Offset  int
+	// Incarnation is the one that granted the slot.
+	Incarnation string
+}
+
+// Recount tells the agent of an open offer how many agents hold one now.
+type Recount struct {
+	Attempt int
+	Copies  int
 }
 
 // Withdraw ends the attempt; its later events no longer matter.
@@ -37,6 +45,7 @@
 
 func (Offer) effect()    {}
 func (Claim) effect()    {}
+func (Recount) effect()  {}
 func (Withdraw) effect() {}
 func (Finish) effect()   {}
 
--- a/internal/core/dispatch/request.go
+++ b/internal/core/dispatch/request.go
@@ -17,8 +17,6 @@
 	DefaultOffers = 6
 	// DefaultResumes is how often a broken answer is continued elsewhere.
 	DefaultResumes = 1
-	// ReofferAfter is the wait after which one more agent gets an offer.
-	ReofferAfter = time.Second
 	// StallAfter is the silence after which a claimed attempt is taken to be
 	// lost; agents with a run that makes no tokens send heartbeats.
 	StallAfter = 4 * time.Second
@@ -77,6 +75,8 @@
 type attempt struct {
 	agent member.Host
 	phase phase
+	// incarnation is the one that granted the slot.
+	incarnation string
 	// failed is true if the agent refused the attempt or was lost.
 	failed bool
 }
@@ -96,7 +96,6 @@
 	everRan   bool
 	delivered int
 	resumes   int
-	offeredAt time.Time
 	heardAt   time.Time
 	refusal   Outcome
 	done      bool
@@ -131,7 +130,7 @@
 // Start makes the first offers.
 func (r *Request) Start(now time.Time) []Effect {
 	if r.bound() {
-		return r.offer(now, []member.Host{r.spec.Bound})
+		return r.offer([]member.Host{r.spec.Bound})
 	}
 	return r.widen(now, r.options.Width)
 }
@@ -151,12 +150,11 @@
 	if len(picks) == 0 && r.open() == 0 {
 		return r.exhausted()
 	}
-	return r.offer(now, picks)
+	return r.offer(picks)
 }
 
-func (r *Request) offer(now time.Time, picks []member.Host) []Effect {
+func (r *Request) offer(picks []member.Host) []Effect {
 	effects := make([]Effect, 0, len(picks))
-	r.offeredAt = now
 	copies := r.open() + len(picks)
 	for _, host := range picks {
 		r.attempts = append(r.attempts, &attempt{agent: host, phase: offered})
@@ -229,23 +227,36 @@
 }
 
 // Granted claims the attempt and withdraws the others.
-func (r *Request) Granted(now time.Time, n int) []Effect {
+func (r *Request) Granted(now time.Time, n int, incarnation string) []Effect {
 	if !r.live(n, offered) {
 		return nil
 	}
 	r.attempts[n].phase = closed
 	effects := r.withdrawAll()
 	r.attempts[n].phase = claimed
+	r.attempts[n].incarnation = incarnation
 	r.running = n
 	r.everRan = true
 	r.heardAt = now
-	return append(effects, Claim{Attempt: n, Offset: r.delivered})
+	return append(effects, Claim{Attempt: n, Offset: r.delivered, Incarnation: incarnation})
 }
 
-// Refused takes a refusal: the attempt did not run. Another agent is tried
-// unless the reason holds everywhere.
-func (r *Request) Refused(now time.Time, n int, reason agent.Reason, retryAfter time.Duration) []Effect {
+// Refusal is an agent's word that an attempt did not run.
+type Refusal struct {
+	Reason     agent.Reason
+	RetryAfter time.Duration
+	// Incarnation is the one that refused. After a claim only the incarnation
+	// that granted the slot can know that nothing ran.
+	Incarnation string
+}
+
+// Refused takes a refusal. Another agent is tried unless the reason holds
+// everywhere.
+func (r *Request) Refused(now time.Time, n int, refusal Refusal) []Effect {
+	reason := refusal.Reason
 	switch {
+	case r.live(n, claimed) && refusal.Incarnation != r.attempts[n].incarnation:
+		return r.Broken(now, n, false)
 	case r.live(n, claimed):
 		// The claim came too late, so nothing of this attempt ran.
 		r.attempts[n].fail()
@@ -256,7 +267,7 @@
 	default:
 		return nil
 	}
-	r.noteRefusal(reason, retryAfter)
+	r.noteRefusal(reason, refusal.RetryAfter)
 	if reason == agent.WrongIncarnation && r.bound() {
 		// The key's agent is gone, and with it the knowledge whether an earlier
 		// use of the key ran.
@@ -271,12 +282,20 @@
 	return r.widen(now, 1)
 }
 
-// unlessOpen ends the request if no offer is left without an answer.
+// unlessOpen ends the request if no offer is left without an answer. Agents
+// that still hold one learn how many they are.
 func (r *Request) unlessOpen() []Effect {
-	if r.open() > 0 {
-		return nil
+	copies := r.open()
+	if copies == 0 {
+		return r.exhausted()
 	}
-	return r.exhausted()
+	var effects []Effect
+	for n, a := range r.attempts {
+		if a.phase == offered {
+			effects = append(effects, Recount{Attempt: n, Copies: copies})
+		}
+	}
+	return effects
 }
 
 // noteRefusal keeps the reason and the earliest time to come back.
@@ -372,20 +391,15 @@
 	return r.finish(Outcome{Result: Abandoned})
 }
 
-// Tick lets time pass: a request that waits long gets one more offer, and a
-// claimed attempt that fell silent is taken to be lost.
+// Tick lets time pass: a claimed attempt that fell silent is taken to be lost.
 func (r *Request) Tick(now time.Time) []Effect {
 	if r.done {
 		return nil
 	}
-	if r.running != none {
-		return r.checkStall(now)
-	}
-	if now.Sub(r.offeredAt) < ReofferAfter {
+	if r.running == none {
 		return nil
 	}
-	r.offeredAt = now
-	return r.widen(now, 1)
+	return r.checkStall(now)
 }
 
 func (r *Request) checkStall(now time.Time) []Effect {
--- a/internal/core/ledger/ledger.go
+++ b/internal/core/ledger/ledger.go
@@ -33,6 +33,9 @@
 // Started reports whether the upstream has, or may have, begun the attempt.
 func (s State) Started() bool { return s == Running || s == Ran }
 
+// Live reports whether the attempt waits, holds a slot or runs.
+func (s State) Live() bool { return s == Waiting || s == Granted || s == Running }
+
 // Final reports whether nothing more can happen to the attempt.
 func (s State) Final() bool { return s == NotRun || s == Ran }
 
--- a/internal/core/queue/class.go
+++ b/internal/core/queue/class.go
@@ -1,7 +1,6 @@
 package queue
 
 import (
-	"container/list"
 	"time"
 
 	"github.com/gladegauge/gladegauge/internal/core/config"
@@ -32,10 +31,11 @@
 	accounts map[string]*account
 	lanes    [lanes]indexed[*account]
 	furthest indexed[*account]
-	byAge    list.List
+	byAge    indexed[*Item]
 	vtime    float64
 	credit   float64
-	// share is the sum of the items' shares.
+	// share is the number of requests that are expected to run here, when each
+	// runs at one of the agents that hold it.
 	share float64
 	// cost is the learnt mean of tokens of one answer.
 	cost float64
@@ -57,6 +57,10 @@
 			place: func(a *account, n int) { a.place[i] = n },
 		}
 	}
+	cq.byAge = indexed[*Item]{
+		less:  earlier,
+		place: func(it *Item, n int) { it.age = n },
+	}
 	cq.furthest = indexed[*account]{
 		less:  func(a, b *account) bool { return a.tag(0, cq.unit()) > b.tag(0, cq.unit()) },
 		place: func(a *account, n int) { a.ahead = n },
@@ -64,7 +68,15 @@
 	return cq
 }
 
-func (cq *classQueue) len() int { return cq.byAge.Len() }
+// earlier orders requests by arrival.
+func earlier(a, b *Item) bool {
+	if !a.Arrived.Equal(b.Arrived) {
+		return a.Arrived.Before(b.Arrived)
+	}
+	return a.ID < b.ID
+}
+
+func (cq *classQueue) len() int { return cq.byAge.len() }
 
 // account returns the organisation's account. One that comes back, or was
 // refused, is behind the others by what it missed, but by a few answers at
@@ -93,24 +105,11 @@
 	it.owner = a
 	a.waiting++
 	cq.share += it.share()
-	cq.insertByAge(it)
+	cq.byAge.push(it)
 	cq.enter(it, front)
 	cq.fixFurthest(a)
 }
 
-// insertByAge keeps the list in order of arrival; most arrive in order.
-func (cq *classQueue) insertByAge(it *Item) {
-	at := cq.byAge.Back()
-	for at != nil && at.Value.(*Item).Arrived.After(it.Arrived) {
-		at = at.Prev()
-	}
-	if at == nil {
-		it.age = cq.byAge.PushFront(it)
-		return
-	}
-	it.age = cq.byAge.InsertAfter(it, at)
-}
-
 // enter puts the item into the lane that it.late names.
 func (cq *classQueue) enter(it *Item, front bool) {
 	lane := laneOf(it)
@@ -147,13 +146,13 @@
 
 func (cq *classQueue) remove(it *Item) {
 	cq.leave(it)
-	cq.byAge.Remove(it.age)
+	cq.byAge.remove(it.age)
 	cq.share -= it.share()
-	it.owner.waiting--
-	cq.fixFurthest(it.owner)
 	if cq.len() == 0 {
 		cq.share = 0
 	}
+	it.owner.waiting--
+	cq.fixFurthest(it.owner)
 }
 
 // unit is the tokens that a waiting request counts for in tags.
--- a/internal/core/queue/item.go
+++ b/internal/core/queue/item.go
@@ -27,7 +27,7 @@
 	late    bool
 	owner   *account
 	turn    *list.Element
-	age     *list.Element
+	age     int
 }
 
 // StartBy is the time by which the item should start.
@@ -35,12 +35,12 @@
 	return it.Arrived.Add(it.Class.StartTarget() - it.Lead)
 }
 
+// share is the part of the request that is expected to run here.
+func (it *Item) share() float64 {
+	return 1 / float64(max(1, it.Copies))
+}
+
 // Slack is the time left until the item should start.
 func (it *Item) Slack(now time.Time) time.Duration {
 	return it.StartBy().Sub(now)
 }
-
-// share is the part of the item that is expected to run here.
-func (it *Item) share() float64 {
-	return 1 / float64(max(1, it.Copies))
-}
--- a/internal/core/queue/queue.go
+++ b/internal/core/queue/queue.go
@@ -1,6 +1,7 @@
 package queue
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -73,9 +74,11 @@
 func (q *Queue) All() []*Item {
 	all := make([]*Item, 0, len(q.items))
 	for _, cq := range q.order {
-		for e := cq.byAge.Front(); e != nil; e = e.Next() {
-			all = append(all, e.Value.(*Item))
-		}
+		from := len(all)
+		all = append(all, cq.byAge.items...)
+		slices.SortFunc(all[from:], func(a, b *Item) int {
+			return cmp.Or(a.Arrived.Compare(b.Arrived), cmp.Compare(a.ID, b.ID))
+		})
 	}
 	return all
 }
@@ -221,7 +224,7 @@
 		if cq.len() == 0 {
 			continue
 		}
-		it := cq.byAge.Front().Value.(*Item)
+		it := cq.byAge.first()
 		if best == nil || it.Arrived.Before(best.Arrived) {
 			best = it
 		}
@@ -266,6 +269,18 @@
 	cq.long = max(cq.long, 1)
 }
 
+// SetCopies tells how many agents hold a waiting request now.
+func (q *Queue) SetCopies(id string, n int) {
+	it, ok := q.items[id]
+	if !ok {
+		return
+	}
+	cq := q.classes[it.Class.Name]
+	cq.share -= it.share()
+	it.Copies = n
+	cq.share += it.share()
+}
+
 // Long returns the tokens that most answers of the class do not exceed.
 func (q *Queue) Long(c *config.Class) float64 {
 	if cq, ok := q.classes[c.Name]; ok {
@@ -314,7 +329,7 @@
 			continue
 		}
 		for cq.len() > 0 {
-			it := cq.byAge.Front().Value.(*Item)
+			it := cq.byAge.first()
 			if now.Sub(it.Arrived) < cq.class.Useful {
 				break
 			}
--- a/internal/edge/agentd/session.go
+++ b/internal/edge/agentd/session.go
@@ -93,6 +93,9 @@
 		if err != nil {
 			return
 		}
+		if recount := cmd.GetRecount(); recount != nil {
+			x.s.loop.Must(func(time.Time) { x.s.agent.Recount(x.id, int(recount.GetCopies())) })
+		}
 		if cmd.GetRun() == nil {
 			continue
 		}
@@ -190,7 +193,7 @@
 func (x *session) claim(run *gladegaugev1.Run) {
 	x.run = run
 	x.offset = int(run.GetResumeOffset())
-	x.s.loop.Must(func(now time.Time) { x.s.apply(x.s.agent.Claim(now, x.id)) })
+	x.s.loop.Must(func(now time.Time) { x.s.apply(x.s.agent.Claim(now, x.id, run.GetIncarnation())) })
 }
 
 // leave withdraws the attempt, since the entry is gone. It reports true if
@@ -208,7 +211,7 @@
 func (x *session) onEffect(ctx context.Context, effect agent.Effect) (bool, error) {
 	switch e := effect.(type) {
 	case agent.Grant:
-		granted := &gladegaugev1.Granted{TtlMs: convert.Milliseconds(e.TTL)}
+		granted := &gladegaugev1.Granted{TtlMs: convert.Milliseconds(e.TTL), Incarnation: e.Incarnation}
 		return false, x.send(&gladegaugev1.AttemptEvent{Event: &gladegaugev1.AttemptEvent_Granted{Granted: granted}})
 	case agent.Refuse:
 		return true, x.refuse(e)
@@ -357,6 +360,7 @@
 	refused := &gladegaugev1.Refused{
 		Reason:       convert.Reason(e.Reason),
 		RetryAfterMs: convert.Milliseconds(e.RetryAfter),
+		Incarnation:  x.s.incarnation,
 	}
 	x.s.loop.Must(func(time.Time) { refused.Load = x.s.load() })
 	return x.send(&gladegaugev1.AttemptEvent{Event: &gladegaugev1.AttemptEvent_Refused{Refused: refused}})
--- a/internal/edge/convert/convert.go
+++ b/internal/edge/convert/convert.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/gladegauge/gladegauge/internal/core/agent"
+	"github.com/gladegauge/gladegauge/internal/core/dispatch"
 	gladegaugev1 "github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1"
 )
 
@@ -53,7 +54,11 @@
 	return gladegaugev1.RefusalReason(r)
 }
 
-// ReasonOf returns the reason in a message.
-func ReasonOf(r gladegaugev1.RefusalReason) agent.Reason {
-	return agent.Reason(r)
+// Refusal returns the refusal in a message.
+func Refusal(msg *gladegaugev1.Refused) dispatch.Refusal {
+	return dispatch.Refusal{
+		Reason:      agent.Reason(msg.GetReason()),
+		RetryAfter:  time.Duration(msg.GetRetryAfterMs()) * time.Millisecond,
+		Incarnation: msg.GetIncarnation(),
+	}
 }
--- a/internal/edge/entryd/call.go
+++ b/internal/edge/entryd/call.go
@@ -194,6 +194,8 @@
 			x.open(ctx, e)
 		case dispatch.Claim:
 			x.claim(e)
+		case dispatch.Recount:
+			x.recount(e)
 		case dispatch.Withdraw:
 			x.attempts[e.Attempt].cancel()
 		case dispatch.Finish:
@@ -256,9 +258,18 @@
 		x.s.metrics.Resumes.Inc()
 	}
 	x.run.ResumeOffset = uint64(e.Offset)
+	x.run.Incarnation = e.Incarnation
 	_ = a.stream.Send(&gladegaugev1.AttemptCommand{Command: &gladegaugev1.AttemptCommand_Run{Run: x.run}})
 }
 
+// recount tells the agent of an open offer how many agents hold one now.
+func (x *call) recount(e dispatch.Recount) {
+	recount := &gladegaugev1.Recount{Copies: uint32(e.Copies)}
+	_ = x.attempts[e.Attempt].stream.Send(&gladegaugev1.AttemptCommand{
+		Command: &gladegaugev1.AttemptCommand_Recount{Recount: recount},
+	})
+}
+
 // settle tells the entry that the attempt's offer has its first answer.
 // It runs in the control loop.
 func (x *call) settle(now time.Time, a *attempt, lost bool) {
@@ -322,11 +333,10 @@
 		switch ev := event.GetEvent().(type) {
 		case *gladegaugev1.AttemptEvent_Granted:
 			x.s.metrics.Attempts.WithLabelValues("granted").Inc()
-			effects = x.ticket.Granted(now, n)
+			effects = x.ticket.Granted(now, n, ev.Granted.GetIncarnation())
 		case *gladegaugev1.AttemptEvent_Refused:
 			x.s.metrics.Attempts.WithLabelValues("refused").Inc()
-			retryAfter := time.Duration(ev.Refused.GetRetryAfterMs()) * time.Millisecond
-			effects = x.ticket.Refused(now, n, convert.ReasonOf(ev.Refused.GetReason()), retryAfter)
+			effects = x.ticket.Refused(now, n, convert.Refusal(ev.Refused))
 		case *gladegaugev1.AttemptEvent_Failed:
 			effects = x.onFailed(now, n, a, ev.Failed)
 		case *gladegaugev1.AttemptEvent_End:
--- a/internal/session/hosts.go
+++ b/internal/session/hosts.go
@@ -166,13 +166,13 @@
 	h.apply(effects)
 }
 
-func (h *agentHost) claim(x *stream, offset int) {
+func (h *agentHost) claim(x *stream, c dispatch.Claim) {
 	if h.dead || x.life != h.life {
 		return
 	}
-	x.call.offset = offset
+	x.call.offset = c.Offset
 	h.claimed[x.id] = x
-	h.apply(h.core.Claim(h.s.world.now, x.id))
+	h.apply(h.core.Claim(h.s.world.now, x.id, c.Incarnation))
 }
 
 func (h *agentHost) withdraw(x *stream) {
@@ -230,7 +230,7 @@
 		case agent.Grant:
 			x := h.streams[e.ID]
 			h.s.note(record{Kind: granted, Request: x.call.req.id, Attempt: e.ID, Agent: h.id})
-			x.send(&x.entry.process, func() { x.entry.granted(x) })
+			x.send(&x.entry.process, func() { x.entry.granted(x, e.Incarnation) })
 		case agent.Refuse:
 			h.refuse(e)
 		case agent.Start:
@@ -260,7 +260,8 @@
 		Kind: refused, Request: x.call.req.id, Attempt: e.ID, Agent: h.id, Class: class.Name,
 		Detail: e.Reason.String(), Lower: h.stoppable(class.Tier),
 	})
-	x.send(&x.entry.process, func() { x.entry.refused(x, e.Reason, e.RetryAfter, load) })
+	refusal := dispatch.Refusal{Reason: e.Reason, RetryAfter: e.RetryAfter, Incarnation: h.core.Incarnation()}
+	x.send(&x.entry.process, func() { x.entry.refused(x, refusal, load) })
 }
 
 // stoppable counts the runs of lower tiers that repeat freely; it looks at the
@@ -392,7 +393,10 @@
 			x := c.streams[e.Attempt]
 			c.agent = x.agent.id
 			h.s.note(record{Kind: claimed, Request: c.req.id, Attempt: x.id, Agent: x.agent.id, Tokens: e.Offset})
-			x.send(&x.agent.process, func() { x.agent.claim(x, e.Offset) })
+			x.send(&x.agent.process, func() { x.agent.claim(x, e) })
+		case dispatch.Recount:
+			x := c.streams[e.Attempt]
+			x.send(&x.agent.process, func() { x.agent.core.Recount(x.id, e.Copies) })
 		case dispatch.Withdraw:
 			x := c.streams[e.Attempt]
 			x.closed = true
@@ -447,18 +451,18 @@
 	h.core.Heard(h.s.world.now, x.agent.id, l)
 }
 
-func (h *entryHost) granted(x *stream) {
+func (h *entryHost) granted(x *stream, incarnation string) {
 	if !h.over(x) {
-		h.apply(x.call, x.call.ticket.Granted(h.s.world.now, x.n))
+		h.apply(x.call, x.call.ticket.Granted(h.s.world.now, x.n, incarnation))
 	}
 }
 
-func (h *entryHost) refused(x *stream, reason agent.Reason, retryAfter time.Duration, l agent.Load) {
+func (h *entryHost) refused(x *stream, refusal dispatch.Refusal, l agent.Load) {
 	if h.over(x) {
 		return
 	}
 	h.heard(x, l)
-	h.apply(x.call, x.call.ticket.Refused(h.s.world.now, x.n, reason, retryAfter))
+	h.apply(x.call, x.call.ticket.Refused(h.s.world.now, x.n, refusal))
 }
 
 func (h *entryHost) failed(x *stream, alreadyRun bool) {
