--- a/internal/edge/spread/platform.go
+++ b/internal/edge/spread/platform.go
@@ -93,7 +93,9 @@
 			}
 			continue
 		}
-		next, err := watch(ctx, after)
+		callCtx, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
+		next, err := watch(callCtx, after)
+		cancel()
 		switch {
 		case err == nil:
 			after = next
