Operators' tools, mutual TLS, orders to upstreams, each with its failure caused

Cause: status, explain, drain, burn and report were missing, keys were not tested, and agents did not carry out load orders.

Change: the subcommands of gladegauge-ctl with exit codes; the burn report merged from all entries as table, JSON and page with plots; placement as a pure function and its orders, fenced by revision and boot time and taken in turns; tests through the real binaries: a change with a watcher killed and a bad revision after it, an agent started while the platform is down, an agent frozen and woken, a leaving upstream, orders on upstreams that check fences and that do not, certificates by role, a stranger's, replaced ones, every tool, settings.

A late order on an upstream that does not check fences is undone at the next comparison, within 2 s, not prevented.

--- a/Makefile
+++ b/Makefile
@@ -40,8 +40,9 @@
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
 
-measure:
+measure: build
 	go run ./internal/session/measure -out out/measure.json
+	bin/gladegauge-ctl report -page out/measure.html out/measure.json
 
 generate: $(BUF)
 	$(BUF) generate
--- /dev/null
+++ b/internal/core/burn/burn_test.go
@@ -0,0 +1,44 @@
+package burn
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestReport(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	first, second := NewLedger(), NewLedger()
+	for i := range 100 {
+		at := now.Add(-time.Duration(i) * 30 * time.Second)
+		first.Add(at, "counter", "reef", Hit)
+		second.Add(at, "counter", "reef", Hit)
+	}
+	first.Add(now, "counter", "reef", Miss)
+	second.Add(now, "counter", "coast", Refusal)
+	second.Add(now, "unknown", "coast", Miss)
+	lines := Report(now, Merge(first.Cells(), second.Cells()), map[string]float64{"counter": 0.99}, true)
+	is.Equal(len(lines), 3)
+	all := lines[0]
+	is.Equal(all.Organisation, "")
+	hour := all.Rates[1]
+	is.Equal(hour.Total, uint64(202))
+	is.Equal(hour.Missed, uint64(2))
+	is.Equal(hour.Refused, uint64(1))
+	is.True(math.Abs(hour.Burn-2.0/202/0.01) < 1e-9)
+	is.True(math.Abs(all.Left-(1-hour.Burn)) < 1e-9)
+	is.Equal(lines[1].Organisation, "coast")
+	is.True(math.Abs(lines[1].Left-(1-100)) < 1e-9)
+}
+
+func TestLedgerForgets(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	l := NewLedger()
+	l.Add(now, "counter", "reef", Hit)
+	l.Add(now.Add(Keep+time.Minute), "counter", "reef", Hit)
+	is.Equal(len(l.Cells()), 1)
+}
--- /dev/null
+++ b/internal/core/placement/placement_test.go
@@ -0,0 +1,52 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gladegauge/gladegauge/internal/core/member"
+	gladegaugev1 "github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1"
+)
+
+func TestOrders(t *testing.T) {
+	tests := []struct {
+		name           string
+		wanted, actual State
+		want           []Order
+	}{
+		{"nothing to do", State{Version: "2", Adapters: []string{"a"}}, State{Version: "2", Adapters: []string{"a"}}, nil},
+		{"version left open", State{}, State{Version: "7"}, nil},
+		{"version", State{Version: "2"}, State{Version: "1"}, []Order{{SetVersion, "2"}}},
+		{"load before unload", State{Adapters: []string{"new"}}, State{Adapters: []string{"old"}}, []Order{{LoadAdapter, "new"}, {UnloadAdapter, "old"}}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(Orders(tt.wanted, tt.actual), tt.want)
+		})
+	}
+}
+
+func TestFencesRise(t *testing.T) {
+	is := is.New(t)
+	t0 := time.Unix(1_800_000_000, 0)
+	is.True(Fence(2, t0) > Fence(1, t0.Add(time.Hour)))
+	is.True(Fence(2, t0.Add(1)) > Fence(2, t0))
+	is.True(Fence(10, t0) > Fence(9, t0))
+}
+
+func TestTurnsDiffer(t *testing.T) {
+	is := is.New(t)
+	list := &gladegaugev1.HostList{Zone: "a", Version: 1}
+	for _, id := range []string{"x", "y", "z"} {
+		list.Hosts = append(list.Hosts, &gladegaugev1.Host{Id: id, Role: gladegaugev1.Role_ROLE_AGENT, Pool: "p"})
+	}
+	set, _ := member.NewSet().With(list)
+	seen := map[time.Duration]bool{}
+	for _, id := range []string{"x", "y", "z"} {
+		seen[Turn(set, "p", id)] = true
+	}
+	is.Equal(seen, map[time.Duration]bool{0: true, TurnLength: true, 2 * TurnLength: true})
+}
--- a/internal/e2e/stack_test.go
+++ b/internal/e2e/stack_test.go
@@ -227,12 +227,18 @@
 		s.services[id] = service.New(s.fast)
 		h = s.services[id]
 	}
+	return s.agentAt(id, zone, pool, newServer(s.t, h), args...)
+}
+
+// newServer serves a stand-in until the test ends.
+func newServer(t *testing.T, h http.Handler) string {
+	t.Helper()
 	server := httptest.NewServer(h)
-	s.t.Cleanup(func() {
+	t.Cleanup(func() {
 		server.CloseClientConnections()
 		server.Close()
 	})
-	return s.agentAt(id, zone, pool, server.URL, args...)
+	return server.URL
 }
 
 func (s *stack) agentAt(id, zone, pool, upstreamURL string, args ...string) *proc {
--- a/internal/edge/agentd/server.go
+++ b/internal/edge/agentd/server.go
@@ -63,10 +63,13 @@
 	ready    atomic.Bool
 	// receivers are the goroutines that read the entries' streams.
 	receivers errgroup.Group
+	booted    time.Time
 	// The fields below belong to the control loop.
 	incarnation string
-	agent       *agent.Agent
-	sessions    map[string]*session
+	// configuredAt is when the configuration in force was taken.
+	configuredAt time.Time
+	agent        *agent.Agent
+	sessions     map[string]*session
 }
 
 // New returns a server that does not listen yet.
@@ -76,6 +79,7 @@
 		loop:        loop.New(time.Now),
 		metrics:     metrics.New(prometheus.NewRegistry()),
 		incarnation: randomName(),
+		booted:      time.Now(),
 		sessions:    make(map[string]*session),
 	}
 	s.o.Keys.Expiry = func(t time.Time) { s.metrics.CertExpiry.Set(float64(t.Unix())) }
@@ -113,6 +117,7 @@
 
 // onConfig takes a configuration into force. It runs in the control loop.
 func (s *Server) onConfig(now time.Time, cfg *config.Config) {
+	s.configuredAt = now
 	slots := 1
 	if p, ok := cfg.Pool(s.o.Pool); ok {
 		slots = p.Slots
@@ -160,6 +165,7 @@
 	group.Go(func() error { return s.sync.Run(ctx) })
 	group.Go(func() error { return s.loop.Every(ctx, tickEvery, s.tick) })
 	group.Go(func() error { return s.probe(ctx) })
+	group.Go(func() error { return s.orderLoop(ctx) })
 	group.Go(func() error {
 		<-ctx.Done()
 		_ = rpcServer.Close()
--- a/internal/edge/ctl/ctl.go
+++ b/internal/edge/ctl/ctl.go
@@ -19,7 +19,10 @@
 
 // Commands returns all subcommands.
 func Commands() []*program.Command {
-	return []*program.Command{checkCommand(), buildCommand()}
+	return []*program.Command{
+		checkCommand(), buildCommand(), statusCommand(), explainCommand(),
+		drainCommand(), burnCommand(), reportCommand(),
+	}
 }
 
 // connection is the settings of commands that call processes.
--- /dev/null
+++ b/internal/edge/upstream/orders.go
@@ -0,0 +1,75 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/gladegauge/gladegauge/internal/core/placement"
+)
+
+// ErrFenced says that the upstream has seen a higher fence.
+var ErrFenced = errors.New("order refused: a higher fence was seen")
+
+// stateBody is the upstream's word of what it has loaded.
+type stateBody struct {
+	Version  string   `json:"version"`
+	Adapters []string `json:"adapters"`
+}
+
+// orderBody is an order on its way.
+type orderBody struct {
+	Kind string `json:"kind"`
+	Name string `json:"name"`
+}
+
+// State returns what the upstream has loaded.
+func (c *Client) State(ctx context.Context) (placement.State, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+"/v1/state", nil)
+	if err != nil {
+		return placement.State{}, errors.Wrap(err, "upstream address")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return placement.State{}, errors.Wrap(err, "upstream state")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return placement.State{}, errors.Newf("upstream state: %s", resp.Status)
+	}
+	var body stateBody
+	if err := json.NewDecoder(resp.Body).Decode(&body); err != nil {
+		return placement.State{}, errors.Wrap(err, "upstream state")
+	}
+	return placement.State{Version: body.Version, Adapters: body.Adapters}, nil
+}
+
+// Order gives one order, under a fence.
+func (c *Client) Order(ctx context.Context, o placement.Order, fence string) error {
+	text, err := json.Marshal(orderBody{Kind: string(o.Kind), Name: o.Name})
+	if err != nil {
+		return errors.Wrap(err, "order")
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+"/v1/orders", once{bytes.NewReader(text)})
+	if err != nil {
+		return errors.Wrap(err, "upstream address")
+	}
+	req.ContentLength = int64(len(text))
+	req.Header.Set(FenceHeader, fence)
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "order")
+	}
+	_ = resp.Body.Close()
+	switch resp.StatusCode {
+	case http.StatusOK:
+		return nil
+	case http.StatusConflict:
+		return ErrFenced
+	default:
+		return errors.Newf("order: %s", resp.Status)
+	}
+}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -17,6 +17,7 @@
 	"fmt"
 	"hash/fnv"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -61,6 +62,7 @@
 	cache   []string
 	fence   string
 	orders  []Order
+	state   State
 	running int
 	started int
 	dropped int
@@ -73,12 +75,19 @@
 	Name  string `json:"name"`
 }
 
+// State is what the engine has loaded.
+type State struct {
+	Version  string   `json:"version"`
+	Adapters []string `json:"adapters"`
+}
+
 // New returns an engine.
 func New(o Options) *Engine {
 	e := &Engine{o: o, slots: make(chan struct{}, o.Slots), mux: http.NewServeMux()}
 	e.mux.HandleFunc("POST /v1/chat/completions", e.chat)
 	e.mux.HandleFunc("POST /v1/orders", e.order)
 	e.mux.HandleFunc("GET /v1/orders", e.listOrders)
+	e.mux.HandleFunc("GET /v1/state", e.getState)
 	e.mux.HandleFunc("GET /healthz", e.healthy)
 	e.mux.HandleFunc("GET /load", e.load)
 	e.mux.HandleFunc("PUT /admin/fault", e.putFault)
@@ -360,6 +369,25 @@
 	}
 	e.fence = max(e.fence, o.Fence)
 	e.orders = append(e.orders, o)
+	switch o.Kind {
+	case "version":
+		e.state.Version = o.Name
+	case "load-adapter":
+		e.state.Adapters = append(e.state.Adapters, o.Name)
+	case "unload-adapter":
+		e.state.Adapters = slices.DeleteFunc(e.state.Adapters, func(a string) bool { return a == o.Name })
+	}
+}
+
+// State returns what is loaded.
+func (e *Engine) State() State {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return State{Version: e.state.Version, Adapters: slices.Clone(e.state.Adapters)}
+}
+
+func (e *Engine) getState(w http.ResponseWriter, _ *http.Request) {
+	_ = json.NewEncoder(w).Encode(e.State())
 }
 
 // Orders returns the orders that were taken.
