--- a/internal/core/burn/burn.go
+++ b/internal/core/burn/burn.go
@@ -1,7 +1,7 @@
 // Package burn counts how fast service levels use up their error budget.
 //
 // Each entry keeps a count of requests and misses by class, organisation and
-// minute for one day. Cells of all entries are merged by adding them up, so no
+// minute for an hour, and by hour for one day. Cells of all entries are merged by adding them up, so no
 // entry needs to know of another.
 //
 // # Usage
@@ -19,8 +19,16 @@
 // Keep is how long cells are kept.
 const Keep = 24 * time.Hour
 
-// maxCells bounds the memory of one entry; the oldest minute goes first.
-const maxCells = 100000
+// fine is how long minutes are kept apart; after it they are joined by hours.
+const fine = time.Hour
+
+const minutesPerHour = 60
+
+// maxCells bounds the memory of one entry.
+const maxCells = 30000
+
+// Others stands for organisations whose cells were joined to save memory.
+const Others = "(others)"
 
 // Kind is what became of a request.
 type Kind int
@@ -68,45 +76,79 @@
 	minute := Minute(now)
 	if minute > l.minute {
 		l.minute = minute
-		l.forget(minute - int64(Keep/time.Minute))
+		l.tidy()
 	}
-	key := Key{Class: class, Organisation: organisation, Minute: minute}
-	c, ok := l.cells[key]
-	if !ok {
-		c = &Cell{Key: key}
-		l.cells[key] = c
-	}
-	c.Total++
+	add := Cell{Key: Key{Class: class, Organisation: organisation, Minute: minute}, Total: 1}
 	if k != Hit {
-		c.Missed++
+		add.Missed = 1
 	}
 	if k == Refusal {
-		c.Refused++
+		add.Refused = 1
+	}
+	l.merge(add)
+}
+
+func (l *Ledger) merge(add Cell) {
+	c, ok := l.cells[add.Key]
+	if !ok {
+		c = &Cell{Key: add.Key}
+		l.cells[add.Key] = c
 	}
+	c.Total += add.Total
+	c.Missed += add.Missed
+	c.Refused += add.Refused
 }
 
-// forget drops cells before a minute, and more if there are too many.
-func (l *Ledger) forget(before int64) {
+// tidy drops what is older than a day, joins the minutes of past hours, and
+// joins the organisations of the oldest time while there are too many cells.
+func (l *Ledger) tidy() {
+	day := l.minute - int64(Keep/time.Minute)
+	hour := l.minute - int64(fine/time.Minute)
+	l.rewrite(func(k Key) (Key, bool) {
+		if k.Minute < hour {
+			k.Minute -= k.Minute % minutesPerHour
+		}
+		return k, k.Minute >= day
+	})
 	for len(l.cells) > maxCells {
-		l.drop(l.oldest() + 1)
+		oldest, ok := l.oldestNamed()
+		if !ok {
+			return
+		}
+		l.rewrite(func(k Key) (Key, bool) {
+			if k.Minute == oldest {
+				k.Organisation = Others
+			}
+			return k, true
+		})
 	}
-	l.drop(before)
 }
 
-func (l *Ledger) drop(before int64) {
-	for key := range l.cells {
-		if key.Minute < before {
-			delete(l.cells, key)
+// rewrite moves each cell to another key, or drops it.
+func (l *Ledger) rewrite(move func(Key) (Key, bool)) {
+	for key, c := range l.cells {
+		next, keep := move(key)
+		if next == key && keep {
+			continue
+		}
+		delete(l.cells, key)
+		if keep {
+			moved := *c
+			moved.Key = next
+			l.merge(moved)
 		}
 	}
 }
 
-func (l *Ledger) oldest() int64 {
-	oldest := l.minute
+// oldestNamed is the oldest time with organisations of their own.
+func (l *Ledger) oldestNamed() (int64, bool) {
+	oldest, found := l.minute, false
 	for key := range l.cells {
-		oldest = min(oldest, key.Minute)
+		if key.Organisation != Others && key.Minute < l.minute {
+			oldest, found = min(oldest, key.Minute), true
+		}
 	}
-	return oldest
+	return oldest, found
 }
 
 // Cells returns all cells in order.
--- a/internal/core/config/shard.go
+++ b/internal/core/config/shard.go
@@ -94,5 +94,9 @@
 		_, _ = fmt.Fprintf(h, "%d:%s", len(ref.GetName()), ref.GetName())
 		h.Write(ref.GetDigest())
 	}
-	return hex.EncodeToString(h.Sum(nil))
+	return hex.EncodeToString(h.Sum(nil)[:digestBytes])
 }
+
+// digestBytes is enough to tell documents apart by accident; the shards
+// themselves are checked against whole digests.
+const digestBytes = 8
--- a/internal/edge/agentd/server.go
+++ b/internal/edge/agentd/server.go
@@ -78,7 +78,7 @@
 		o:           o,
 		loop:        loop.New(time.Now),
 		metrics:     metrics.New(prometheus.NewRegistry()),
-		incarnation: randomName(),
+		incarnation: randomName()[:incarnationLength],
 		booted:      time.Now(),
 		sessions:    make(map[string]*session),
 	}
@@ -108,6 +108,9 @@
 	return s, nil
 }
 
+// incarnationLength is enough to tell the lives of one agent apart.
+const incarnationLength = 16
+
 // randomName returns 16 random bytes as text.
 func randomName() string {
 	b := make([]byte, 16)
@@ -178,9 +181,9 @@
 // handler routes the calls of other processes and of operators.
 func (s *Server) handler() http.Handler {
 	mux := http.NewServeMux()
-	path, h := gladegaugev1connect.NewAgentServiceHandler(s)
+	path, h := gladegaugev1connect.NewAgentServiceHandler(s, rpc.SmallMessages)
 	mux.Handle(path, s.o.Keys.Only(h, rpc.RoleEntry))
-	path, h = gladegaugev1connect.NewPeerServiceHandler(s.sync)
+	path, h = gladegaugev1connect.NewPeerServiceHandler(s.sync, rpc.SmallMessages)
 	mux.Handle(path, s.o.Keys.Only(h, rpc.RoleEntry, rpc.RoleAgent))
 	path, h = gladegaugev1connect.NewOperatorServiceHandler(&operator{s: s})
 	mux.Handle(path, s.o.Keys.Only(h, rpc.RoleOperator))
--- a/internal/edge/agentd/session.go
+++ b/internal/edge/agentd/session.go
@@ -48,6 +48,10 @@
 	gone      bool
 	offset    int
 	quiet     bool
+	// load is what a grant tells; nil after an Accepted.
+	load *gladegaugev1.Load
+	// tier is that of the attempt's class; 0 if it is unknown.
+	tier int
 }
 
 // piece is a part of the answer, or its end.
@@ -159,6 +163,9 @@
 			return
 		}
 		x.s.sessions[x.id] = x
+		if c, found := x.s.sync.Config().Class(x.offer.GetClass()); found {
+			x.tier = c.Tier
+		}
 		x.s.apply(x.s.agent.Offer(now, x.coreOffer(now)))
 		accepted = &gladegaugev1.Accepted{Load: x.s.load(), Incarnation: x.s.incarnation}
 	})
@@ -167,6 +174,10 @@
 		return true, x.refuse(agent.Refuse{Reason: agent.UpstreamDown, RetryAfter: time.Second})
 	case known:
 		return true, x.refuse(agent.Refuse{Reason: agent.Stale})
+	case len(x.signals) > 0:
+		// What was decided at once tells the load too.
+		x.load = accepted.GetLoad()
+		return false, nil
 	default:
 		return false, x.send(&gladegaugev1.AttemptEvent{Event: &gladegaugev1.AttemptEvent_Accepted{Accepted: accepted}})
 	}
@@ -211,7 +222,7 @@
 func (x *session) onEffect(ctx context.Context, effect agent.Effect) (bool, error) {
 	switch e := effect.(type) {
 	case agent.Grant:
-		granted := &gladegaugev1.Granted{TtlMs: convert.Milliseconds(e.TTL), Incarnation: e.Incarnation}
+		granted := &gladegaugev1.Granted{TtlMs: convert.Milliseconds(e.TTL), Incarnation: e.Incarnation, Load: x.load}
 		return false, x.send(&gladegaugev1.AttemptEvent{Event: &gladegaugev1.AttemptEvent_Granted{Granted: granted}})
 	case agent.Refuse:
 		return true, x.refuse(e)
@@ -257,23 +268,12 @@
 	for _, header := range x.run.GetHeaders() {
 		h.Add(header.GetName(), header.GetValue())
 	}
-	if class, ok := x.class(); ok {
-		h.Set(upstream.PriorityHeader, strconv.Itoa(class))
+	if x.tier > 0 {
+		h.Set(upstream.PriorityHeader, strconv.Itoa(x.tier))
 	}
 	return h
 }
 
-// class returns the tier of the attempt's class.
-func (x *session) class() (int, bool) {
-	tier, ok := 0, false
-	x.s.loop.Must(func(time.Time) {
-		if c, found := x.s.sync.Config().Class(x.offer.GetClass()); found {
-			tier, ok = c.Tier, true
-		}
-	})
-	return tier, ok
-}
-
 // onPiece passes on a part of the answer, or ends the attempt.
 func (x *session) onPiece(p piece) (bool, error) {
 	if p.end != nil {
--- a/internal/edge/entryd/call.go
+++ b/internal/edge/entryd/call.go
@@ -64,6 +64,8 @@
 	resumed    bool
 	outcome    dispatch.Outcome
 	callerGone bool
+	// version is the configuration that the request came in under.
+	version *gladegaugev1.Version
 }
 
 // responder writes the answer to the caller.
@@ -79,7 +81,8 @@
 }
 
 func newID() string {
-	b := make([]byte, 16)
+	const size = 10
+	b := make([]byte, size)
 	_, _ = rand.Read(b)
 	return hex.EncodeToString(b)
 }
@@ -91,6 +94,7 @@
 	x.s.loop.Must(func(now time.Time) {
 		x.arrived = now
 		x.ticket, rejection = x.s.entry.Admit(now, x.call)
+		x.version = x.s.sync.Version()
 		if rejection == nil {
 			effects = x.ticket.Start(now)
 		}
@@ -105,7 +109,6 @@
 	err := x.work(ctx, streamCtx, effects)
 	cancel()
 	x.drainStreams()
-	x.settleAll()
 	x.account()
 	return err
 }
@@ -229,8 +232,8 @@
 		Prefix:         x.call.Prefix,
 		PromptTokens:   uint32(x.prompt),
 		IdempotencyKey: x.key,
+		Version:        x.version,
 	}
-	x.s.loop.Must(func(time.Time) { offer.Version = x.s.sync.Version() })
 	n := e.Attempt
 	x.streams.Go(func() error {
 		err := a.stream.Send(&gladegaugev1.AttemptCommand{Command: &gladegaugev1.AttemptCommand_Offer{Offer: offer}})
@@ -284,13 +287,15 @@
 	}
 }
 
-func (x *call) settleAll() {
-	x.s.loop.Must(func(now time.Time) {
-		for _, a := range x.attempts {
-			x.settle(now, a, false)
-		}
-		x.s.entry.Finished(now, x.ticket, x.claimedBy, x.outcome)
-	})
+// settleAll ends the request in the entry's books. It runs in the control loop.
+func (x *call) settleAll(now time.Time) {
+	if x.ticket == nil {
+		return
+	}
+	for _, a := range x.attempts {
+		x.settle(now, a, false)
+	}
+	x.s.entry.Finished(now, x.ticket, x.claimedBy, x.outcome)
 }
 
 // onEvent takes what a stream brought. An error means that the caller cannot
@@ -353,6 +358,8 @@
 	switch ev := event.GetEvent().(type) {
 	case *gladegaugev1.AttemptEvent_Accepted:
 		load = ev.Accepted.GetLoad()
+	case *gladegaugev1.AttemptEvent_Granted:
+		load = ev.Granted.GetLoad()
 	case *gladegaugev1.AttemptEvent_Refused:
 		load = ev.Refused.GetLoad()
 	case *gladegaugev1.AttemptEvent_Failed:
@@ -454,6 +461,7 @@
 		x.s.metrics.TargetMissed.WithLabelValues(class.Name).Inc()
 	}
 	x.s.loop.Must(func(now time.Time) {
+		x.settleAll(now)
 		x.s.burn.Add(now, class.Name, x.call.Organisation.Name, kind)
 	})
 }
--- a/internal/edge/entryd/server.go
+++ b/internal/edge/entryd/server.go
@@ -210,7 +210,7 @@
 
 func (s *Server) rpcHandler() http.Handler {
 	mux := http.NewServeMux()
-	path, h := gladegaugev1connect.NewPeerServiceHandler(s.sync)
+	path, h := gladegaugev1connect.NewPeerServiceHandler(s.sync, rpc.SmallMessages)
 	mux.Handle(path, s.o.Keys.Only(h, rpc.RoleEntry, rpc.RoleAgent))
 	path, h = gladegaugev1connect.NewOperatorServiceHandler(&operator{s: s})
 	mux.Handle(path, s.o.Keys.Only(h, rpc.RoleOperator))
--- a/internal/edge/ops/ops.go
+++ b/internal/edge/ops/ops.go
@@ -1,4 +1,4 @@
-// Package ops serves /metrics, /healthz and /readyz of a process.
+// Package ops serves /metrics, /healthz, /readyz and the profiles of a process.
 //
 // # Usage
 //
@@ -7,6 +7,7 @@
 
 import (
 	"net/http"
+	"net/http/pprof"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -17,6 +18,8 @@
 func Handler(reg *prometheus.Registry, ready func() string) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(reg, promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = w.Write([]byte("ok\n"))
 	})
--- a/internal/edge/rpc/rpc.go
+++ b/internal/edge/rpc/rpc.go
@@ -16,6 +16,7 @@
 	"net/http"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
 )
 
@@ -30,6 +31,13 @@
 	maxStreams     = 10000
 )
 
+// compressFrom is the size from which a message is compressed. Smaller ones
+// cost far more processor time than the bytes are worth.
+const compressFrom = 4 << 10
+
+// SmallMessages keeps a service from compressing its small messages.
+var SmallMessages = connect.WithCompressMinBytes(compressFrom)
+
 func protocols() *http.Protocols {
 	p := new(http.Protocols)
 	p.SetHTTP1(true)
--- a/internal/edge/upstream/upstream.go
+++ b/internal/edge/upstream/upstream.go
@@ -36,7 +36,7 @@
 // Sizes of an answer's parts.
 const (
 	maxEvent  = 1 << 20
-	pieceSize = 32 << 10
+	pieceSize = 16 << 10
 )
 
 // doneEvent ends a stream of server-sent events.
@@ -182,11 +182,11 @@
 
 func passBytes(body io.Reader, pass func(Piece) error) End {
 	offset := 0
+	buf := make([]byte, pieceSize)
 	for {
-		buf := make([]byte, pieceSize)
 		n, err := body.Read(buf)
 		if n > 0 {
-			if passErr := pass(Piece{Offset: offset, Next: offset + n, Data: buf[:n]}); passErr != nil {
+			if passErr := pass(Piece{Offset: offset, Next: offset + n, Data: bytes.Clone(buf[:n])}); passErr != nil {
 				return End{Ending: Broken, Length: offset, Err: passErr}
 			}
 			offset += n
