--- a/internal/e2e/bench_test.go
+++ b/internal/e2e/bench_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -8,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/gladegauge/gladegauge/internal/core/config"
+	gladegaugev1 "github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1"
 	"github.com/gladegauge/gladegauge/internal/standin/service"
 )
 
@@ -74,3 +77,56 @@
 	wg.Wait()
 	return times
 }
+
+// BenchmarkFullSize runs one entry with the configuration and the host lists of
+// the size that is designed for, and prints what its control costs. The other
+// processes on the lists are not there.
+func BenchmarkFullSize(b *testing.B) {
+	s := newStack(b, "salish")
+	for i := range 6400 {
+		key := config.HashKey(fmt.Sprint("full-", i))
+		s.doc.Organisations = append(s.doc.Organisations, &gladegaugev1.Organisation{
+			Name: fmt.Sprint("organisation-", i), RatePerSecond: 10, KeySha256: []string{fmt.Sprintf("%x", key[:])},
+			Defaults: []*gladegaugev1.DefaultClass{{Model: judge, Class: "ruling"}},
+		})
+	}
+	for i := range 35 {
+		s.doc.Pools = append(s.doc.Pools, &gladegaugev1.Pool{
+			Name: fmt.Sprint("pool-", i), Kind: gladegaugev1.PoolKind_POOL_KIND_MODEL, Model: fmt.Sprint("model-", i),
+			Slots: 64, Classes: []string{"ruling", "decklist", "event-report"},
+		})
+	}
+	s.doc.Revision++
+	s.publishConfig()
+	e := s.entry("entry-1", "a")
+	// A process that is not listed watches the platform itself.
+	s.procs = nil
+	for i := range 4300 {
+		h := &gladegaugev1.Host{Id: fmt.Sprint("absent-", i), Zone: string(rune('a' + i%2)), Address: "127.0.0.1:1", Role: gladegaugev1.Role_ROLE_ENTRY}
+		if i >= 800 {
+			h.Role, h.Pool = gladegaugev1.Role_ROLE_AGENT, fmt.Sprint("pool-", i%35)
+		}
+		s.procs = append(s.procs, &proc{host: h})
+	}
+	s.publishHosts()
+	eventually(b, "the entry knows all", func() bool { return metric(e, "gladegauge_hosts_known") >= 4300 })
+	b.ResetTimer()
+	const window = 20 * time.Second
+	cpu, sent := metric(e, "process_cpu_seconds_total"), time.Now()
+	revision := float64(s.doc.GetRevision())
+	changes := 0
+	for time.Since(sent) < window {
+		s.doc.Revision++
+		s.doc.Organisations[100+changes].RatePerSecond = 11
+		s.publishConfig()
+		changes++
+		want := revision + float64(changes)
+		eventually(b, "the change is in force", func() bool { return metric(e, "gladegauge_configuration_revision") == want })
+		<-time.After(time.Second)
+	}
+	used := metric(e, "process_cpu_seconds_total") - cpu
+	b.ReportMetric(100*used/time.Since(sent).Seconds(), "%core")
+	b.ReportMetric(float64(changes)/time.Since(sent).Seconds(), "changes/s")
+	b.ReportMetric(metric(e, "go_memstats_heap_alloc_bytes")/(1<<20), "MB-heap")
+	b.ReportMetric(metric(e, "process_resident_memory_bytes")/(1<<20), "MB-resident")
+}
--- a/internal/e2e/stack_test.go
+++ b/internal/e2e/stack_test.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -36,6 +37,7 @@
 var binaries string
 
 func TestMain(m *testing.M) {
+	flag.Parse()
 	dir, err := os.MkdirTemp("", "gladegauge")
 	if err != nil {
 		panic(err)
--- a/internal/edge/settings/settings.go
+++ b/internal/edge/settings/settings.go
@@ -124,7 +124,7 @@
 // Print writes each setting with its value and source; secrets are masked.
 func (s *Set) Print(w io.Writer) error {
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(table, "SETTING\tENVIRONMENT\tVALUE\tSOURCE")
+	_, _ = fmt.Fprintln(table, "SETTING\tENVIRONMENT\tVALUE\tSOURCE\tMEANING")
 	for _, name := range s.order {
 		value := s.flags.Lookup(name).Value.String()
 		if s.secrets[name] && value != "" {
@@ -134,7 +134,7 @@
 		if !ok {
 			source = "default"
 		}
-		_, _ = fmt.Fprintf(table, "-%s\t%s\t%q\t%s\n", name, EnvName(name), value, source)
+		_, _ = fmt.Fprintf(table, "-%s\t%s\t%q\t%s\t%s\n", name, EnvName(name), value, source, s.flags.Lookup(name).Usage)
 	}
 	return table.Flush()
 }
