Queue: what cannot be complete in time is refused before it begins

Ruled out by a count of tokens by outcome: retries and preemption (all other classes wasted nothing). The waste was notes that began 110 to 118 s after arrival and stop to matter at 120 s, and answers of installers that had their first token and were given up in the queue after a preemption.

Change: a request expires by the time it needs from its start before it stops to matter; a begun answer whose target is the first token does not expire.

--- a/internal/core/queue/item.go
+++ b/internal/core/queue/item.go
@@ -40,6 +40,12 @@
 	return 1 / float64(max(1, it.Copies))
 }
 
+// useless reports whether the answer would come too late to matter. A begun
+// answer whose target is its first token has met it or not already.
+func (it *Item) useless(now time.Time) bool {
+	return now.Sub(it.Arrived) >= it.Class.Useful-it.Lead
+}
+
 // Slack is the time left until the item should start.
 func (it *Item) Slack(now time.Time) time.Duration {
 	return it.StartBy().Sub(now)
--- a/internal/core/queue/queue.go
+++ b/internal/core/queue/queue.go
@@ -328,14 +328,19 @@
 		if cq.class.Protected || q.policy.FIFO {
 			continue
 		}
-		for cq.len() > 0 {
+		var begun []*Item
+		for cq.len() > 0 && cq.byAge.first().useless(now) {
 			it := cq.byAge.first()
-			if now.Sub(it.Arrived) < cq.class.Useful {
-				break
-			}
 			q.Remove(it.ID)
+			if it.Produced > 0 && it.Class.FirstToken > 0 {
+				begun = append(begun, it)
+				continue
+			}
 			out = append(out, it)
 		}
+		for _, it := range begun {
+			q.insert(it, true)
+		}
 	}
 	return out
 }
--- a/internal/session/policy.go
+++ b/internal/session/policy.go
@@ -29,7 +29,20 @@
 	},
 }
 
+// OneAgent is the product's policy but for late binding: each request is
+// pushed to the best of the agents that were sampled.
+var OneAgent = Policy{
+	Name:  "one-agent",
+	Entry: entry.Options{Dispatch: dispatch.Options{Width: 1}},
+}
+
+// ThreeAgents offers each request to three agents instead of two.
+var ThreeAgents = Policy{
+	Name:  "three-agents",
+	Entry: entry.Options{Dispatch: dispatch.Options{Width: 3}},
+}
+
 // Policies returns the policies that the measure compares.
 func Policies() []Policy {
-	return []Policy{Current, FIFORandom}
+	return []Policy{Current, FIFORandom, OneAgent, ThreeAgents}
 }
