--- a/internal/e2e/path_test.go
+++ b/internal/e2e/path_test.go
@@ -291,6 +291,36 @@
 	is.Equal(metric(e, "gladegauge_resumes_total"), 1.0)
 }
 
+// TestFailingEngine lets one engine answer with errors of its own: rulings run
+// on the other one, and the retries stay within their budget.
+func TestFailingEngine(t *testing.T) {
+	is := is.New(t)
+	s := newStack(t, "salish")
+	e := s.entry("entry-1", "a")
+	s.agent("agent-1", "a", "judge-model")
+	s.agent("agent-2", "b", "judge-model")
+	s.ready()
+	s.engines["agent-1"].SetFault(engine.Fault{Fail: true})
+	for i := range 30 {
+		prompt := fmt.Sprint("ruling ", i)
+		got := send("POST", e.url("listen")+"/v1/chat/completions", salishKey, chatBody(prompt, 5, true))
+		text, complete := streamText(got.body)
+		is.True(complete)
+		is.Equal(text, want(prompt, 5))
+	}
+	s.engines["agent-2"].SetFault(engine.Fault{Fail: true})
+	_, one, _ := s.engines["agent-1"].Counts()
+	_, two, _ := s.engines["agent-2"].Counts()
+	const asked = 100
+	for range asked {
+		got := send("POST", e.url("listen")+"/v1/chat/completions", salishKey, chatBody("x", 5, true))
+		is.True(got.status == http.StatusBadGateway || got.status == http.StatusServiceUnavailable)
+	}
+	_, oneNow, _ := s.engines["agent-1"].Counts()
+	_, twoNow, _ := s.engines["agent-2"].Counts()
+	is.True(float64(oneNow-one+twoNow-two) <= 1.2*asked)
+}
+
 // TestLostRegistration makes a plain service run a call and drop its answer,
 // and kills an agent during another: neither is repeated, and neither is said
 // to be not run.
--- a/internal/edge/agentd/session.go
+++ b/internal/edge/agentd/session.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/gladegauge/gladegauge/internal/core/agent"
+	"github.com/gladegauge/gladegauge/internal/core/config"
 	"github.com/gladegauge/gladegauge/internal/edge/convert"
 	"github.com/gladegauge/gladegauge/internal/edge/upstream"
 	gladegaugev1 "github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1"
@@ -25,6 +26,8 @@
 
 var errNoOffer = errors.New("offer.attempt: must be set in the first command")
 
+var errFailing = errors.New("the engine answered with an error of its own")
+
 // stream is the entry's end of one attempt.
 type stream = connect.BidiStream[gladegaugev1.AttemptCommand, gladegaugev1.AttemptEvent]
 
@@ -48,6 +51,11 @@
 	gone      bool
 	offset    int
 	quiet     bool
+	// failing is true after an engine answered with an error of its own to a
+	// request that may be repeated; another engine may do better.
+	failing bool
+	// retryable is true for a repeatable class of a model pool.
+	retryable bool
 	// load is what a grant tells; nil after an Accepted.
 	load *gladegaugev1.Load
 	// tier is that of the attempt's class; 0 if it is unknown.
@@ -165,6 +173,8 @@
 		x.s.sessions[x.id] = x
 		if c, found := x.s.sync.Config().Class(x.offer.GetClass()); found {
 			x.tier = c.Tier
+			p, _ := x.s.sync.Config().Pool(x.s.o.Pool)
+			x.retryable = c.Repeatable && p != nil && p.Kind == config.KindModel
 		}
 		x.s.apply(x.s.agent.Offer(now, x.coreOffer(now)))
 		accepted = &gladegaugev1.Accepted{Load: x.s.load(), Incarnation: x.s.incarnation}
@@ -282,6 +292,9 @@
 	if p.Head != nil {
 		return false, x.onHead(p.Head)
 	}
+	if x.failing {
+		return false, nil
+	}
 	x.tokens.Add(int64(p.Tokens))
 	x.s.metrics.Tokens.WithLabelValues(x.offer.GetClass()).Add(float64(p.Tokens))
 	chunk := &gladegaugev1.Chunk{Offset: uint64(p.Offset), Data: p.Data, Tokens: uint32(p.Tokens), Next: uint64(p.Next)}
@@ -292,6 +305,11 @@
 }
 
 func (x *session) onHead(h *upstream.Head) error {
+	if h.Status >= http.StatusInternalServerError && x.retryable {
+		x.failing = true
+		x.cancelRun()
+		return nil
+	}
 	head := &gladegaugev1.Head{Status: uint32(h.Status)}
 	for name, values := range h.Headers {
 		for _, v := range values {
@@ -305,6 +323,9 @@
 func (x *session) onEnd(end upstream.End) (bool, error) {
 	x.running = false
 	x.cancelRun()
+	if x.failing {
+		end = upstream.End{Ending: upstream.Broken, Err: errFailing}
+	}
 	produced := max(1, int(x.tokens.Load()))
 	var load *gladegaugev1.Load
 	stopped := x.stopping && end.Ending != upstream.Complete
--- a/internal/edge/configdir/configdir.go
+++ b/internal/edge/configdir/configdir.go
@@ -26,6 +26,8 @@
 type Source struct {
 	Configuration *gladegaugev1.Configuration
 	files         []span
+	// organisations holds the file of each organisation.
+	organisations map[string]string
 }
 
 // span is the part of each list that one file gave.
@@ -46,7 +48,7 @@
 		return nil, errors.Newf("%s: no .yaml files", dir)
 	}
 	slices.Sort(names)
-	s := &Source{Configuration: &gladegaugev1.Configuration{}}
+	s := &Source{Configuration: &gladegaugev1.Configuration{}, organisations: make(map[string]string)}
 	var faults error
 	for _, name := range names {
 		if err := s.add(name); err != nil {
@@ -73,6 +75,9 @@
 	s.note(file, "classes", len(whole.GetClasses()), len(part.GetClasses()))
 	s.note(file, "pools", len(whole.GetPools()), len(part.GetPools()))
 	s.note(file, "organisations", len(whole.GetOrganisations()), len(part.GetOrganisations()))
+	for _, o := range part.GetOrganisations() {
+		s.organisations[o.GetName()] = file
+	}
 	proto.Merge(whole, part)
 	return nil
 }
@@ -99,6 +104,9 @@
 // Locate puts the file before a fault's field, and makes its index that of the
 // file.
 func (s *Source) Locate(field string) string {
+	if name, ok := quotedName(field); ok && s.organisations[name] != "" {
+		return s.organisations[name] + ": " + field
+	}
 	list, index, rest, ok := splitField(field)
 	if !ok {
 		return field
--- a/internal/edge/configdir/field.go
+++ b/internal/edge/configdir/field.go
@@ -18,3 +18,13 @@
 	}
 	return field[:open], index, field[end+1:], true
 }
+
+// quotedName reads the name in organisations["hall"].weight.
+func quotedName(field string) (string, bool) {
+	rest, ok := strings.CutPrefix(field, `organisations["`)
+	if !ok {
+		return "", false
+	}
+	name, _, ok := strings.Cut(rest, `"]`)
+	return name, ok
+}
--- a/internal/edge/entryd/call.go
+++ b/internal/edge/entryd/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"net/http"
 	"strconv"
 	"time"
 
@@ -64,6 +65,8 @@
 	resumed    bool
 	outcome    dispatch.Outcome
 	callerGone bool
+	// status is that of the upstream's answer.
+	status int
 	// version is the configuration that the request came in under.
 	version *gladegaugev1.Version
 }
@@ -115,14 +118,14 @@
 
 func rejectionProblem(r *entry.Rejection) *problem {
 	p := &problem{
-		status:     503,
+		status:     http.StatusServiceUnavailable,
 		code:       CodeOverloaded,
 		message:    "There is no room for a request of this class now. It was not run.",
 		notRun:     true,
 		retryAfter: r.RetryAfter,
 	}
 	if r.Limited {
-		p.status = 429
+		p.status = http.StatusTooManyRequests
 		p.code = CodeRateLimited
 		p.message = "The organisation has used up its rate. The request was not run."
 	}
@@ -401,6 +404,7 @@
 	if !x.ticket.Deliver(time.Now(), n, 0) || x.ticket.Delivered() > 0 {
 		return nil
 	}
+	x.status = int(h.GetStatus())
 	return x.out.head(h)
 }
 
@@ -444,7 +448,7 @@
 		first, whole := x.first.Sub(x.arrived), x.completed.Sub(x.arrived)
 		x.s.metrics.FirstToken.WithLabelValues(class.Name).Observe(first.Seconds())
 		x.s.metrics.Completion.WithLabelValues(class.Name).Observe(whole.Seconds())
-		if !class.Met(first, whole) {
+		if !class.Met(first, whole) || x.status >= http.StatusInternalServerError {
 			kind = burn.Miss
 		}
 	case dispatch.Abandoned:
--- /dev/null
+++ b/internal/edge/entryd/chat_test.go
@@ -0,0 +1,73 @@
+package entryd
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/labstack/echo/v4"
+	"github.com/matryer/is"
+
+	gladegaugev1 "github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1"
+)
+
+func FuzzParseChat(f *testing.F) {
+	f.Add([]byte(`{"model":"judge","messages":[{"role":"user","content":"x"}],"max_tokens":5}`))
+	f.Add([]byte(`{"model":3}`))
+	f.Add([]byte(`{"messages":[],"n":-1}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		req, p := parseChat(body)
+		if (req == nil) == (p == nil) {
+			t.Fatal("a request or a problem")
+		}
+		if p != nil {
+			if p.param == "" || !p.notRun {
+				t.Fatalf("a problem without its field: %+v", p)
+			}
+			return
+		}
+		_ = req.prefix()
+		out, err := withStream(body)
+		if err != nil || !json.Valid(out) {
+			t.Fatalf("%v %s", err, out)
+		}
+	})
+}
+
+func FuzzAssembled(f *testing.F) {
+	f.Add([]byte("data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"x\"}}]}\n\n"))
+	f.Add([]byte("data: {\"choices\":[{\"index\":-5}]}\n\ndata: [DONE]\n\n"))
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		c := echo.New().NewContext(httptest.NewRequest(http.MethodPost, "/", nil), httptest.NewRecorder())
+		o := &assembled{c: c}
+		_ = o.head(&gladegaugev1.Head{Status: 200, Headers: []*gladegaugev1.Header{{Name: "Content-Type", Value: "text/event-stream"}}})
+		_ = o.chunk(data)
+		_ = o.end()
+	})
+}
+
+// TestAssembled joins a stream with two choices and its usage.
+func TestAssembled(t *testing.T) {
+	is := is.New(t)
+	w := httptest.NewRecorder()
+	o := &assembled{c: echo.New().NewContext(httptest.NewRequest(http.MethodPost, "/", nil), w)}
+	is.NoErr(o.head(&gladegaugev1.Head{Status: 200, Headers: []*gladegaugev1.Header{{Name: "Content-Type", Value: "text/event-stream"}}}))
+	for _, text := range []string{
+		`{"id":"i","model":"m","choices":[{"index":0,"delta":{"role":"assistant"}}]}`,
+		`{"id":"i","model":"m","choices":[{"index":1,"delta":{"content":"b"}},{"index":0,"delta":{"content":"a"}}]}`,
+		`{"id":"i","model":"m","choices":[{"index":0,"delta":{"content":"a"},"finish_reason":"stop"}]}`,
+		`{"id":"i","model":"m","choices":[],"usage":{"total_tokens":3}}`,
+		`[DONE]`,
+	} {
+		is.NoErr(o.chunk([]byte("data: " + text + "\n\n")))
+	}
+	is.NoErr(o.end())
+	var got completion
+	is.NoErr(json.Unmarshal(w.Body.Bytes(), &got))
+	is.Equal(len(got.Choices), 2)
+	is.Equal(got.Choices[0].Message.Content, "aa")
+	is.Equal(*got.Choices[0].FinishReason, "stop")
+	is.Equal(got.Choices[1].Message.Content, "b")
+	is.Equal(string(got.Usage), `{"total_tokens":3}`)
+}
--- /dev/null
+++ b/internal/edge/upstream/upstream_test.go
@@ -0,0 +1,119 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// answerAll collects the pieces of an answer.
+func answerAll(t *testing.T, h http.HandlerFunc, call Call) (string, End) {
+	t.Helper()
+	server := httptest.NewServer(h)
+	defer server.Close()
+	if call.Headers == nil {
+		call.Headers = make(http.Header)
+	}
+	var text bytes.Buffer
+	end := New(server.URL, server.Client()).Do(context.Background(), call, func(p Piece) error {
+		text.Write(p.Data)
+		return nil
+	})
+	return text.String(), end
+}
+
+func TestEndings(t *testing.T) {
+	events := func(w http.ResponseWriter) { w.Header().Set("Content-Type", "text/event-stream") }
+	tests := []struct {
+		name   string
+		answer http.HandlerFunc
+		ending Ending
+		length int
+	}{
+		{"whole stream", func(w http.ResponseWriter, _ *http.Request) {
+			events(w)
+			_, _ = w.Write([]byte("data: a\n\ndata: b\n\ndata: [DONE]\n\n"))
+		}, Complete, 3},
+		{"stream without its end", func(w http.ResponseWriter, _ *http.Request) {
+			events(w)
+			_, _ = w.Write([]byte("data: a\n\ndata: b\n\n"))
+		}, Broken, 2},
+		{"stream cut inside an event", func(w http.ResponseWriter, _ *http.Request) {
+			events(w)
+			_, _ = w.Write([]byte("data: a\n\ndata: b"))
+		}, Broken, 1},
+		{"whole body", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("hello")) }, Complete, 5},
+		{"body cut", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "9")
+			_, _ = w.Write([]byte("hello"))
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}, Broken, 5},
+		{"no answer", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, Broken, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			_, end := answerAll(t, tt.answer, Call{Method: "POST", Path: "/"})
+			is.Equal(end.Ending, tt.ending)
+			is.Equal(end.Length, tt.length)
+		})
+	}
+}
+
+func TestNeverReached(t *testing.T) {
+	is := is.New(t)
+	end := New("http://127.0.0.1:1", http.DefaultClient).Do(context.Background(), Call{Method: "POST", Path: "/", Headers: make(http.Header)}, nil)
+	is.Equal(end.Ending, NotTaken)
+}
+
+// TestSentOnce breaks a kept connection after it took a request: the library
+// must not send the request again by itself, whatever its method and headers.
+func TestSentOnce(t *testing.T) {
+	for _, method := range []string{"POST", "GET", "PUT", "DELETE"} {
+		t.Run(method, func(t *testing.T) {
+			is := is.New(t)
+			var calls atomic.Int32
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				if calls.Add(1) > 1 {
+					panic(http.ErrAbortHandler)
+				}
+				_, _ = w.Write([]byte("ok"))
+			}))
+			defer server.Close()
+			c := New(server.URL, server.Client())
+			headers := http.Header{"Idempotency-Key": {"k"}}
+			pass := func(Piece) error { return nil }
+			first := c.Do(context.Background(), Call{Method: method, Path: "/", Headers: headers}, pass)
+			is.Equal(first.Ending, Complete)
+			second := c.Do(context.Background(), Call{Method: method, Path: "/", Headers: headers}, pass)
+			is.Equal(second.Ending, Broken)
+			is.Equal(calls.Load(), int32(2))
+		})
+	}
+}
+
+func FuzzReadEvent(f *testing.F) {
+	f.Add([]byte("data: a\n\ndata: b\r\n\r\n"))
+	f.Add([]byte("\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r := bufio.NewReaderSize(bytes.NewReader(data), 16)
+		var joined []byte
+		for {
+			event, err := readEvent(r)
+			if err != nil {
+				break
+			}
+			joined = append(joined, event...)
+		}
+		if !bytes.HasPrefix(data, joined) {
+			t.Fatalf("%q is no prefix of %q", joined, data)
+		}
+	})
+}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -43,6 +43,8 @@
 	CutAfter int `json:"cut_after"`
 	// Hang stops answering.
 	Hang bool `json:"hang"`
+	// Fail answers each request with an error.
+	Fail bool `json:"fail"`
 }
 
 const (
@@ -196,6 +198,10 @@
 	}
 	e.count(1)
 	defer e.count(-1)
+	if e.getFault().Fail {
+		http.Error(w, "out of memory", http.StatusInternalServerError)
+		return
+	}
 	resume, _ := strconv.Atoi(r.Header.Get("Resume-Offset"))
 	answer := Answer(q.prompt(), q.MaxTokens)
 	if !e.work(r.Context(), e.promptTime(q.prompt())) {
