A hanging engine is left; a starting process takes its shards from a peer

Cause: (1) an engine that hangs keeps its connections open, and its agent's signs of life hid that from the entry: a caller would have waited for good.

Change: an agent gives its runs up when its upstream has been down for 2 s, and says that they may have run; a starting process asks a peer before it reads the manifest.

Figures: a stream of 300 tokens whose engine hangs after 20 completes byte for byte on another one; before, it did not end.

An upstream that answers its health check but no request is still not noticed.

--- a/internal/core/agent/agent.go
+++ b/internal/core/agent/agent.go
@@ -29,6 +29,8 @@
 	// minAvailable is the share of the upstream that a tier can count on.
 	minAvailable   = 0.05
 	minObservation = 200 * time.Millisecond
+	// giveUpAfter is how long the upstream is down before its runs are lost.
+	giveUpAfter = 2 * time.Second
 	// floorSlots is the number of slots for each run on a floor share.
 	floorSlots = 10
 	// urgentWaits is how many natural waits for a slot of slack a request
@@ -88,9 +90,11 @@
 	// learnt from requests that were served on time or late.
 	trust map[string]float64
 	// prompt is the learnt time to the first token, in nanoseconds.
-	prompt   float64
-	leaving  bool
-	down     bool
+	prompt  float64
+	leaving bool
+	down    bool
+	// downAt is when the upstream was last seen to go down.
+	downAt   time.Time
 	lastTick time.Time
 }
 
@@ -349,9 +353,13 @@
 	a.Progress(now, id, produced)
 	a.queue.Settle(r.item, r.produced-r.item.Produced)
 	a.release(id)
-	if r.withdrawn {
+	if r.withdrawn || r.lost {
 		a.finish(now, id, ledger.Ran)
-		return a.schedule(now)
+		effects := a.schedule(now)
+		if r.lost {
+			effects = append([]Effect{Fail{ID: id}}, effects...)
+		}
+		return effects
 	}
 	r.item.Produced = r.produced
 	r.item.Copies = 1
@@ -378,6 +386,7 @@
 	}
 	a.down = down
 	if down {
+		a.downAt = now
 		return a.refuseWaiting(now, UpstreamDown)
 	}
 	return a.schedule(now)
@@ -439,6 +448,7 @@
 	for _, it := range a.queue.Expired(now) {
 		effects = append(effects, a.giveUp(now, it))
 	}
+	effects = append(effects, a.giveUpRuns(now)...)
 	return append(effects, a.schedule(now)...)
 }
 
@@ -451,6 +461,23 @@
 	return a.refuse(now, it.ID, Expired, it.Class)
 }
 
+// giveUpRuns stops the runs of an upstream that has been down for a while. It
+// may hang without breaking its connections.
+func (a *Agent) giveUpRuns(now time.Time) []Effect {
+	if !a.down || now.Sub(a.downAt) < giveUpAfter {
+		return nil
+	}
+	var effects []Effect
+	for _, r := range a.running() {
+		if r.claimed && !r.stopping {
+			r.lost = true
+			a.markStopping(r)
+			effects = append(effects, Stop{ID: r.item.ID})
+		}
+	}
+	return effects
+}
+
 func (a *Agent) paused(now time.Time) bool {
 	return !a.lastTick.IsZero() && now.Sub(a.lastTick) > Lease
 }
--- a/internal/core/agent/agent_test.go
+++ b/internal/core/agent/agent_test.go
@@ -203,6 +203,15 @@
 			{0, offers("a", "ruling"), "grant a"},
 			{ms, func(a *Agent, now time.Time) []Effect { return a.Claim(now, "a", "earlier") }, "refuse a wrong_incarnation"},
 		}},
+		{"upstream hangs", 1, []step{
+			{0, offers("a", "ruling"), "grant a"},
+			{1 * ms, claims("a"), "start a 0"},
+			{2 * ms, func(a *Agent, now time.Time) []Effect { return a.SetDown(now, true) }, ""},
+			{1500 * ms, ticks, ""},
+			{2100 * ms, ticks, "stop a false"},
+			{2101 * ms, stopped("a", 3), "fail a false"},
+			{2102 * ms, offers("a", "ruling"), "fail a true"},
+		}},
 		{"unknown class", 1, []step{{0, offers("a", "vip"), "refuse a unknown_class"}}},
 		{"meant for a predecessor", 1, []step{
 			{0, func(a *Agent, now time.Time) []Effect {
--- a/internal/core/agent/run.go
+++ b/internal/core/agent/run.go
@@ -14,8 +14,10 @@
 	claimed bool
 	floor   bool
 	// stopping is true after a Stop and before its Stopped.
-	stopping    bool
-	withdrawn   bool
+	stopping  bool
+	withdrawn bool
+	// lost is true if the run was given up because its upstream is down.
+	lost        bool
 	preemptions int
 	granted     time.Time
 	started     time.Time
--- a/internal/e2e/path_test.go
+++ b/internal/e2e/path_test.go
@@ -291,6 +291,41 @@
 	is.Equal(metric(e, "gladegauge_resumes_total"), 1.0)
 }
 
+// TestHangingEngine lets an engine stop in the middle of an answer without
+// breaking its connection: the answer continues on the other one.
+func TestHangingEngine(t *testing.T) {
+	is := is.New(t)
+	s := newStack(t, "salish")
+	s.fast = 10 * time.Millisecond
+	e := s.entry("entry-1", "a")
+	agents := map[string]*proc{
+		"agent-1": s.agent("agent-1", "a", "judge-model"),
+		"agent-2": s.agent("agent-2", "b", "judge-model"),
+	}
+	s.ready()
+	result := make(chan answer, 1)
+	var group errgroup.Group
+	group.Go(func() error {
+		result <- send("POST", e.url("listen")+"/v1/chat/completions", salishKey, chatBody("story", 300, true))
+		return nil
+	})
+	eventually(t, "an engine runs", func() bool {
+		for id, a := range agents {
+			if running, _, _ := s.engines[id].Counts(); running > 0 && metric(a, "gladegauge_tokens_total") > 20 {
+				s.engines[id].SetFault(engine.Fault{Hang: true})
+				return true
+			}
+		}
+		return false
+	})
+	got := <-result
+	_ = group.Wait()
+	text, complete := streamText(got.body)
+	is.NoErr(got.err)
+	is.True(complete)
+	is.Equal(text, want("story", 300))
+}
+
 // TestFailingEngine lets one engine answer with errors of its own: rulings run
 // on the other one, and the retries stay within their budget.
 func TestFailingEngine(t *testing.T) {
--- a/internal/edge/spread/platform.go
+++ b/internal/edge/spread/platform.go
@@ -15,24 +15,36 @@
 	gladegaugev1 "github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1"
 )
 
-// bootstrap asks the platform and a seed once, so that the process starts with
-// the newest of both.
+// firstPeers is the number of peers that a starting process tries to ask.
+const firstPeers = 3
+
+// bootstrap asks the platform and a peer once, so that the process starts with
+// the newest of both. The peer goes first: from the platform then only what is
+// newer is read, which matters when many processes start at once.
 func (s *Sync) bootstrap(ctx context.Context) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	s.readAll(callCtx)
-	for _, address := range s.addresses(ctx) {
+	s.readHosts(callCtx, func(string) bool { return true })
+	addresses := s.addresses(ctx)
+	for _, address := range addresses[:min(firstPeers, len(addresses))] {
 		if s.exchange(ctx, address) {
-			return
+			break
 		}
 	}
+	s.readManifest(ctx)
 }
 
-// readAll reads the manifest and all host lists from the platform.
-func (s *Sync) readAll(ctx context.Context) {
+func (s *Sync) readManifest(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	if v, err := s.o.Platform.Read(ctx, platform.ManifestName); err == nil {
 		s.learnManifest(ctx, v)
 	}
+}
+
+// readAll reads the manifest and all host lists from the platform.
+func (s *Sync) readAll(ctx context.Context) {
+	s.readManifest(ctx)
 	s.readHosts(ctx, func(string) bool { return true })
 }
 
--- a/internal/edge/spread/sync_test.go
+++ b/internal/edge/spread/sync_test.go
@@ -436,6 +436,30 @@
 	}
 }
 
+// TestStartBesidePeers starts a process while others run: it reads the lists
+// and the manifest from the platform, and the shards from a peer.
+func TestStartBesidePeers(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 4, "a", "b")
+		for _, n := range f.nodes[1:] {
+			f.start(n)
+		}
+		defer f.stopAll()
+		// Between two reads of the list of zones by the watchers.
+		time.Sleep(5 * time.Second)
+		before := f.platform.Calls()
+		last := f.nodes[0]
+		f.start(last)
+		time.Sleep(time.Second)
+		is.True(last.ready())
+		// The list of zones, two lists, the manifest, and its two watches if it
+		// becomes a watcher.
+		is.True(f.platform.Calls()-before <= 1+2+1+2)
+	})
+}
+
 // TestNotReadyAlone starts a process that can ask nobody: it is never ready.
 func TestNotReadyAlone(t *testing.T) {
 	t.Parallel()
