--- a/internal/core/agent/offer.go
+++ b/internal/core/agent/offer.go
@@ -17,8 +17,6 @@
 	Copies int
 	// Key is the idempotency key, or empty.
 	Key string
-	// Resumed is true for the rest of an answer that another agent began.
-	Resumed bool
 
 	preemptions int
 }
--- a/internal/core/dispatch/effect.go
+++ b/internal/core/dispatch/effect.go
@@ -16,7 +16,6 @@
 	Attempt int
 	Agent   member.Host
 	Copies  int
-	Resumed bool
 }
 
 // Claim starts the attempt at its agent, from the offset that the caller has.
--- /dev/null
+++ b/internal/e2e/failure_test.go
@@ -0,0 +1,200 @@
+package e2e
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/gladegauge/gladegauge/internal/standin/engine"
+	"github.com/gladegauge/gladegauge/internal/standin/service"
+)
+
+// TestKilledAgent kills an agent while it streams: the answer continues on the
+// other upstream, byte for byte.
+func TestKilledAgent(t *testing.T) {
+	is := is.New(t)
+	s, e, agents := newPair(t, "judge-model", 10*time.Millisecond)
+	got := s.disturb(func() answer {
+		return send("POST", e.url("listen")+"/v1/chat/completions", salishKey, chatBody("story", 300, true))
+	}, func(id string) bool { return s.streams(agents[id]) }, func(id string) { agents[id].kill() })
+	text, complete := streamText(got.body)
+	is.NoErr(got.err)
+	is.True(complete)
+	is.Equal(text, want("story", 300))
+	is.Equal(metric(e, "gladegauge_resumes_total"), 1.0)
+}
+
+// TestHangingEngine lets an engine stop in the middle of an answer without
+// breaking its connection: the answer continues on the other one.
+func TestHangingEngine(t *testing.T) {
+	is := is.New(t)
+	s, e, agents := newPair(t, "judge-model", 10*time.Millisecond)
+	got := s.disturb(func() answer {
+		return send("POST", e.url("listen")+"/v1/chat/completions", salishKey, chatBody("story", 300, true))
+	}, func(id string) bool { return s.streams(agents[id]) }, func(id string) { s.engines[id].SetFault(engine.Fault{Hang: true}) })
+	text, complete := streamText(got.body)
+	is.NoErr(got.err)
+	is.True(complete)
+	is.Equal(text, want("story", 300))
+}
+
+// TestFailingEngine lets one engine answer with errors of its own: rulings run
+// on the other one, and the retries stay within their budget.
+func TestFailingEngine(t *testing.T) {
+	is := is.New(t)
+	s := newStack(t, "salish")
+	e := s.entry("entry-1", "a")
+	s.agent("agent-1", "a", "judge-model")
+	s.agent("agent-2", "b", "judge-model")
+	s.ready()
+	s.engines["agent-1"].SetFault(engine.Fault{Fail: true})
+	for i := range 30 {
+		prompt := fmt.Sprint("ruling ", i)
+		got := send("POST", e.url("listen")+"/v1/chat/completions", salishKey, chatBody(prompt, 5, true))
+		text, complete := streamText(got.body)
+		is.True(complete)
+		is.Equal(text, want(prompt, 5))
+	}
+	s.engines["agent-2"].SetFault(engine.Fault{Fail: true})
+	_, one, _ := s.engines["agent-1"].Counts()
+	_, two, _ := s.engines["agent-2"].Counts()
+	const asked = 100
+	for range asked {
+		got := send("POST", e.url("listen")+"/v1/chat/completions", salishKey, chatBody("x", 5, true))
+		is.True(got.status == http.StatusBadGateway || got.status == http.StatusServiceUnavailable)
+	}
+	_, oneNow, _ := s.engines["agent-1"].Counts()
+	_, twoNow, _ := s.engines["agent-2"].Counts()
+	is.True(float64(oneNow-one+twoNow-two) <= 1.2*asked)
+}
+
+// TestLostRegistration makes a plain service run a call and drop its answer,
+// and kills an agent during another: neither is repeated, and neither is said
+// to be not run.
+func TestLostRegistration(t *testing.T) {
+	is := is.New(t)
+	s, e, agents := newPair(t, "player-app", 300*time.Millisecond)
+	runs := func(ticket string) int {
+		return s.services["agent-1"].Runs()[ticket] + s.services["agent-2"].Runs()[ticket]
+	}
+	register := func(ticket string) answer {
+		return send("POST", e.url("listen")+"/services/player-app/register", salishKey, `{"id":"`+ticket+`"}`)
+	}
+	for _, svc := range s.services {
+		svc.SetFault(service.DropAnswer)
+	}
+	got := register("t1")
+	is.Equal(got.status, http.StatusBadGateway)
+	p := got.problem(t)
+	is.True(p.Error.OutcomeUnknown)
+	is.True(!p.Error.NotRun)
+	is.Equal(got.header.Get("X-Should-Retry"), "false")
+	is.Equal(runs("t1"), 1)
+
+	for _, svc := range s.services {
+		svc.SetFault(service.None)
+	}
+	got = s.disturb(func() answer { return register("t2") },
+		func(id string) bool { return s.services[id].Runs()["t2"] > 0 },
+		func(id string) { agents[id].kill() })
+	is.True(got.problem(t).Error.OutcomeUnknown)
+	is.Equal(runs("t2"), 1)
+	is.Equal(register("t3").status, http.StatusOK)
+	is.Equal(runs("t3"), 1)
+}
+
+// TestIdempotencyKey uses a key twice, and after its agent is gone.
+func TestIdempotencyKey(t *testing.T) {
+	is := is.New(t)
+	s := newStack(t, "salish")
+	e := s.entry("entry-1", "a")
+	a := s.agent("agent-1", "a", "player-app")
+	s.ready()
+	issue := func() string {
+		got := send("POST", e.url("listen")+"/v1/idempotency-keys", salishKey, `{"target":"player-app"}`)
+		var k struct{ Key string }
+		is.NoErr(json.Unmarshal([]byte(got.body), &k))
+		return k.Key
+	}
+	use := func(key, ticket string) answer {
+		return send("POST", e.url("listen")+"/services/player-app/register", salishKey, `{"id":"`+ticket+`"}`, "Idempotency-Key", key)
+	}
+	key := issue()
+	is.Equal(use(key, "t1").status, http.StatusOK)
+	again := use(key, "t1")
+	is.Equal(again.status, http.StatusConflict)
+	is.Equal(again.problem(t).Error.Code, "already_run")
+	is.Equal(s.services["agent-1"].Runs()["t1"], 1)
+	other := send("POST", e.url("listen")+"/services/player-app/register", "demo-salish-hope-tables", `{"id":"t2"}`, "Idempotency-Key", issue())
+	is.Equal(other.problem(t).Error.Code, "invalid_idempotency_key")
+	key = issue()
+	a.kill()
+	gone := use(key, "t3")
+	is.True(gone.problem(t).Error.OutcomeUnknown)
+}
+
+// TestPlannedStop stops an agent and an entry in the middle of streams: each
+// stream completes, nothing new is taken, and both exit with 0.
+func TestPlannedStop(t *testing.T) {
+	is := is.New(t)
+	s := newStack(t, "salish")
+	s.fast = 5 * time.Millisecond
+	e := s.entry("entry-1", "a")
+	a := s.agent("agent-1", "a", "judge-model")
+	s.ready()
+	var group errgroup.Group
+	for i := range 8 {
+		group.Go(func() error {
+			prompt := fmt.Sprintf("ruling %d", i)
+			got := send("POST", e.url("listen")+"/v1/chat/completions", salishKey, chatBody(prompt, 200, true))
+			if text, complete := streamText(got.body); got.err != nil || !complete || text != want(prompt, 200) {
+				return fmt.Errorf("stream %d was cut: %d %w", i, got.status, got.err)
+			}
+			return nil
+		})
+	}
+	eventually(t, "all run", func() bool { running, _, _ := s.engines["agent-1"].Counts(); return running == 8 })
+	a.signal(syscall.SIGTERM)
+	eventually(t, "the agent is not ready", func() bool { return status(a.url("ops-listen")+"/readyz") != http.StatusOK })
+	refused := send("POST", e.url("listen")+"/v1/chat/completions", salishKey, chatBody("new", 5, false))
+	is.Equal(refused.status, http.StatusServiceUnavailable)
+	is.True(refused.problem(t).Error.NotRun)
+	is.True(refused.header.Get("Retry-After") != "")
+	e.signal(syscall.SIGTERM)
+	is.NoErr(group.Wait())
+	is.Equal(a.exit(), 0)
+	is.Equal(e.exit(), 0)
+	_, started, dropped := s.engines["agent-1"].Counts()
+	is.Equal(started, 8)
+	is.Equal(dropped, 0)
+}
+
+// TestSecondSignal ends at once and says what it cut.
+func TestSecondSignal(t *testing.T) {
+	is := is.New(t)
+	s := newStack(t, "salish")
+	s.fast = 20 * time.Millisecond
+	e := s.entry("entry-1", "a")
+	a := s.agent("agent-1", "a", "judge-model")
+	s.ready()
+	var group errgroup.Group
+	group.Go(func() error {
+		_ = send("POST", e.url("listen")+"/v1/chat/completions", salishKey, chatBody("x", 4000, true))
+		return nil
+	})
+	eventually(t, "it runs", func() bool { running, _, _ := s.engines["agent-1"].Counts(); return running == 1 })
+	a.signal(syscall.SIGTERM)
+	eventually(t, "the agent is not ready", func() bool { return status(a.url("ops-listen")+"/readyz") != http.StatusOK })
+	a.signal(syscall.SIGTERM)
+	is.Equal(a.exit(), 1)
+	is.True(strings.Contains(a.output(), `"cut":1`))
+	e.kill()
+	_ = group.Wait()
+}
--- a/internal/e2e/stack_test.go
+++ b/internal/e2e/stack_test.go
@@ -263,6 +263,49 @@
 	}
 }
 
+// newPair is an entry and two agents of a pool, ready to serve.
+func newPair(t *testing.T, pool string, fast time.Duration) (*stack, *proc, map[string]*proc) {
+	t.Helper()
+	s := newStack(t, "salish")
+	s.fast = fast
+	e := s.entry("entry-1", "a")
+	agents := map[string]*proc{
+		"agent-1": s.agent("agent-1", "a", pool),
+		"agent-2": s.agent("agent-2", "b", pool),
+	}
+	s.ready()
+	return s, e, agents
+}
+
+// streams reports whether the agent's engine is in the middle of an answer.
+func (s *stack) streams(a *proc) bool {
+	const enough = 20
+	running, _, _ := s.engines[a.id].Counts()
+	return running > 0 && metric(a, "gladegauge_tokens_total") > enough
+}
+
+// disturb makes a request and, once it runs at one of two agents, does
+// something to that one.
+func (s *stack) disturb(request func() answer, runs func(id string) bool, act func(id string)) answer {
+	result := make(chan answer, 1)
+	var group errgroup.Group
+	group.Go(func() error {
+		result <- request()
+		return nil
+	})
+	eventually(s.t, "the request runs", func() bool {
+		for _, id := range []string{"agent-1", "agent-2"} {
+			if runs(id) {
+				act(id)
+				return true
+			}
+		}
+		return false
+	})
+	_ = group.Wait()
+	return <-result
+}
+
 func status(url string) int {
 	resp, err := http.Get(url)
 	if err != nil {
--- a/internal/edge/agentd/orders.go
+++ b/internal/edge/agentd/orders.go
@@ -8,6 +8,7 @@
 
 	"github.com/gladegauge/gladegauge/internal/core/config"
 	"github.com/gladegauge/gladegauge/internal/core/placement"
+	"github.com/gladegauge/gladegauge/internal/edge/loop"
 	"github.com/gladegauge/gladegauge/internal/edge/upstream"
 )
 
@@ -28,7 +29,7 @@
 // orderLoop keeps what the upstream has loaded as the configuration says.
 // Plain services load nothing.
 func (s *Server) orderLoop(ctx context.Context) error {
-	for pause(ctx, compareEvery) {
+	for loop.Pause(ctx, compareEvery) {
 		p, ok := s.plan()
 		if !ok || p.notYet {
 			continue
--- a/internal/edge/agentd/server.go
+++ b/internal/edge/agentd/server.go
@@ -266,7 +266,7 @@
 func (s *Server) probe(ctx context.Context) error {
 	failures := 0
 	down := false
-	for pause(ctx, probeEvery) {
+	for loop.Pause(ctx, probeEvery) {
 		probeCtx, cancel := context.WithTimeout(ctx, probeLimit)
 		healthy := s.upstream.Healthy(probeCtx)
 		cancel()
@@ -295,14 +295,3 @@
 		}
 	})
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/edge/agentd/session.go
+++ b/internal/edge/agentd/session.go
@@ -177,7 +177,7 @@
 			x.retryable = c.Repeatable && p != nil && p.Kind == config.KindModel
 		}
 		x.s.apply(x.s.agent.Offer(now, x.coreOffer(now)))
-		accepted = &gladegaugev1.Accepted{Load: x.s.load(), Incarnation: x.s.incarnation}
+		accepted = &gladegaugev1.Accepted{Load: x.s.load()}
 	})
 	switch {
 	case !ok || (accepted == nil && !known):
@@ -284,120 +284,10 @@
 	return h
 }
 
-// onPiece passes on a part of the answer, or ends the attempt.
-func (x *session) onPiece(p piece) (bool, error) {
-	if p.end != nil {
-		return x.onEnd(*p.end)
-	}
-	if p.Head != nil {
-		return false, x.onHead(p.Head)
-	}
-	if x.failing {
-		return false, nil
-	}
-	x.tokens.Add(int64(p.Tokens))
-	x.s.metrics.Tokens.WithLabelValues(x.offer.GetClass()).Add(float64(p.Tokens))
-	chunk := &gladegaugev1.Chunk{Offset: uint64(p.Offset), Data: p.Data, Tokens: uint32(p.Tokens), Next: uint64(p.Next)}
-	err := x.send(&gladegaugev1.AttemptEvent{Event: &gladegaugev1.AttemptEvent_Chunk{Chunk: chunk}})
-	x.offset = p.Next
-	x.quiet = false
-	return false, err
-}
-
-func (x *session) onHead(h *upstream.Head) error {
-	if h.Status >= http.StatusInternalServerError && x.retryable {
-		x.failing = true
-		x.cancelRun()
-		return nil
-	}
-	head := &gladegaugev1.Head{Status: uint32(h.Status)}
-	for name, values := range h.Headers {
-		for _, v := range values {
-			head.Headers = append(head.Headers, &gladegaugev1.Header{Name: name, Value: v})
-		}
-	}
-	return x.send(&gladegaugev1.AttemptEvent{Event: &gladegaugev1.AttemptEvent_Head{Head: head}})
-}
-
-// onEnd takes the end of a call to the upstream.
-func (x *session) onEnd(end upstream.End) (bool, error) {
-	x.running = false
-	x.cancelRun()
-	if x.failing {
-		end = upstream.End{Ending: upstream.Broken, Err: errFailing}
-	}
-	produced := max(1, int(x.tokens.Load()))
-	var load *gladegaugev1.Load
-	stopped := x.stopping && end.Ending != upstream.Complete
-	x.s.loop.Must(func(now time.Time) {
-		if stopped {
-			x.s.apply(x.s.agent.Stopped(now, x.id, produced))
-		} else {
-			x.s.apply(x.s.agent.Ended(now, x.id, coreEnd(end.Ending), produced))
-		}
-		load = x.s.load()
-	})
-	if stopped && !x.gone {
-		return false, nil
-	}
-	if end.Ending != upstream.Complete {
-		x.s.metrics.Wasted.WithLabelValues(x.offer.GetClass()).Add(float64(x.tokens.Load()))
-		return true, x.fail(&gladegaugev1.Failed{NotRun: end.Ending == upstream.NotTaken, Detail: text(end.Err), Load: load})
-	}
-	ended := &gladegaugev1.End{Length: uint64(end.Length), Tokens: uint32(produced), Load: load}
-	return true, x.send(&gladegaugev1.AttemptEvent{Event: &gladegaugev1.AttemptEvent_End{End: ended}})
-}
-
-func text(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
-
-func coreEnd(e upstream.Ending) agent.End {
-	switch e {
-	case upstream.Complete:
-		return agent.Completed
-	case upstream.NotTaken:
-		return agent.NeverRan
-	case upstream.Broken:
-	}
-	return agent.Cut
-}
-
-// heartbeat tells the entry that a run without pieces is alive.
-func (x *session) heartbeat() error {
-	if x.run == nil || !x.quiet {
-		x.quiet = true
-		return nil
-	}
-	return x.send(&gladegaugev1.AttemptEvent{Event: &gladegaugev1.AttemptEvent_Chunk{
-		Chunk: &gladegaugev1.Chunk{Offset: uint64(x.offset), Next: uint64(x.offset)},
-	}})
-}
-
-func (x *session) refuse(e agent.Refuse) error {
-	refused := &gladegaugev1.Refused{
-		Reason:       convert.Reason(e.Reason),
-		RetryAfterMs: convert.Milliseconds(e.RetryAfter),
-		Incarnation:  x.s.incarnation,
-	}
-	x.s.loop.Must(func(time.Time) { refused.Load = x.s.load() })
-	return x.send(&gladegaugev1.AttemptEvent{Event: &gladegaugev1.AttemptEvent_Refused{Refused: refused}})
-}
-
 func (x *session) fail(f *gladegaugev1.Failed) error {
 	return x.send(&gladegaugev1.AttemptEvent{Event: &gladegaugev1.AttemptEvent_Failed{Failed: f}})
 }
 
-func (x *session) send(e *gladegaugev1.AttemptEvent) error {
-	if x.gone {
-		return nil
-	}
-	return x.stream.Send(e)
-}
-
 // load returns the message of the present load. It runs in the control loop.
 func (s *Server) load() *gladegaugev1.Load {
 	if s.agent == nil {
--- /dev/null
+++ b/internal/edge/entryd/attempt.go
@@ -0,0 +1,128 @@
+package entryd
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"connectrpc.com/connect"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/gladegauge/gladegauge/internal/core/dispatch"
+	"github.com/gladegauge/gladegauge/internal/edge/convert"
+	gladegaugev1 "github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1"
+	"github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1/gladegaugev1connect"
+)
+
+type attemptStream = connect.BidiStreamForClient[gladegaugev1.AttemptCommand, gladegaugev1.AttemptEvent]
+
+// attempt is one attempt's stream to its agent.
+type attempt struct {
+	id      string
+	agent   string
+	address string
+	stream  *attemptStream
+	cancel  context.CancelFunc
+	settled bool
+	since   time.Time
+}
+
+// attemptEvent is what an attempt's stream brought; no event is its end.
+type attemptEvent struct {
+	n     int
+	event *gladegaugev1.AttemptEvent
+}
+
+// drainStreams lets the streams' goroutines end.
+func (x *call) drainStreams() {
+	done := make(chan struct{})
+	var waiter errgroup.Group
+	waiter.Go(func() error {
+		defer close(done)
+		return x.streams.Wait()
+	})
+	for {
+		select {
+		case <-x.events:
+		case <-done:
+			return
+		}
+	}
+}
+
+// open opens an attempt's stream and reads from it.
+func (x *call) open(ctx context.Context, e dispatch.Offer) {
+	ctx, cancel := context.WithCancel(ctx)
+	client := gladegaugev1connect.NewAgentServiceClient(x.s.rpcHTTP, x.s.o.Keys.URL(e.Agent.Address))
+	a := &attempt{
+		id:      x.id + "/" + strconv.Itoa(e.Attempt),
+		agent:   e.Agent.ID,
+		address: e.Agent.Address,
+		stream:  client.Attempt(ctx),
+		cancel:  cancel,
+		since:   time.Now(),
+	}
+	x.attempts = append(x.attempts, a)
+	offer := &gladegaugev1.Offer{
+		Attempt:        a.id,
+		Incarnation:    x.bound,
+		Class:          x.call.Class.Name,
+		Organisation:   x.call.Organisation.Name,
+		Weight:         x.call.Organisation.Weight,
+		AgeMs:          convert.Milliseconds(time.Since(x.arrived)),
+		Copies:         uint32(e.Copies),
+		IdempotencyKey: x.key,
+		Version:        x.version,
+	}
+	n := e.Attempt
+	x.streams.Go(func() error {
+		err := a.stream.Send(&gladegaugev1.AttemptCommand{Command: &gladegaugev1.AttemptCommand_Offer{Offer: offer}})
+		for err == nil {
+			var event *gladegaugev1.AttemptEvent
+			event, err = a.stream.Receive()
+			if err == nil {
+				x.events <- attemptEvent{n: n, event: event}
+			}
+		}
+		x.events <- attemptEvent{n: n}
+		_ = a.stream.CloseRequest()
+		_ = a.stream.CloseResponse()
+		return nil
+	})
+}
+
+// claim starts the granted attempt. A claim that cannot be sent shows as the
+// end of the stream.
+func (x *call) claim(e dispatch.Claim) {
+	a := x.attempts[e.Attempt]
+	x.claimedBy = a.agent
+	if e.Offset > 0 {
+		x.resumed = true
+		x.s.metrics.Resumes.Inc()
+	}
+	x.run.ResumeOffset = uint64(e.Offset)
+	x.run.Incarnation = e.Incarnation
+	_ = a.stream.Send(&gladegaugev1.AttemptCommand{Command: &gladegaugev1.AttemptCommand_Run{Run: x.run}})
+}
+
+// recount tells the agent of an open offer how many agents hold one now.
+func (x *call) recount(e dispatch.Recount) {
+	recount := &gladegaugev1.Recount{Copies: uint32(e.Copies)}
+	_ = x.attempts[e.Attempt].stream.Send(&gladegaugev1.AttemptCommand{
+		Command: &gladegaugev1.AttemptCommand_Recount{Recount: recount},
+	})
+}
+
+// settle tells the entry that the attempt's offer has its first answer.
+// It runs in the control loop.
+func (x *call) settle(now time.Time, a *attempt, lost bool) {
+	if a.settled {
+		return
+	}
+	a.settled = true
+	x.s.entry.Settled(a.agent)
+	if lost {
+		x.s.entry.Lost(now, a.agent)
+		x.s.metrics.Attempts.WithLabelValues("unanswered").Inc()
+	}
+}
--- a/internal/edge/entryd/chat.go
+++ b/internal/edge/entryd/chat.go
@@ -16,8 +16,6 @@
 	chatPath = "/v1/chat/completions"
 	// prefixBytes is how much of the first message names a prompt's prefix.
 	prefixBytes = 2048
-	// bytesPerToken is a rough measure of a prompt's length.
-	bytesPerToken = 4
 )
 
 // chatRequest is what the entry reads of a request; the rest passes through.
@@ -131,11 +129,10 @@
 		}
 	}
 	return s.carry(c, carried{
-		call:   entry.Call{Organisation: o, Class: class, Pool: pool, Prefix: req.prefix()},
-		prompt: len(body) / bytesPerToken,
-		path:   chatPath,
-		body:   body,
-		out:    out,
+		call: entry.Call{Organisation: o, Class: class, Pool: pool, Prefix: req.prefix()},
+		path: chatPath,
+		body: body,
+		out:  out,
 	})
 }
 
@@ -149,11 +146,10 @@
 
 // carried is a checked request and how it is answered.
 type carried struct {
-	call   entry.Call
-	prompt int
-	path   string
-	body   []byte
-	out    responder
+	call entry.Call
+	path string
+	body []byte
+	out  responder
 }
 
 // carry takes a checked request to its outcome.
@@ -165,13 +161,12 @@
 	}
 	r.call.Bound = host
 	x := &call{
-		s:      s,
-		id:     newID(),
-		call:   r.call,
-		key:    key,
-		prompt: r.prompt,
-		out:    r.out,
-		bound:  incarnation,
+		s:     s,
+		id:    newID(),
+		call:  r.call,
+		key:   key,
+		out:   r.out,
+		bound: incarnation,
 	}
 	c.Response().Header().Set(RequestHeader, x.id)
 	x.run = &gladegaugev1.Run{
--- a/internal/edge/loop/loop.go
+++ b/internal/edge/loop/loop.go
@@ -106,3 +106,15 @@
 		}
 	}
 }
+
+// Pause waits; it reports false if the context ended first.
+func Pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/edge/spread/peers.go
+++ b/internal/edge/spread/peers.go
@@ -10,6 +10,7 @@
 	"github.com/gladegauge/gladegauge/internal/core/config"
 	"github.com/gladegauge/gladegauge/internal/core/revision"
 	core "github.com/gladegauge/gladegauge/internal/core/spread"
+	"github.com/gladegauge/gladegauge/internal/edge/loop"
 	gladegaugev1 "github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1"
 )
 
@@ -29,7 +30,7 @@
 
 // exchangeLoop asks one peer after the other.
 func (s *Sync) exchangeLoop(ctx context.Context) error {
-	for pause(ctx, core.ExchangeEvery/2+jitter(core.ExchangeEvery)) {
+	for loop.Pause(ctx, core.ExchangeEvery/2+jitter(core.ExchangeEvery)) {
 		addresses := s.addresses(ctx)
 		if len(addresses) == 0 {
 			continue
--- a/internal/edge/spread/platform.go
+++ b/internal/edge/spread/platform.go
@@ -11,6 +11,7 @@
 
 	"github.com/gladegauge/gladegauge/internal/core/config"
 	"github.com/gladegauge/gladegauge/internal/core/revision"
+	"github.com/gladegauge/gladegauge/internal/edge/loop"
 	"github.com/gladegauge/gladegauge/internal/edge/platform"
 	gladegaugev1 "github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1"
 )
@@ -74,7 +75,7 @@
 // which it knows nobody yet; the others come from peers there.
 func (s *Sync) zonesLoop(ctx context.Context) error {
 	wait := retryPause
-	for pause(ctx, wait/2+jitter(wait)) {
+	for loop.Pause(ctx, wait/2+jitter(wait)) {
 		if !s.isWatcher(ctx) {
 			continue
 		}
@@ -115,7 +116,7 @@
 		default:
 			// A platform that starts anew may count its versions from the start.
 			after = 0
-			pause(ctx, retryPause/2+jitter(retryPause))
+			loop.Pause(ctx, retryPause/2+jitter(retryPause))
 		}
 	}
 	return nil
@@ -257,7 +258,7 @@
 
 // directLoop reads the platform directly when nobody has answered for long.
 func (s *Sync) directLoop(ctx context.Context) error {
-	for pause(ctx, directBase+jitter(directJitter)) {
+	for loop.Pause(ctx, directBase+jitter(directJitter)) {
 		silent := false
 		_ = s.o.Loop.Do(ctx, func(now time.Time) {
 			silent = s.fresh.Silent(now) || s.holder.Config() == nil
--- a/internal/edge/spread/sync.go
+++ b/internal/edge/spread/sync.go
@@ -262,17 +262,6 @@
 	return verdict
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func jitter(d time.Duration) time.Duration {
 	return time.Duration(rand.Int64N(int64(d))) //nolint:gosec // A spread in time needs no secrecy.
 }
--- /dev/null
+++ b/internal/session/agenthost.go
@@ -0,0 +1,244 @@
+package session
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/gladegauge/gladegauge/internal/core/agent"
+	"github.com/gladegauge/gladegauge/internal/core/config"
+	"github.com/gladegauge/gladegauge/internal/core/dispatch"
+)
+
+// agentHost is an agent with its upstream.
+type agentHost struct {
+	process
+	s       *Session
+	id      string
+	pool    string
+	zone    string
+	life    int
+	dead    bool
+	engine  *engine
+	core    *agent.Agent
+	streams map[string]*stream
+	claimed map[string]*stream
+}
+
+// boot starts a new incarnation.
+func (h *agentHost) boot() {
+	h.life++
+	h.dead = false
+	o := h.s.policy.Agent
+	o.Incarnation = fmt.Sprintf("%s-%d", h.id, h.life)
+	p, _ := h.s.site.Config.Pool(h.pool)
+	o.Slots = p.Slots
+	if p.Kind == config.KindService {
+		o.Speed = 1 / serviceTime.Seconds()
+		o.Tokens = 1
+	}
+	h.core = agent.New(o, h.s.site.Config)
+	h.streams = make(map[string]*stream)
+	h.claimed = make(map[string]*stream)
+	life := h.life
+	h.s.world.every(agentTick, func() bool {
+		if h.life == life && !h.dead && !h.paused {
+			h.apply(h.core.Tick(h.s.world.now))
+			h.apply(h.core.SetDown(h.s.world.now, h.engine.down))
+		}
+		return h.life == life && !h.dead
+	})
+	h.s.world.every(heartbeatEvery, func() bool {
+		if h.life == life && !h.dead && !h.paused {
+			h.heartbeat()
+		}
+		return h.life == life && !h.dead
+	})
+}
+
+// heartbeatEvery is the time between signs of life of claimed attempts.
+const heartbeatEvery = time.Second
+
+// heartbeat tells the entries of claimed attempts that they are not lost.
+func (h *agentHost) heartbeat() {
+	for _, id := range sortedKeys(h.claimed) {
+		x := h.claimed[id]
+		if x.call.ended || x.closed {
+			delete(h.claimed, id)
+			continue
+		}
+		x.send(&x.entry.process, func() { x.entry.chunk(x, 0) })
+	}
+}
+
+// kill ends the process; its entries notice soon.
+func (h *agentHost) kill() {
+	h.dead = true
+	for _, r := range slices.Clone(h.engine.runs) {
+		h.engine.stop(r.id)
+	}
+	for _, id := range sortedKeys(h.streams) {
+		x := h.streams[id]
+		h.s.world.after(h.s.delay(x.entry.zone, h.zone), func() { x.entry.deliver(func() { x.entry.broken(x) }) })
+	}
+}
+
+func (h *agentHost) offer(x *stream, o agent.Offer) {
+	if h.dead || x.life != h.life {
+		x.send(&x.entry.process, func() { x.entry.broken(x) })
+		return
+	}
+	if _, known := h.streams[x.id]; known {
+		return
+	}
+	h.streams[x.id] = x
+	effects := h.core.Offer(h.s.world.now, o)
+	load := h.core.Load()
+	h.s.note(record{Kind: accepted, Request: x.call.req.id, Attempt: x.id, Agent: h.id, Class: x.call.req.class.Name})
+	x.send(&x.entry.process, func() { x.entry.heard(x, load) })
+	h.apply(effects)
+}
+
+func (h *agentHost) claim(x *stream, c dispatch.Claim) {
+	if h.dead || x.life != h.life {
+		return
+	}
+	x.call.offset = c.Offset
+	h.claimed[x.id] = x
+	h.apply(h.core.Claim(h.s.world.now, x.id, c.Incarnation))
+}
+
+func (h *agentHost) withdraw(x *stream) {
+	if h.dead || x.life != h.life {
+		return
+	}
+	h.apply(h.core.Withdraw(h.s.world.now, x.id))
+}
+
+func (h *agentHost) progress(id string, produced int) {
+	h.deliver(func() {
+		h.core.Progress(h.s.world.now, id, produced)
+		if x, ok := h.streams[id]; ok {
+			x.send(&x.entry.process, func() { x.entry.chunk(x, produced) })
+		}
+	})
+}
+
+func (h *agentHost) ended(id string, produced int) {
+	life := h.life
+	h.deliver(func() {
+		if h.dead || h.life != life {
+			return
+		}
+		effects := h.core.Ended(h.s.world.now, id, agent.Completed, produced)
+		x, ok := h.streams[id]
+		if !ok {
+			return
+		}
+		load := h.core.Load()
+		x.send(&x.entry.process, func() {
+			x.entry.chunk(x, produced)
+			x.entry.ended(x, load)
+		})
+		h.apply(effects)
+	})
+}
+
+func (h *agentHost) broke(id string, produced int) {
+	h.deliver(func() {
+		effects := h.core.Ended(h.s.world.now, id, agent.Cut, produced)
+		x, ok := h.streams[id]
+		if !ok {
+			return
+		}
+		x.send(&x.entry.process, func() { x.entry.broken(x) })
+		h.apply(effects)
+	})
+}
+
+// apply carries out the agent's effects.
+func (h *agentHost) apply(effects []agent.Effect) {
+	for _, effect := range effects {
+		switch e := effect.(type) {
+		case agent.Grant:
+			x := h.streams[e.ID]
+			h.s.note(record{Kind: granted, Request: x.call.req.id, Attempt: e.ID, Agent: h.id})
+			x.send(&x.entry.process, func() { x.entry.granted(x, e.Incarnation) })
+		case agent.Refuse:
+			h.refuse(e)
+		case agent.Start:
+			x := h.streams[e.ID]
+			if h.engine.down {
+				h.s.world.after(0, func() { h.broke(e.ID, e.Produced) })
+				continue
+			}
+			h.engine.start(e.ID, x.call.req, max(e.Produced, x.call.offset))
+		case agent.Stop:
+			h.stop(e)
+		case agent.Fail:
+			x := h.streams[e.ID]
+			x.send(&x.entry.process, func() { x.entry.failed(x, e.AlreadyRun) })
+		}
+	}
+}
+
+func (h *agentHost) refuse(e agent.Refuse) {
+	x, ok := h.streams[e.ID]
+	if !ok {
+		return
+	}
+	class := x.call.req.class
+	load := h.core.Load()
+	h.s.note(record{
+		Kind: refused, Request: x.call.req.id, Attempt: e.ID, Agent: h.id, Class: class.Name,
+		Detail: e.Reason.String(), Lower: h.stoppable(class.Tier),
+	})
+	refusal := dispatch.Refusal{Reason: e.Reason, RetryAfter: e.RetryAfter, Incarnation: h.core.Incarnation()}
+	x.send(&x.entry.process, func() { x.entry.refused(x, refusal, load) })
+}
+
+// stoppable counts the runs of lower tiers that repeat freely; it looks at the
+// engine, not at the agent's own books.
+func (h *agentHost) stoppable(tier int) int {
+	n := 0
+	for _, r := range h.engine.runs {
+		if r.req.class.Tier > tier && r.req.class.Repeatable && !r.req.class.Protected {
+			n++
+		}
+	}
+	return n
+}
+
+func (h *agentHost) stop(e agent.Stop) {
+	x := h.streams[e.ID]
+	produced := h.engine.stop(e.ID)
+	if e.Preempted {
+		h.s.note(record{Kind: preempted, Request: x.call.req.id, Attempt: e.ID, Agent: h.id, Class: x.call.req.class.Name})
+	}
+	life := h.life
+	h.s.world.after(5*time.Millisecond, func() {
+		h.deliver(func() {
+			if h.life == life && !h.dead {
+				h.apply(h.core.Stopped(h.s.world.now, e.ID, produced))
+			}
+		})
+	})
+}
+
+func (s *Session) agent(id string) *agentHost {
+	for _, a := range s.agents {
+		if a.id == id {
+			return a
+		}
+	}
+	panic("session: no agent " + id)
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -14,12 +14,8 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
-	"hash/fnv"
 	"net/http"
-	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 )
@@ -70,19 +66,6 @@
 	dropped int
 }
 
-// Order is one fenced order that the engine took.
-type Order struct {
-	Fence string `json:"fence"`
-	Kind  string `json:"kind"`
-	Name  string `json:"name"`
-}
-
-// State is what the engine has loaded.
-type State struct {
-	Version  string   `json:"version"`
-	Adapters []string `json:"adapters"`
-}
-
 // New returns an engine.
 func New(o Options) *Engine {
 	e := &Engine{o: o, slots: make(chan struct{}, o.Slots), mux: http.NewServeMux()}
@@ -142,48 +125,6 @@
 	_ = json.NewEncoder(w).Encode(map[string]int{"running": running, "started": started, "dropped": dropped})
 }
 
-// request is what the engine reads of a completion request.
-type request struct {
-	Model    string `json:"model"`
-	Messages []struct {
-		Content string `json:"content"`
-	} `json:"messages"`
-	Stream    bool `json:"stream"`
-	MaxTokens int  `json:"max_tokens"`
-	Options   struct {
-		IncludeUsage bool `json:"include_usage"`
-	} `json:"stream_options"`
-}
-
-func (q *request) prompt() string {
-	var b strings.Builder
-	for _, m := range q.Messages {
-		b.WriteString(m.Content)
-		b.WriteByte('\n')
-	}
-	return b.String()
-}
-
-// Answer returns the words of the answer to a prompt.
-func Answer(prompt string, limit int) []string {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(prompt))
-	seed := h.Sum64()
-	n := 5 + int(seed%words)
-	if seed%16 == 0 {
-		n *= 8
-	}
-	if limit > 0 {
-		n = min(limit, maxTokens)
-	}
-	out := make([]string, n)
-	for i := range out {
-		seed = seed*6364136223846793005 + 1442695040888963407
-		out[i] = fmt.Sprintf("w%d ", seed>>48)
-	}
-	return out
-}
-
 func (e *Engine) chat(w http.ResponseWriter, r *http.Request) {
 	var q request
 	if err := json.NewDecoder(r.Body).Decode(&q); err != nil {
@@ -264,145 +205,3 @@
 		return false
 	}
 }
-
-type delta struct {
-	Role    string `json:"role,omitempty"`
-	Content string `json:"content,omitempty"`
-}
-
-type chunkChoice struct {
-	Index        int     `json:"index"`
-	Delta        delta   `json:"delta"`
-	FinishReason *string `json:"finish_reason"`
-}
-
-type usage struct {
-	Prompt     int `json:"prompt_tokens"`
-	Completion int `json:"completion_tokens"`
-	Total      int `json:"total_tokens"`
-}
-
-type chunk struct {
-	ID      string        `json:"id"`
-	Object  string        `json:"object"`
-	Created int64         `json:"created"`
-	Model   string        `json:"model"`
-	Choices []chunkChoice `json:"choices"`
-	Usage   *usage        `json:"usage,omitempty"`
-}
-
-// events returns the texts of all events of a streamed answer.
-func (e *Engine) events(id string, q *request, answer []string) []string {
-	stop := "stop"
-	base := chunk{ID: "chatcmpl-" + id, Object: "chat.completion.chunk", Model: q.Model}
-	one := func(d delta, finish *string) string {
-		c := base
-		c.Choices = []chunkChoice{{Delta: d, FinishReason: finish}}
-		return encode(c)
-	}
-	out := []string{one(delta{Role: "assistant"}, nil)}
-	for _, word := range answer {
-		out = append(out, one(delta{Content: word}, nil))
-	}
-	out = append(out, one(delta{}, &stop))
-	if q.Options.IncludeUsage {
-		c := base
-		c.Choices = []chunkChoice{}
-		c.Usage = usageOf(q, answer)
-		out = append(out, encode(c))
-	}
-	return append(out, "[DONE]")
-}
-
-func usageOf(q *request, answer []string) *usage {
-	prompt := len(q.prompt()) / 4
-	return &usage{Prompt: prompt, Completion: len(answer), Total: prompt + len(answer)}
-}
-
-func encode(v any) string {
-	text, err := json.Marshal(v)
-	if err != nil {
-		panic(err)
-	}
-	return string(text)
-}
-
-func (e *Engine) stream(w http.ResponseWriter, r *http.Request, q *request, answer []string, resume int) {
-	w.Header().Set("Content-Type", "text/event-stream")
-	out := http.NewResponseController(w)
-	events := e.events(r.Header.Get("X-Request-Id"), q, answer)
-	for i, text := range events {
-		if i < resume {
-			continue
-		}
-		if f := e.getFault(); f.CutAfter > 0 && i >= f.CutAfter {
-			panic(http.ErrAbortHandler)
-		}
-		if i > 0 && i <= len(answer) && !e.work(r.Context(), e.o.PerToken) {
-			return
-		}
-		if _, err := fmt.Fprintf(w, "data: %s\n\n", text); err != nil {
-			return
-		}
-		_ = out.Flush()
-	}
-}
-
-func (e *Engine) whole(w http.ResponseWriter, r *http.Request, q *request, answer []string) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(map[string]any{
-		"id": "chatcmpl-" + r.Header.Get("X-Request-Id"), "object": "chat.completion", "model": q.Model,
-		"choices": []map[string]any{{
-			"index": 0, "finish_reason": "stop",
-			"message": map[string]string{"role": "assistant", "content": strings.Join(answer, "")},
-		}},
-		"usage": usageOf(q, answer),
-	})
-}
-
-func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
-	var o Order
-	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	o.Fence = r.Header.Get("X-Fence")
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.o.CheckFences && o.Fence < e.fence {
-		http.Error(w, "fence "+e.fence+" was seen", http.StatusConflict)
-		return
-	}
-	e.fence = max(e.fence, o.Fence)
-	e.orders = append(e.orders, o)
-	switch o.Kind {
-	case "version":
-		e.state.Version = o.Name
-	case "load-adapter":
-		e.state.Adapters = append(e.state.Adapters, o.Name)
-	case "unload-adapter":
-		e.state.Adapters = slices.DeleteFunc(e.state.Adapters, func(a string) bool { return a == o.Name })
-	}
-}
-
-// State returns what is loaded.
-func (e *Engine) State() State {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return State{Version: e.state.Version, Adapters: slices.Clone(e.state.Adapters)}
-}
-
-func (e *Engine) getState(w http.ResponseWriter, _ *http.Request) {
-	_ = json.NewEncoder(w).Encode(e.State())
-}
-
-// Orders returns the orders that were taken.
-func (e *Engine) Orders() []Order {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return append([]Order(nil), e.orders...)
-}
-
-func (e *Engine) listOrders(w http.ResponseWriter, _ *http.Request) {
-	_ = json.NewEncoder(w).Encode(e.Orders())
-}
--- /dev/null
+++ b/internal/standin/engine/orders.go
@@ -0,0 +1,67 @@
+package engine
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+)
+
+// Order is one fenced order that the engine took.
+type Order struct {
+	Fence string `json:"fence"`
+	Kind  string `json:"kind"`
+	Name  string `json:"name"`
+}
+
+// State is what the engine has loaded.
+type State struct {
+	Version  string   `json:"version"`
+	Adapters []string `json:"adapters"`
+}
+
+func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
+	var o Order
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	o.Fence = r.Header.Get("X-Fence")
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.o.CheckFences && o.Fence < e.fence {
+		http.Error(w, "fence "+e.fence+" was seen", http.StatusConflict)
+		return
+	}
+	e.fence = max(e.fence, o.Fence)
+	e.orders = append(e.orders, o)
+	switch o.Kind {
+	case "version":
+		e.state.Version = o.Name
+	case "load-adapter":
+		e.state.Adapters = append(e.state.Adapters, o.Name)
+	case "unload-adapter":
+		e.state.Adapters = slices.DeleteFunc(e.state.Adapters, func(a string) bool { return a == o.Name })
+	}
+}
+
+// State returns what is loaded.
+func (e *Engine) State() State {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return State{Version: e.state.Version, Adapters: slices.Clone(e.state.Adapters)}
+}
+
+func (e *Engine) getState(w http.ResponseWriter, _ *http.Request) {
+	_ = json.NewEncoder(w).Encode(e.State())
+}
+
+// Orders returns the orders that were taken.
+func (e *Engine) Orders() []Order {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]Order(nil), e.orders...)
+}
+
+func (e *Engine) listOrders(w http.ResponseWriter, _ *http.Request) {
+	_ = json.NewEncoder(w).Encode(e.Orders())
+}
