Half a megabyte less for each open stream; slow callers; a killed entry

Cause: 200 streams held 112 MB in the entry (heap profile: one buffer of the HTTP/2 client for each open request body, as large as the server's frames may be, 512 KB). Ruled out by the profile: bodies, events, the burn ledger. A caller that stops reading its stream held an upstream's slot for good, idle connections of callers were never closed, and a killed entry and a slow sender had no test.

--- a/internal/e2e/bench_test.go
+++ b/internal/e2e/bench_test.go
@@ -130,3 +130,44 @@
 	b.ReportMetric(metric(e, "go_memstats_heap_alloc_bytes")/(1<<20), "MB-heap")
 	b.ReportMetric(metric(e, "process_resident_memory_bytes")/(1<<20), "MB-resident")
 }
+
+// BenchmarkSteadyMemory keeps 200 streams going for a minute and prints the
+// resident memory of the processes after ten seconds and at the end.
+func BenchmarkSteadyMemory(b *testing.B) {
+	s := newStack(b, "salish")
+	for _, p := range s.doc.GetPools() {
+		p.Slots = 256
+	}
+	s.doc.Revision++
+	s.publishConfig()
+	s.fast = 10 * time.Millisecond
+	e := s.entry("entry-1", "a")
+	a := s.agent("agent-1", "a", "judge-model")
+	s.ready()
+	http.DefaultTransport.(*http.Transport).MaxIdleConnsPerHost = 256
+	end := time.Now().Add(time.Minute)
+	var wg sync.WaitGroup
+	for i := range 200 {
+		wg.Go(func() {
+			for n := 0; time.Now().Before(end); n++ {
+				prompt := fmt.Sprint("question ", i, n)
+				got := send("POST", e.url("listen")+"/v1/chat/completions", salishKey, chatBody(prompt, 100, true))
+				if text, complete := streamText(got.body); !complete || text != want(prompt, 100) {
+					b.Errorf("stream %d %d: %d", i, n, got.status)
+					return
+				}
+			}
+		})
+	}
+	resident := func(p *proc) float64 { return metric(p, "process_resident_memory_bytes") / (1 << 20) }
+	<-time.After(10 * time.Second)
+	b.ReportMetric(resident(e), "MB-entry-10s")
+	b.ReportMetric(resident(a), "MB-agent-10s")
+	wg.Wait()
+	b.ReportMetric(resident(e), "MB-entry-60s")
+	b.ReportMetric(resident(a), "MB-agent-60s")
+	b.ReportMetric(metric(e, `gladegauge_requests_total`), "requests")
+	b.ReportMetric(metric(e, "process_cpu_seconds_total")/60*100, "%core-entry")
+	b.ReportMetric(metric(a, "process_cpu_seconds_total")/60*100, "%core-agent")
+	b.ReportMetric(metric(a, "gladegauge_tokens_total")/60, "tokens/s")
+}
--- a/internal/e2e/failure_test.go
+++ b/internal/e2e/failure_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"syscall"
@@ -31,6 +33,39 @@
 	is.Equal(metric(e, "gladegauge_resumes_total"), 1.0)
 }
 
+// TestKilledEntry kills an entry while it relays: the agent cancels the run.
+func TestKilledEntry(t *testing.T) {
+	is := is.New(t)
+	s, e, agents := newPair(t, "judge-model", 20*time.Millisecond)
+	got := s.disturb(func() answer {
+		return send("POST", e.url("listen")+"/v1/chat/completions", salishKey, chatBody("story", 4000, true))
+	}, func(id string) bool { return s.streams(agents[id]) }, func(string) { e.kill() })
+	is.True(got.err != nil) // No part passes for the whole.
+	eventually(t, "nothing runs on", func() bool {
+		running := 0
+		for _, eng := range s.engines {
+			n, _, _ := eng.Counts()
+			running += n
+		}
+		return running == 0
+	})
+}
+
+// TestSlowSender never ends its headers; the entry closes the connection.
+func TestSlowSender(t *testing.T) {
+	is := is.New(t)
+	s := newStack(t, "salish")
+	e := s.entry("entry-1", "a")
+	conn, err := net.Dial("tcp", e.at("listen"))
+	is.NoErr(err)
+	defer conn.Close()
+	_, err = conn.Write([]byte("POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nX-Slow: "))
+	is.NoErr(err)
+	is.NoErr(conn.SetReadDeadline(time.Now().Add(patience)))
+	_, err = io.ReadAll(conn)
+	is.NoErr(err) // Closed by the entry, not by the deadline.
+}
+
 // TestHangingEngine lets an engine stop in the middle of an answer without
 // breaking its connection: the answer continues on the other one.
 func TestHangingEngine(t *testing.T) {
--- a/internal/edge/entryd/chat.go
+++ b/internal/edge/entryd/chat.go
@@ -121,7 +121,7 @@
 	if p != nil {
 		return p.write(c)
 	}
-	var out responder = &relay{c: c}
+	var out responder = &relay{c: c, patience: s.o.ReadPatience}
 	if !req.Stream && req.streamable() {
 		out = &assembled{c: c}
 		if body, p = streamed(body); p != nil {
--- a/internal/edge/entryd/chat_test.go
+++ b/internal/edge/entryd/chat_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/labstack/echo/v4"
 	"github.com/matryer/is"
@@ -47,6 +48,26 @@
 	})
 }
 
+// TestSlowReader relays to a caller that never reads: the entry gives up.
+func TestSlowReader(t *testing.T) {
+	is := is.New(t)
+	ended := make(chan error, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		o := &relay{c: echo.New().NewContext(r, w), patience: 50 * time.Millisecond}
+		err := o.head(&gladegaugev1.Head{Status: 200, Headers: []*gladegaugev1.Header{{Name: "Content-Type", Value: "text/event-stream"}}})
+		piece := make([]byte, 1<<20)
+		for err == nil {
+			err = o.chunk(piece)
+		}
+		ended <- err
+	}))
+	defer server.Close()
+	resp, err := http.Get(server.URL)
+	is.NoErr(err)
+	defer resp.Body.Close()
+	is.True(<-ended != nil)
+}
+
 // TestAssembled joins a stream with two choices and its usage.
 func TestAssembled(t *testing.T) {
 	is := is.New(t)
--- a/internal/edge/entryd/errors.go
+++ b/internal/edge/entryd/errors.go
@@ -99,6 +99,7 @@
 func (p *problem) write(c echo.Context) error {
 	h := c.Response().Header()
 	if p.retryAfter > 0 {
+		h.Set("Retry-After-Ms", strconv.FormatInt(p.retryAfter.Milliseconds(), 10))
 		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(p.retryAfter.Seconds()))))
 	}
 	if !p.notRun || p.retryAfter == 0 {
--- a/internal/edge/entryd/respond.go
+++ b/internal/edge/entryd/respond.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"github.com/labstack/echo/v4"
 
@@ -24,11 +25,13 @@
 // relay passes the answer on. Streams go out at once; other answers are held
 // until complete, up to a size.
 type relay struct {
-	c       echo.Context
-	status  int
-	stream  bool
-	held    bytes.Buffer
-	started bool
+	c echo.Context
+	// patience is how long the caller may take to read a piece.
+	patience time.Duration
+	status   int
+	stream   bool
+	held     bytes.Buffer
+	started  bool
 }
 
 func (o *relay) head(h *gladegaugev1.Head) error {
@@ -51,11 +54,13 @@
 	if err := o.begin(); err != nil {
 		return err
 	}
+	// A caller that does not read would hold an upstream's slot for good.
+	_ = http.NewResponseController(o.c.Response()).SetWriteDeadline(time.Now().Add(o.patience))
 	if _, err := o.c.Response().Write(data); err != nil {
 		return err
 	}
 	if o.stream {
-		o.c.Response().Flush()
+		return http.NewResponseController(o.c.Response()).Flush()
 	}
 	return nil
 }
--- a/internal/edge/entryd/server.go
+++ b/internal/edge/entryd/server.go
@@ -45,6 +45,7 @@
 	// callerHeaderTimeout and callerBodyTimeout bound a slow sender.
 	callerHeaderTimeout = 5 * time.Second
 	callerBodyTimeout   = 30 * time.Second
+	callerIdleTimeout   = 2 * time.Minute
 )
 
 // Options are the settings of an entry process.
@@ -55,7 +56,9 @@
 	CallerKey  string
 	MaxBody    int
 	DrainGrace time.Duration
-	Log        zerolog.Logger
+	// ReadPatience is how long a caller may take to read a piece of its answer.
+	ReadPatience time.Duration
+	Log          zerolog.Logger
 }
 
 // Server is one entry process.
@@ -160,6 +163,7 @@
 		Handler:           s.handler(),
 		ReadHeaderTimeout: callerHeaderTimeout,
 		MaxHeaderBytes:    maxCallerHeader,
+		IdleTimeout:       callerIdleTimeout,
 	}
 	group.Go(func() error {
 		var err error
--- a/internal/edge/entryd/service.go
+++ b/internal/edge/entryd/service.go
@@ -47,7 +47,7 @@
 		call: entry.Call{Organisation: o, Class: class, Pool: pool},
 		path: servicePath(c.Request(), pool.Name),
 		body: body,
-		out:  &relay{c: c},
+		out:  &relay{c: c, patience: s.o.ReadPatience},
 	})
 }
 
--- a/internal/edge/rpc/rpc.go
+++ b/internal/edge/rpc/rpc.go
@@ -29,6 +29,9 @@
 	pingTimeout    = 2 * time.Second
 	maxHeaderBytes = 64 << 10
 	maxStreams     = 10000
+	// maxFrame is the smallest that HTTP/2 allows. A client holds a buffer of
+	// this size for each open stream.
+	maxFrame = 16 << 10
 )
 
 // compressFrom is the size from which a message is compressed. Smaller ones
@@ -56,6 +59,7 @@
 		Protocols:         protocols(),
 		HTTP2: &http.HTTP2Config{
 			MaxConcurrentStreams: maxStreams,
+			MaxReadFrameSize:     maxFrame,
 			SendPingTimeout:      pingAfter,
 			PingTimeout:          pingTimeout,
 		},
