--- a/internal/e2e/failure_test.go
+++ b/internal/e2e/failure_test.go
@@ -33,6 +33,28 @@
 	is.Equal(metric(e, "gladegauge_resumes_total"), 1.0)
 }
 
+// TestCutStreams breaks every stream off with nowhere else to go: no caller
+// takes a part for the whole, each request is counted, and nothing is left.
+func TestCutStreams(t *testing.T) {
+	is := is.New(t)
+	s := newStack(t, "salish")
+	e := s.entry("entry-1", "a")
+	s.agent("agent-1", "a", "judge-model")
+	s.ready()
+	s.engines["agent-1"].SetFault(engine.Fault{CutAfter: 5})
+	before := metric(e, "go_goroutines")
+	const asked = 30
+	for range asked {
+		got := send("POST", e.url("listen")+"/v1/chat/completions", salishKey, chatBody("x", 50, true))
+		_, complete := streamText(got.body)
+		is.True(!complete)
+		is.True(got.err != nil || got.status != http.StatusOK)
+	}
+	http.DefaultClient.CloseIdleConnections()
+	eventually(t, "the requests are counted", func() bool { return metric(e, "gladegauge_requests_total") == asked })
+	eventually(t, "the entry's goroutines end", func() bool { return metric(e, "go_goroutines") <= before+8 })
+}
+
 // TestKilledEntry kills an entry while it relays: the agent cancels the run.
 func TestKilledEntry(t *testing.T) {
 	is := is.New(t)
--- a/internal/edge/entryd/call.go
+++ b/internal/edge/entryd/call.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/gladegauge/gladegauge/internal/core/dispatch"
@@ -88,6 +89,9 @@
 	cancel()
 	x.drainStreams()
 	x.account()
+	if errors.Is(err, errCut) {
+		panic(http.ErrAbortHandler)
+	}
 	return err
 }
 
@@ -143,6 +147,7 @@
 		for n, a := range x.attempts {
 			if !a.settled && now.Sub(a.since) > offerTimeout {
 				x.settle(now, a, true)
+				a.cancel()
 				effects = append(effects, x.ticket.Broken(now, n, false)...)
 			}
 		}
--- a/internal/edge/entryd/errors.go
+++ b/internal/edge/entryd/errors.go
@@ -36,6 +36,7 @@
 	CodeIncomplete      Code = "answer_incomplete"
 	CodeAlreadyRun      Code = "already_run"
 	CodeNotFound        Code = "not_found"
+	CodeInternal        Code = "internal"
 )
 
 // problem is an error as a caller sees it.
--- a/internal/edge/entryd/handler.go
+++ b/internal/edge/entryd/handler.go
@@ -51,10 +51,10 @@
 	if c.Response().Committed {
 		return
 	}
-	p := &problem{status: http.StatusNotFound, code: CodeNotFound, message: "There is no such path.", notRun: true}
+	p := &problem{status: http.StatusInternalServerError, code: CodeInternal, message: "The answer could not be written.", unknown: true}
 	var he *echo.HTTPError
 	if errors.As(err, &he) {
-		p.status = he.Code
+		p = &problem{status: he.Code, code: CodeNotFound, message: "There is no such path or method.", notRun: true}
 	}
 	_ = p.write(c)
 }
--- a/internal/edge/entryd/respond.go
+++ b/internal/edge/entryd/respond.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/labstack/echo/v4"
 
 	gladegaugev1 "github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1"
@@ -78,11 +79,13 @@
 
 func (o *relay) end() error { return o.begin() }
 
-// problem cuts off an answer that has begun, so that the caller cannot take a
-// part for the whole.
+// errCut asks for the caller's connection to be closed, since its answer has
+// begun and cannot be completed: a part must not pass for the whole.
+var errCut = errors.New("the answer was cut off")
+
 func (o *relay) problem(p *problem) error {
 	if o.started {
-		panic(http.ErrAbortHandler)
+		return errCut
 	}
 	clear(o.c.Response().Header())
 	return p.write(o.c)
