A body that is not made of events is never joined from two runs

Cause, found by reading: offsets of plain bodies are bytes, and a second run of the same request starts at 0. Its first pieces were left out as not following what the caller had, but one whose offset happened to be the caller's would have been taken, and the caller would have had two answers in one. A head of a second attempt was added to that of the first.

Change: once a part of such a body was delivered, a broken run is incomplete, at the entry and at the agent; a second head replaces the first; the entry's own request identity stays.

--- a/internal/core/agent/admit.go
+++ b/internal/core/agent/admit.go
@@ -23,7 +23,8 @@
 const maxLead = 0.8
 
 // admit decides whether a request may wait. When the class has more waiting
-// than can start in time, the organisation that is furthest ahead of its turn gives way.
+// than can start in time, the organisation that is furthest ahead of its turn
+// gives way.
 func (a *Agent) admit(now time.Time, it *queue.Item) ([]Effect, bool) {
 	if a.options.NoRefusal {
 		return nil, true
--- a/internal/core/config/organisation.go
+++ b/internal/core/config/organisation.go
@@ -1,6 +1,6 @@
 package config
 
-// Organisation is a customer with its keys, weight and limits.
+// Organisation is one that sends requests, with its keys, weight and limits.
 type Organisation struct {
 	Name string
 	// Weight is the share relative to other waiting organisations.
--- a/internal/core/dispatch/request.go
+++ b/internal/core/dispatch/request.go
@@ -79,6 +79,7 @@
 	everRan   bool
 	delivered int
 	resumes   int
+	fixed     bool
 	heardAt   time.Time
 	refusal   Outcome
 	done      bool
@@ -204,6 +205,10 @@
 	return true
 }
 
+// Fixed tells that the answer is not made of events: once a part of it was
+// delivered, the rest cannot come from another run, which may answer otherwise.
+func (r *Request) Fixed() { r.fixed = true }
+
 // Ended tells that the attempt's answer is complete.
 func (r *Request) Ended(n int) []Effect {
 	if !r.live(n, claimed) {
@@ -263,7 +268,7 @@
 	if !r.spec.Class.Repeatable {
 		return r.finish(Outcome{Result: Unknown})
 	}
-	if r.resumes >= r.options.Resumes || !r.seams.Spend() {
+	if (r.fixed && r.delivered > 0) || r.resumes >= r.options.Resumes || !r.seams.Spend() {
 		return r.finish(Outcome{Result: Incomplete, RetryAfter: time.Second})
 	}
 	r.resumes++
--- a/internal/core/dispatch/request_test.go
+++ b/internal/core/dispatch/request_test.go
@@ -145,6 +145,20 @@
 			{delivers(0, 99), ""},
 			{breaks(2, false), "finish incomplete"},
 		}},
+		{"a body that is not made of events is not joined from two runs", true, 4, 9, []step{
+			{grants(0), "withdraw 1, claim 0 at 0"},
+			{func(r *Request) []Effect { r.Fixed(); return nil }, ""},
+			{breaks(0, false), "offer 2 h2, offer 3 h3"},
+			{grants(2), "withdraw 3, claim 2 at 0"},
+			{delivers(2, 16384), ""},
+			{breaks(2, false), "finish incomplete"},
+		}},
+		{"a body in part is incomplete at once", true, 4, 9, []step{
+			{grants(0), "withdraw 1, claim 0 at 0"},
+			{func(r *Request) []Effect { r.Fixed(); return nil }, ""},
+			{delivers(0, 16384), ""},
+			{breaks(0, false), "finish incomplete"},
+		}},
 		{"no budget, no resumption", true, 4, 0, []step{
 			{grants(0), "withdraw 1, claim 0 at 0"},
 			{breaks(0, false), "finish incomplete"},
--- a/internal/edge/agentd/answer.go
+++ b/internal/edge/agentd/answer.go
@@ -42,6 +42,7 @@
 			head.Headers = append(head.Headers, &gladegaugev1.Header{Name: name, Value: v})
 		}
 	}
+	x.fixed = !convert.Events(head)
 	return x.send(&gladegaugev1.AttemptEvent{Event: &gladegaugev1.AttemptEvent_Head{Head: head}})
 }
 
@@ -54,7 +55,9 @@
 	}
 	produced := max(1, int(x.tokens.Load()))
 	var load *gladegaugev1.Load
-	stopped := x.stopping && end.Ending != upstream.Complete
+	// A part of a body that is not made of events cannot be continued.
+	inPart := x.fixed && x.offset > 0
+	stopped := x.stopping && end.Ending != upstream.Complete && !inPart
 	x.s.loop.Must(func(now time.Time) {
 		if stopped {
 			x.s.apply(x.s.agent.Stopped(now, x.id, produced))
--- a/internal/edge/agentd/session.go
+++ b/internal/edge/agentd/session.go
@@ -54,6 +54,8 @@
 	// failing is true after an engine answered with an error of its own to a
 	// request that may be repeated; another engine may do better.
 	failing bool
+	// fixed is true for an answer that is not made of events.
+	fixed bool
 	// retryable is true for a repeatable class of a model pool.
 	retryable bool
 	// load is what a grant tells; nil after an Accepted.
--- a/internal/edge/convert/convert.go
+++ b/internal/edge/convert/convert.go
@@ -6,6 +6,7 @@
 package convert
 
 import (
+	"strings"
 	"time"
 
 	"github.com/gladegauge/gladegauge/internal/core/agent"
@@ -62,3 +63,13 @@
 		Incarnation: msg.GetIncarnation(),
 	}
 }
+
+// Events reports whether an answer is a stream of server-sent events.
+func Events(h *gladegaugev1.Head) bool {
+	for _, header := range h.GetHeaders() {
+		if strings.EqualFold(header.GetName(), "Content-Type") {
+			return strings.HasPrefix(header.GetValue(), "text/event-stream")
+		}
+	}
+	return false
+}
--- a/internal/edge/entryd/chat_test.go
+++ b/internal/edge/entryd/chat_test.go
@@ -68,6 +68,25 @@
 	is.True(<-ended != nil)
 }
 
+// TestSecondHead takes the head of a second attempt after the first broke off
+// before its first piece.
+func TestSecondHead(t *testing.T) {
+	is := is.New(t)
+	w := httptest.NewRecorder()
+	w.Header().Set(RequestHeader, "mine")
+	o := &relay{c: echo.New().NewContext(httptest.NewRequest(http.MethodPost, "/", nil), w)}
+	head := &gladegaugev1.Head{Status: 200, Headers: []*gladegaugev1.Header{
+		{Name: "Content-Type", Value: "application/json"}, {Name: "Via", Value: "a"}, {Name: "Via", Value: "b"},
+		{Name: "X-Request-Id", Value: "the upstream's"}, {Name: "Connection", Value: "close"},
+	}}
+	is.NoErr(o.head(head))
+	is.NoErr(o.head(head))
+	is.Equal(w.Header().Values("Content-Type"), []string{"application/json"})
+	is.Equal(w.Header().Values("Via"), []string{"a", "b"})
+	is.Equal(w.Header().Values(RequestHeader), []string{"mine"})
+	is.Equal(w.Header().Values("Connection"), nil)
+}
+
 // TestAssembled joins a stream with two choices and its usage.
 func TestAssembled(t *testing.T) {
 	is := is.New(t)
--- a/internal/edge/entryd/events.go
+++ b/internal/edge/entryd/events.go
@@ -112,6 +112,9 @@
 		return nil
 	}
 	x.status = int(h.GetStatus())
+	if !convert.Events(h) {
+		x.ticket.Fixed()
+	}
 	return x.out.head(h)
 }
 
--- a/internal/edge/entryd/respond.go
+++ b/internal/edge/entryd/respond.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/labstack/echo/v4"
 
+	"github.com/gladegauge/gladegauge/internal/edge/convert"
 	gladegaugev1 "github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1"
 )
 
@@ -38,15 +39,28 @@
 func (o *relay) head(h *gladegaugev1.Head) error {
 	o.status = int(h.GetStatus())
 	out := o.c.Response().Header()
+	// An attempt that broke off before its first piece may have left a head.
 	for _, header := range h.GetHeaders() {
-		if !hopHeaders[http.CanonicalHeaderKey(header.GetName())] {
+		if passes(header) {
+			out.Del(header.GetName())
+		}
+	}
+	for _, header := range h.GetHeaders() {
+		if passes(header) {
 			out.Add(header.GetName(), header.GetValue())
 		}
 	}
-	o.stream = bytes.HasPrefix([]byte(out.Get("Content-Type")), []byte("text/event-stream"))
+	o.stream = convert.Events(h)
 	return nil
 }
 
+// passes reports whether an upstream's header goes to the caller. The identity
+// of the request is the entry's own.
+func passes(h *gladegaugev1.Header) bool {
+	name := http.CanonicalHeaderKey(h.GetName())
+	return !hopHeaders[name] && name != RequestHeader
+}
+
 func (o *relay) chunk(data []byte) error {
 	if !o.stream && !o.started && o.held.Len()+len(data) <= bufferUpTo {
 		o.held.Write(data)
@@ -83,6 +97,7 @@
 // begun and cannot be completed: a part must not pass for the whole.
 var errCut = errors.New("the answer was cut off")
 
+// problem answers with an error, or asks for the connection to be closed.
 func (o *relay) problem(p *problem) error {
 	if o.started {
 		return errCut
@@ -142,7 +157,7 @@
 	for _, header := range h.GetHeaders() {
 		o.headers.Add(header.GetName(), header.GetValue())
 	}
-	o.events = bytes.HasPrefix([]byte(o.headers.Get("Content-Type")), []byte("text/event-stream"))
+	o.events = convert.Events(h)
 	return nil
 }
 
--- a/internal/edge/spread/sync_test.go
+++ b/internal/edge/spread/sync_test.go
@@ -70,8 +70,8 @@
 	f.cut = cut
 }
 
-// node is one process under test.
-type node struct {
+// process is one process under test.
+type process struct {
 	id, zone string
 	sync     *Sync
 	cancel   context.CancelFunc
@@ -81,13 +81,13 @@
 
 // fleet is a number of processes with one platform.
 type fleet struct {
-	t        *testing.T
-	platform *published.Service
-	fabric   *fabric
-	nodes    []*node
-	zones    []string
-	doc      *gladegaugev1.Configuration
-	version  uint64
+	t         *testing.T
+	platform  *published.Service
+	fabric    *fabric
+	processes []*process
+	zones     []string
+	doc       *gladegaugev1.Configuration
+	version   uint64
 }
 
 const platformHost = "platform:1"
@@ -104,7 +104,7 @@
 	f.publish()
 	for _, zone := range zones {
 		for i := range perZone {
-			f.nodes = append(f.nodes, &node{id: fmt.Sprintf("%s%d", zone, i), zone: zone})
+			f.processes = append(f.processes, &process{id: fmt.Sprintf("%s%d", zone, i), zone: zone})
 		}
 	}
 	f.publishHosts()
@@ -136,7 +136,7 @@
 	for _, zone := range f.zones {
 		all += zone + "\n"
 		list := &gladegaugev1.HostList{Zone: zone, Version: f.version}
-		for _, n := range f.nodes {
+		for _, n := range f.processes {
 			if n.zone == zone {
 				list.Hosts = append(list.Hosts, &gladegaugev1.Host{Id: n.id, Role: gladegaugev1.Role_ROLE_ENTRY, Address: f.address(n.id)})
 			}
@@ -149,11 +149,11 @@
 
 // address gives each process an IP number of its own.
 func (f *fleet) address(id string) string {
-	i := slices.IndexFunc(f.nodes, func(n *node) bool { return n.id == id })
+	i := slices.IndexFunc(f.processes, func(n *process) bool { return n.id == id })
 	return fmt.Sprintf("10.0.0.%d:1", i+1)
 }
 
-func (f *fleet) start(n *node, seeds ...string) {
+func (f *fleet) start(n *process, seeds ...string) {
 	client := &http.Client{Transport: port{f: f.fabric, from: n.id}}
 	l := loop.New(time.Now)
 	m := metrics.New(prometheus.NewRegistry())
@@ -184,12 +184,12 @@
 }
 
 func (f *fleet) startAll() {
-	for _, n := range f.nodes {
+	for _, n := range f.processes {
 		f.start(n)
 	}
 }
 
-func (f *fleet) stop(n *node) {
+func (f *fleet) stop(n *process) {
 	f.fabric.mu.Lock()
 	delete(f.fabric.handlers, f.address(n.id))
 	f.fabric.mu.Unlock()
@@ -198,21 +198,21 @@
 }
 
 func (f *fleet) stopAll() {
-	for _, n := range f.nodes {
+	for _, n := range f.processes {
 		if n.cancel != nil {
 			f.stop(n)
 		}
 	}
 }
 
-func (n *node) ready() bool {
+func (n *process) ready() bool {
 	ready := false
 	n.sync.o.Loop.Must(func(time.Time) { ready = n.sync.Ready() })
 	return ready
 }
 
 // holds returns the digest in force and the conflicts seen.
-func (n *node) holds() (digest string, conflicts int) {
+func (n *process) holds() (digest string, conflicts int) {
 	n.sync.o.Loop.Must(func(time.Time) {
 		digest, conflicts = n.sync.holder.Config().Digest(), n.sync.holder.Conflicts()
 	})
@@ -220,7 +220,7 @@
 }
 
 // watches reports whether the process watches the platform.
-func (n *node) watches() bool {
+func (n *process) watches() bool {
 	watches := false
 	n.sync.o.Loop.Must(func(time.Time) { watches = core.Watches(n.sync.set, n.sync.o.Self) })
 	return watches
@@ -229,7 +229,7 @@
 // revisions returns the lowest and highest revision in force.
 func (f *fleet) revisions() (low, high uint64) {
 	low = 1 << 60
-	for _, n := range f.nodes {
+	for _, n := range f.processes {
 		if n.sync == nil || n.cancel == nil {
 			continue
 		}
@@ -271,7 +271,7 @@
 		f.startAll()
 		defer f.stopAll()
 		time.Sleep(5 * time.Second)
-		for _, n := range f.nodes {
+		for _, n := range f.processes {
 			if n.zone == "a" && n.watches() {
 				f.stop(n)
 				n.cancel = nil
@@ -295,7 +295,7 @@
 		defer f.stopAll()
 		time.Sleep(5 * time.Second)
 		isC := func(name string) bool {
-			for _, n := range f.nodes {
+			for _, n := range f.processes {
 				if n.zone == "c" && (n.id == name || f.address(n.id) == name) {
 					return true
 				}
@@ -308,7 +308,7 @@
 		low, high := f.revisions()
 		is.Equal(low, uint64(1))
 		is.Equal(high, want)
-		for _, n := range f.nodes {
+		for _, n := range f.processes {
 			is.True(n.ready()) // Both sides go on with what they have.
 		}
 		f.fabric.setCut(nil)
@@ -365,7 +365,7 @@
 			time.Sleep(inForce)
 		}, 2},
 		{"a bad revision while a process starts", func(f *fleet) {
-			for _, n := range f.nodes[1:] {
+			for _, n := range f.processes[1:] {
 				f.start(n)
 			}
 			time.Sleep(5 * time.Second)
@@ -373,7 +373,7 @@
 			f.doc.Classes[0].Tier = 9
 			f.change()
 			time.Sleep(5 * time.Second)
-			f.start(f.nodes[0])
+			f.start(f.processes[0])
 			time.Sleep(5 * time.Second)
 			f.doc.Classes[0].Tier = good
 		}, 1},
@@ -387,12 +387,12 @@
 			f.doc.Classes[0].Tier = good
 		}, 2},
 		{"down while a process starts beside others", func(f *fleet) {
-			for _, n := range f.nodes[1:] {
+			for _, n := range f.processes[1:] {
 				f.start(n)
 			}
 			time.Sleep(5 * time.Second)
 			f.platform.SetFault(published.Down)
-			f.start(f.nodes[0], f.address(f.nodes[1].id))
+			f.start(f.processes[0], f.address(f.processes[1].id))
 			time.Sleep(5 * time.Second)
 		}, 1},
 		{"two documents with one revision", func(f *fleet) {
@@ -400,12 +400,12 @@
 			time.Sleep(5 * time.Second)
 			f.change()
 			time.Sleep(5 * time.Second)
-			first, _ := f.nodes[0].holds()
+			first, _ := f.processes[0].holds()
 			f.doc.Organisations[0].Weight = 77
 			f.publish()
 			time.Sleep(time.Minute)
 			seen := 0
-			for _, n := range f.nodes {
+			for _, n := range f.processes {
 				digest, conflicts := n.holds()
 				if digest != first {
 					f.t.Errorf("%s left the first document", n.id)
@@ -428,7 +428,7 @@
 				low, high := f.revisions()
 				is.Equal(low, tt.want)
 				is.Equal(high, tt.want)
-				for _, n := range f.nodes {
+				for _, n := range f.processes {
 					is.True(n.ready())
 				}
 			})
@@ -443,14 +443,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newFleet(t, 4, "a", "b")
-		for _, n := range f.nodes[1:] {
+		for _, n := range f.processes[1:] {
 			f.start(n)
 		}
 		defer f.stopAll()
 		// Between two reads of the list of zones by the watchers.
 		time.Sleep(5 * time.Second)
 		before := f.platform.Calls()
-		last := f.nodes[0]
+		last := f.processes[0]
 		f.start(last)
 		time.Sleep(time.Second)
 		is.True(last.ready())
@@ -470,9 +470,9 @@
 		f.startAll()
 		defer f.stopAll()
 		time.Sleep(5 * time.Minute)
-		is.True(!f.nodes[0].ready())
+		is.True(!f.processes[0].ready())
 		f.platform.SetFault(published.None)
 		time.Sleep(time.Minute)
-		is.True(f.nodes[0].ready())
+		is.True(f.processes[0].ready())
 	})
 }
