Orders to change role; adapters and versions of plain services are checked

Cause: upstreams take orders to change role, and agents gave none; an empty adapter name, or a version of a plain service, was accepted and did nothing. Change: a pool's role in the configuration, ordered last; both faults named. Figures: TestOrders: version, adapter and role loaded by three orders, on an upstream that checks fences and on one that does not. Which hosts of a pool hold which model is still one answer for all of them.

--- a/internal/core/config/config_test.go
+++ b/internal/core/config/config_test.go
@@ -50,6 +50,10 @@
 		{"floor share not a number", func(c *gladegaugev1.Configuration) { c.Classes[0].FloorShare = math.NaN() }, "classes[0].floor_share"},
 		{"objective", func(c *gladegaugev1.Configuration) { c.Classes[0].Objective = 1 }, "classes[0].objective"},
 		{"pool kind", func(c *gladegaugev1.Configuration) { c.Pools[0].Kind = 0 }, "pools[0].kind"},
+		{"adapter", func(c *gladegaugev1.Configuration) { c.Pools[0].Adapters = []string{""} }, "pools[0].adapters[0]"},
+		{"plain service with a version", func(c *gladegaugev1.Configuration) {
+			c.Pools[0].Kind, c.Pools[0].Model, c.Pools[0].Version = gladegaugev1.PoolKind_POOL_KIND_SERVICE, "", "2"
+		}, "pools[0].version"},
 		{"pool slots", func(c *gladegaugev1.Configuration) { c.Pools[0].Slots = 0 }, "pools[0].slots"},
 		{"pool class", func(c *gladegaugev1.Configuration) { c.Pools[0].Classes[1] = "vip" }, "pools[0].classes[1]"},
 		{"class without pool", func(c *gladegaugev1.Configuration) { c.Pools[0].Classes = c.Pools[0].Classes[:1] }, "classes[1]"},
--- a/internal/core/config/pool.go
+++ b/internal/core/config/pool.go
@@ -19,6 +19,8 @@
 	Slots    int
 	Version  string
 	Adapters []string
+	// Role is in the engines' own words; empty leaves it as it is.
+	Role string
 }
 
 // Target is the name that callers address: the model, or the pool itself.
--- a/internal/core/config/validate.go
+++ b/internal/core/config/validate.go
@@ -124,14 +124,21 @@
 		Slots:    int(in.GetSlots()),
 		Version:  in.GetVersion(),
 		Adapters: in.GetAdapters(),
+		Role:     in.GetRole(),
 	}
 	switch p.Kind {
 	case KindModel:
 		checkName(f, field+".model", p.Model)
+		for i, name := range p.Adapters {
+			checkName(f, fmt.Sprintf("%s.adapters[%d]", field, i), name)
+		}
 	case KindService:
 		if p.Model != "" {
 			f.Add(field+".model", "must be empty for a plain service")
 		}
+		if p.Version != "" || p.Role != "" || len(p.Adapters) > 0 {
+			f.Add(field+".version", "version, adapters and role must be empty for a plain service")
+		}
 	default:
 		f.Add(field+".kind", "must be POOL_KIND_MODEL or POOL_KIND_SERVICE")
 	}
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -33,11 +33,12 @@
 type State struct {
 	Version  string
 	Adapters []string
+	Role     string
 }
 
 // Wanted returns what every upstream of the pool should have loaded.
 func Wanted(p *config.Pool) State {
-	return State{Version: p.Version, Adapters: p.Adapters}
+	return State{Version: p.Version, Adapters: p.Adapters, Role: p.Role}
 }
 
 // Kind is the kind of an order.
@@ -48,6 +49,7 @@
 	SetVersion    Kind = "version"
 	LoadAdapter   Kind = "load-adapter"
 	UnloadAdapter Kind = "unload-adapter"
+	SetRole       Kind = "role"
 )
 
 // Order is one order to an upstream.
@@ -57,8 +59,8 @@
 }
 
 // Orders returns what turns the actual state into the wanted one. An empty
-// version is left as it is. Nothing is unloaded before what replaces it is
-// loaded.
+// version or role is left as it is. Nothing is unloaded before what replaces it
+// is loaded, and the role changes last.
 func Orders(wanted, actual State) []Order {
 	var orders []Order
 	if wanted.Version != "" && wanted.Version != actual.Version {
@@ -74,6 +76,9 @@
 			orders = append(orders, Order{Kind: UnloadAdapter, Name: name})
 		}
 	}
+	if wanted.Role != "" && wanted.Role != actual.Role {
+		orders = append(orders, Order{Kind: SetRole, Name: wanted.Role})
+	}
 	return orders
 }
 
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -19,6 +19,7 @@
 		{"nothing to do", State{Version: "2", Adapters: []string{"a"}}, State{Version: "2", Adapters: []string{"a"}}, nil},
 		{"version left open", State{}, State{Version: "7"}, nil},
 		{"version", State{Version: "2"}, State{Version: "1"}, []Order{{SetVersion, "2"}}},
+		{"role last", State{Version: "2", Role: "decode"}, State{Version: "1", Role: "mixed"}, []Order{{SetVersion, "2"}, {SetRole, "decode"}}},
 		{"load before unload", State{Adapters: []string{"new"}}, State{Adapters: []string{"old"}}, []Order{{LoadAdapter, "new"}, {UnloadAdapter, "old"}}},
 	}
 	for _, tt := range tests {
--- a/internal/e2e/operate_test.go
+++ b/internal/e2e/operate_test.go
@@ -168,6 +168,7 @@
 			s := newStack(t, "salish")
 			s.doc.Pools[0].Version = "2"
 			s.doc.Pools[0].Adapters = []string{"rules-en"}
+			s.doc.Pools[0].Role = "decode"
 			s.doc.Revision = 5
 			s.publishConfig()
 			eng := engine.New(engine.Options{Slots: 4, CheckFences: tt.fences})
@@ -176,11 +177,11 @@
 			s.ready()
 			loaded := func() bool {
 				st := eng.State()
-				return st.Version == "2" && len(st.Adapters) == 1 && st.Adapters[0] == "rules-en"
+				return st.Version == "2" && len(st.Adapters) == 1 && st.Adapters[0] == "rules-en" && st.Role == "decode"
 			}
 			eventually(t, "it is loaded", loaded)
 			n := len(eng.Orders())
-			is.Equal(n, 2)
+			is.Equal(n, 3)
 			late := send("POST", server+"/v1/orders", "", `{"kind":"version","name":"1"}`, "X-Fence", "00000000000000000004-0")
 			if tt.fences {
 				is.Equal(late.status, http.StatusConflict)
--- a/internal/edge/upstream/orders.go
+++ b/internal/edge/upstream/orders.go
@@ -18,6 +18,7 @@
 type stateBody struct {
 	Version  string   `json:"version"`
 	Adapters []string `json:"adapters"`
+	Role     string   `json:"role"`
 }
 
 // orderBody is an order on its way.
@@ -44,7 +45,7 @@
 	if err := json.NewDecoder(resp.Body).Decode(&body); err != nil {
 		return placement.State{}, errors.Wrap(err, "upstream state")
 	}
-	return placement.State{Version: body.Version, Adapters: body.Adapters}, nil
+	return placement.State{Version: body.Version, Adapters: body.Adapters, Role: body.Role}, nil
 }
 
 // Order gives one order, under a fence.
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -17,6 +17,7 @@
 type State struct {
 	Version  string   `json:"version"`
 	Adapters []string `json:"adapters"`
+	Role     string   `json:"role"`
 }
 
 func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
@@ -37,6 +38,8 @@
 	switch o.Kind {
 	case "version":
 		e.state.Version = o.Name
+	case "role":
+		e.state.Role = o.Name
 	case "load-adapter":
 		e.state.Adapters = append(e.state.Adapters, o.Name)
 	case "unload-adapter":
@@ -48,7 +51,9 @@
 func (e *Engine) State() State {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return State{Version: e.state.Version, Adapters: slices.Clone(e.state.Adapters)}
+	state := e.state
+	state.Adapters = slices.Clone(state.Adapters)
+	return state
 }
 
 func (e *Engine) getState(w http.ResponseWriter, _ *http.Request) {
