Settings: all faults in one message; an agent's status lists its own classes

Cause: faults that depend on several settings were named only after the others were mended, in changing order; an agent's status and metrics listed classes of other pools. Both found by using the programs as the README says. Change: as the title says. Figures: TestSettings names eight faults in one message, seven before.

--- a/internal/core/agent/agent.go
+++ b/internal/core/agent/agent.go
@@ -132,12 +132,13 @@
 // Incarnation returns the agent's own incarnation.
 func (a *Agent) Incarnation() string { return a.options.Incarnation }
 
-// Counts returns the number of requests of each class that wait and run.
-func (a *Agent) Counts() (queued, running map[string]int) {
+// Counts returns the number of requests of each of the classes that wait and
+// run.
+func (a *Agent) Counts(classes []string) (queued, running map[string]int) {
 	queued = make(map[string]int)
 	running = make(map[string]int)
-	for _, c := range a.cfg.Classes() {
-		queued[c.Name] = a.queue.LenClass(c.Name)
+	for _, name := range classes {
+		queued[name] = a.queue.LenClass(name)
 	}
 	for _, r := range a.runs {
 		running[r.item.Class.Name]++
--- a/internal/e2e/operate_test.go
+++ b/internal/e2e/operate_test.go
@@ -338,7 +338,7 @@
 	cmd.Env = append(os.Environ(), "GLADEGAUGE_UPSTREAM_URL=ftp://x")
 	text, _ := cmd.CombinedOutput()
 	is.Equal(cmd.ProcessState.ExitCode(), 2)
-	for _, want := range []string{"-id: must be set", "-zone:", "-rpc-listen:", "-log-level:", "-pool: must be set", "-upstream-url:", "-platform-url: must be set"} {
+	for _, want := range []string{"-id: must be set", "-zone:", "-rpc-listen:", "-log-level:", "-pool: must be set", "-tls-ca: must be set", "-upstream-url:", "-platform-url: must be set"} {
 		is.True(strings.Contains(string(text), want))
 	}
 }
--- a/internal/edge/agentd/operator.go
+++ b/internal/edge/agentd/operator.go
@@ -50,7 +50,7 @@
 		if o.s.agent == nil {
 			return
 		}
-		queued, running := o.s.agent.Counts()
+		queued, running := o.s.agent.Counts(o.s.classes())
 		for class, n := range queued {
 			resp.Classes = append(resp.Classes, &gladegaugev1.ClassStatus{
 				Class: class, Queued: uint32(n), Running: uint32(running[class]),
--- a/internal/edge/agentd/server.go
+++ b/internal/edge/agentd/server.go
@@ -212,13 +212,23 @@
 		s.agent.Progress(now, id, int(sess.tokens.Load()))
 	}
 	s.apply(s.agent.Tick(now))
-	queued, running := s.agent.Counts()
+	queued, running := s.agent.Counts(s.classes())
 	for class, n := range queued {
 		s.metrics.Queued.WithLabelValues(class).Set(float64(n))
 		s.metrics.Running.WithLabelValues(class).Set(float64(running[class]))
 	}
 }
 
+// classes returns the classes that the pool serves. It runs in the control
+// loop.
+func (s *Server) classes() []string {
+	p, ok := s.sync.Config().Pool(s.o.Pool)
+	if !ok {
+		return nil
+	}
+	return p.Classes
+}
+
 // apply hands each effect to its session. It runs in the control loop.
 func (s *Server) apply(effects []agent.Effect) {
 	for _, effect := range effects {
--- a/internal/edge/program/command.go
+++ b/internal/edge/program/command.go
@@ -67,8 +67,8 @@
 			return ExitFailure
 		}
 	}
-	if c.Check != nil && len(faults) == 0 {
-		faults = c.Check()
+	if c.Check != nil {
+		faults = append(faults, c.Check()...)
 	}
 	if len(faults) > 0 {
 		_, _ = fmt.Fprintf(os.Stderr, "settings:\n%s\n", faults)
--- a/internal/edge/program/program.go
+++ b/internal/edge/program/program.go
@@ -88,10 +88,15 @@
 	if c.Keys.Plain {
 		return f
 	}
-	for name, value := range map[string]string{"-tls-cert": c.Keys.Cert, "-tls-key": c.Keys.Key, "-tls-ca": c.Keys.CA} {
-		if value == "" {
-			f.Add(name, "must be set, unless -insecure-plaintext is")
-		}
+	const problem = "must be set, unless -insecure-plaintext is"
+	if c.Keys.Cert == "" {
+		f.Add("-tls-cert", problem)
+	}
+	if c.Keys.Key == "" {
+		f.Add("-tls-key", problem)
+	}
+	if c.Keys.CA == "" {
+		f.Add("-tls-ca", problem)
 	}
 	return f
 }
