Runs that make nothing are given up; a zone cut off while both sides serve

Cause: an engine that answers its health check but makes no token kept its callers waiting for good; the cut of a zone was proved for configuration only.

Change: a run of a class with a target for the first token is given up after 15 s without one, and goes on elsewhere if it may be repeated; a session cuts a zone off for two minutes in both directions under load.

Plain services have no such sign of life.

--- a/internal/core/agent/agent.go
+++ b/internal/core/agent/agent.go
@@ -31,6 +31,8 @@
 	minObservation = 200 * time.Millisecond
 	// giveUpAfter is how long the upstream is down before its runs are lost.
 	giveUpAfter = 2 * time.Second
+	// stuckAfter is how long a run may make no token.
+	stuckAfter = 15 * time.Second
 	// floorSlots is the number of slots for each run on a floor share.
 	floorSlots = 10
 	// urgentWaits is how many natural waits for a slot of slack a request
--- a/internal/core/agent/agent_test.go
+++ b/internal/core/agent/agent_test.go
@@ -212,6 +212,16 @@
 			{2101 * ms, stopped("a", 3), "fail a false"},
 			{2102 * ms, offers("a", "ruling"), "fail a true"},
 		}},
+		{"upstream makes nothing", 1, []step{
+			{0, offers("a", "ruling"), "grant a"},
+			{1 * ms, claims("a"), "start a 0"},
+			{2000 * ms, ticks, ""},
+			{4000 * ms, func(a *Agent, now time.Time) []Effect { a.Progress(now, "a", 2); return a.Tick(now) }, ""},
+			{6500 * ms, ticks, ""}, {9000 * ms, ticks, ""}, {11500 * ms, ticks, ""}, {14000 * ms, ticks, ""},
+			{16500 * ms, ticks, ""}, {18900 * ms, ticks, ""},
+			{19100 * ms, ticks, "stop a false"},
+			{19101 * ms, stopped("a", 2), "fail a false"},
+		}},
 		{"unknown class", 1, []step{{0, offers("a", "vip"), "refuse a unknown_class"}}},
 		{"meant for a predecessor", 1, []step{
 			{0, func(a *Agent, now time.Time) []Effect {
--- a/internal/core/agent/attempt.go
+++ b/internal/core/agent/attempt.go
@@ -107,6 +107,7 @@
 func (a *Agent) start(now time.Time, id string, r *run) Effect {
 	r.claimed = true
 	r.started = now
+	r.movedAt = now
 	r.produced = r.item.Produced
 	r.observed = r.produced
 	r.observedAt = now
@@ -159,6 +160,7 @@
 		a.prompt += speedRate * float64(now.Sub(r.started)-time.Duration(a.prompt))
 	}
 	r.produced = produced
+	r.movedAt = now
 	if d := now.Sub(r.observedAt); d >= minObservation {
 		a.learnSpeed(produced-r.observed, d)
 		r.observed = produced
--- a/internal/core/agent/lifecycle.go
+++ b/internal/core/agent/lifecycle.go
@@ -102,15 +102,14 @@
 	return a.refuse(now, it.ID, Expired, it.Class)
 }
 
-// giveUpRuns stops the runs of an upstream that has been down for a while. It
-// may hang without breaking its connections.
+// giveUpRuns stops the runs of an upstream that has been down for a while, and
+// those that make no tokens although their class asks for a first one. It may
+// hang without breaking its connections, also while it answers health checks.
 func (a *Agent) giveUpRuns(now time.Time) []Effect {
-	if !a.down || now.Sub(a.downAt) < giveUpAfter {
-		return nil
-	}
+	down := a.down && now.Sub(a.downAt) >= giveUpAfter
 	var effects []Effect
 	for _, r := range a.running() {
-		if r.claimed && !r.stopping {
+		if r.claimed && !r.stopping && (down || r.stuck(now)) {
 			r.lost = true
 			a.markStopping(r)
 			effects = append(effects, Stop{ID: r.item.ID})
--- a/internal/core/agent/run.go
+++ b/internal/core/agent/run.go
@@ -16,11 +16,14 @@
 	// stopping is true after a Stop and before its Stopped.
 	stopping  bool
 	withdrawn bool
-	// lost is true if the run was given up because its upstream is down.
+	// lost is true if the run was given up because its upstream is down, or
+	// makes nothing.
 	lost        bool
 	preemptions int
 	granted     time.Time
 	started     time.Time
+	// movedAt is when the run was started or last made a token.
+	movedAt time.Time
 	// produced is the number of tokens of the whole answer so far.
 	produced int
 	// observed and observedAt are the last point of the speed measurement.
@@ -39,3 +42,8 @@
 		r.item.Class.Tier > class.Tier &&
 		(class.Protected || r.preemptions < maxPreemptions)
 }
+
+// stuck reports whether the run has made nothing for long.
+func (r *run) stuck(now time.Time) bool {
+	return r.item.Class.FirstToken > 0 && now.Sub(r.movedAt) >= stuckAfter
+}
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -6,6 +6,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/sebdah/goldie/v2"
@@ -154,3 +155,52 @@
 		})
 	}
 }
+
+// TestZoneCutServes cuts an availability zone off for two minutes under load:
+// both sides go on serving, and no promise is broken, then or after healing.
+func TestZoneCutServes(t *testing.T) {
+	for _, deployment := range []string{"tallowbark", "salish"} {
+		t.Run(deployment, func(t *testing.T) {
+			is := is.New(t)
+			var inside, outside []string
+			agents := 0
+			for _, n := range sites[deployment].Replicas {
+				agents += n
+			}
+			for n := 1; n <= agents; n++ {
+				if (n-1)%len(sites[deployment].Zones) == 0 {
+					inside = append(inside, agentName(n))
+				} else {
+					outside = append(outside, agentName(n))
+				}
+			}
+			load := mixes[deployment].steady()
+			for i := range load {
+				load[i].Share /= 2 // A third of the pool must carry a third of this.
+			}
+			script := &Script{
+				Name: "zone-cut", Deployment: deployment, Seconds: scenarioEnd, Seed: 7, Load: load,
+				Faults: []Fault{
+					{Kind: Cut, At: 30, For: 120, Hosts: append([]string{"entry-1"}, outside...)},
+					{Kind: Cut, At: 30, For: 120, Hosts: append([]string{"entry-2", "entry-3"}, inside...)},
+				},
+			}
+			s, err := Run(script, exampleConfig(t, deployment), Current)
+			is.NoErr(err)
+			is.Equal(s.Violations(), nil)
+			started := map[string]int{}
+			for _, r := range s.records {
+				if r.Kind == engineStarted && r.At > 60*time.Second && r.At < 140*time.Second {
+					started[r.Agent]++
+				}
+			}
+			is.Equal(len(started), agents) // Every agent served somebody.
+			for _, row := range s.Rows() {
+				if row.Protected {
+					t.Logf("%s: attainment %.4f, unknown %d", row.Class, row.Attainment, row.Unknown)
+					is.True(row.Attainment >= 0.97)
+				}
+			}
+		})
+	}
+}
