Reread: one judgement and one fetch of a version, a conflict that is told, less state

Change: one judgement, from which a pull is an exchange; conflicts are noted where manifests are considered, and logged once a revision; faults by the document's order; Common.Serve, IgnoreClosed and call.broken serve both places; the unread state is gone, and preemptions belong to the queue's item.

--- a/internal/core/agent/attempt.go
+++ b/internal/core/agent/attempt.go
@@ -216,7 +216,7 @@
 	}
 	r.item.Produced = r.produced
 	r.item.Copies = 1
-	a.offers[id] = withPreemption(a.offers[id])
+	r.item.Preemptions++
 	a.queue.Return(r.item)
 	return a.schedule(now)
 }
--- a/internal/core/agent/offer.go
+++ b/internal/core/agent/offer.go
@@ -17,8 +17,6 @@
 	Copies int
 	// Key is the idempotency key, or empty.
 	Key string
-
-	preemptions int
 }
 
 // End is how an attempt ended at the upstream.
--- a/internal/core/agent/run.go
+++ b/internal/core/agent/run.go
@@ -18,10 +18,9 @@
 	withdrawn bool
 	// lost is true if the run was given up because its upstream is down, or
 	// makes nothing.
-	lost        bool
-	preemptions int
-	granted     time.Time
-	started     time.Time
+	lost    bool
+	granted time.Time
+	started time.Time
 	// movedAt is when the run was started or last made a token.
 	movedAt time.Time
 	// produced is the number of tokens of the whole answer so far.
@@ -40,7 +39,7 @@
 		!r.item.Class.Protected &&
 		r.item.Class.Repeatable &&
 		r.item.Class.Tier > class.Tier &&
-		(class.Protected || r.preemptions < maxPreemptions)
+		(class.Protected || r.item.Preemptions < maxPreemptions)
 }
 
 // stuck reports whether the run has made nothing for long.
--- a/internal/core/agent/schedule.go
+++ b/internal/core/agent/schedule.go
@@ -47,7 +47,6 @@
 func (a *Agent) grant(now time.Time, r *run) Effect {
 	id := r.item.ID
 	if a.ledger.State(id).Started() {
-		r.preemptions = a.preemptions(id)
 		return a.start(now, id, r)
 	}
 	a.ledger.Set(now, id, ledger.Granted)
@@ -144,14 +143,3 @@
 	}
 	return n
 }
-
-// preemptions returns how often the attempt was preempted.
-func (a *Agent) preemptions(id string) int {
-	return a.offers[id].preemptions
-}
-
-// withPreemption counts one more preemption.
-func withPreemption(o Offer) Offer {
-	o.preemptions++
-	return o
-}
--- a/internal/core/config/build.go
+++ b/internal/core/config/build.go
@@ -117,6 +117,7 @@
 		if part, ok := b.decode(ref); ok {
 			b.classes(part.GetClasses())
 			b.pools(part.GetPools())
+			b.checkServed(part.GetClasses(), part.GetPools())
 		}
 		return
 	}
@@ -150,7 +151,6 @@
 func (b *builder) pools(in []*gladegaugev1.Pool) {
 	b.next.pools = make(map[string]*Pool, len(in))
 	b.next.targets = make(map[string]*Pool, len(in))
-	served := make(map[string]bool)
 	for i, pool := range in {
 		field := fmt.Sprintf("pools[%d]", i)
 		p := newPool(&b.faults, field, pool)
@@ -162,25 +162,26 @@
 		}
 		b.next.pools[p.Name] = p
 		b.next.targets[p.Target()] = p
-		b.poolClasses(field, p, served)
-	}
-	for i, c := range sortedClassNames(b.next.classes) {
-		if !served[c] {
-			b.faults.Add(fmt.Sprintf("classes[%d]", i), "%q is served by no pool", c)
-		}
+		b.poolClasses(field, p)
 	}
 }
 
-func sortedClassNames(classes map[string]*Class) []string {
-	c := Config{classes: classes}
-	names := make([]string, 0, len(classes))
-	for _, class := range c.Classes() {
-		names = append(names, class.Name)
+// checkServed names the classes that no pool serves.
+func (b *builder) checkServed(classes []*gladegaugev1.Class, pools []*gladegaugev1.Pool) {
+	served := make(map[string]bool)
+	for _, p := range pools {
+		for _, name := range p.GetClasses() {
+			served[name] = true
+		}
+	}
+	for i, c := range classes {
+		if !served[c.GetName()] {
+			b.faults.Add(fmt.Sprintf("classes[%d]", i), "%q is served by no pool", c.GetName())
+		}
 	}
-	return names
 }
 
-func (b *builder) poolClasses(field string, p *Pool, served map[string]bool) {
+func (b *builder) poolClasses(field string, p *Pool) {
 	var floors float64
 	for i, name := range p.Classes {
 		c, ok := b.next.classes[name]
@@ -189,7 +190,6 @@
 			continue
 		}
 		floors += c.FloorShare
-		served[name] = true
 	}
 	if floors > MaxFloorSum {
 		b.faults.Add(field+".classes", "floor shares add up to %v, above %v", floors, MaxFloorSum)
--- a/internal/core/config/config_test.go
+++ b/internal/core/config/config_test.go
@@ -57,6 +57,9 @@
 		{"pool slots", func(c *gladegaugev1.Configuration) { c.Pools[0].Slots = 0 }, "pools[0].slots"},
 		{"pool class", func(c *gladegaugev1.Configuration) { c.Pools[0].Classes[1] = "vip" }, "pools[0].classes[1]"},
 		{"class without pool", func(c *gladegaugev1.Configuration) { c.Pools[0].Classes = c.Pools[0].Classes[:1] }, "classes[1]"},
+		{"class without pool, not in order of tier", func(c *gladegaugev1.Configuration) {
+			c.Classes = append([]*gladegaugev1.Class{{Name: "idle", Tier: 4, FirstTokenMs: 9}}, c.Classes...)
+		}, "classes[0]"},
 		{"model twice", func(c *gladegaugev1.Configuration) {
 			c.Pools = append(c.Pools, proto.Clone(c.Pools[0]).(*gladegaugev1.Pool))
 			c.Pools[1].Name = "other"
--- a/internal/core/queue/item.go
+++ b/internal/core/queue/item.go
@@ -22,6 +22,8 @@
 	Copies int
 	// Produced is the number of tokens made before a preemption.
 	Produced int
+	// Preemptions is how often the request was preempted.
+	Preemptions int
 
 	charged float64
 	late    bool
--- a/internal/core/route/health.go
+++ b/internal/core/route/health.go
@@ -33,8 +33,7 @@
 
 func (h *health) ejectedAt(now time.Time) bool { return now.Before(h.until) }
 
-// Answered takes the load that rode on an answer or a refusal. An answer is
-// the evidence that ends an ejection.
+// Answered takes the load that rode on an answer or a refusal.
 func (t *Table) Answered(now time.Time, id string, l agent.Load) {
 	u, ok := t.hosts[id]
 	if !ok {
--- a/internal/edge/agentd/server.go
+++ b/internal/edge/agentd/server.go
@@ -144,37 +144,15 @@
 }
 
 func (s *Server) run(ctx context.Context) error {
-	rpcListener, err := program.Listen(s.o.Log, "rpc-listen", s.o.RPC)
-	if err != nil {
-		return err
-	}
-	opsListener, err := program.Listen(s.o.Log, "ops-listen", s.o.Ops)
-	if err != nil {
-		return err
-	}
-	rpcServer, err := s.o.Keys.Server(s.handler())
-	if err != nil {
-		return err
-	}
-	plain := rpc.Keys{Plain: true}
-	opsServer, err := plain.Server(ops.Handler(s.metrics.Registry, s.notReady))
-	if err != nil {
+	group, ctx := errgroup.WithContext(ctx)
+	if err := s.o.Serve(ctx, group, s.o.Log, s.handler(), ops.Handler(s.metrics.Registry, s.notReady)); err != nil {
 		return err
 	}
-	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return s.loop.Run(ctx) })
-	group.Go(func() error { return s.o.Keys.Serve(rpcServer, rpcListener) })
-	group.Go(func() error { return plain.Serve(opsServer, opsListener) })
 	group.Go(func() error { return s.sync.Run(ctx) })
 	group.Go(func() error { return s.loop.Every(ctx, tickEvery, s.tick) })
 	group.Go(func() error { return s.probe(ctx) })
 	group.Go(func() error { return s.orderLoop(ctx) })
-	group.Go(func() error {
-		<-ctx.Done()
-		_ = rpcServer.Close()
-		_ = opsServer.Close()
-		return nil
-	})
 	return group.Wait()
 }
 
--- a/internal/edge/agentd/session.go
+++ b/internal/edge/agentd/session.go
@@ -165,7 +165,6 @@
 	var accepted *gladegaugev1.Accepted
 	known := false
 	ok := x.s.loop.Must(func(now time.Time) {
-		x.s.sync.Heard(x.offer.GetVersion(), "")
 		if x.s.agent == nil {
 			return
 		}
--- a/internal/edge/entryd/attempt.go
+++ b/internal/edge/entryd/attempt.go
@@ -72,7 +72,6 @@
 		AgeMs:          convert.Milliseconds(time.Since(x.arrived)),
 		Copies:         uint32(e.Copies),
 		IdempotencyKey: x.key,
-		Version:        x.version,
 	}
 	n := e.Attempt
 	x.streams.Go(func() error {
@@ -97,7 +96,6 @@
 	a := x.attempts[e.Attempt]
 	x.claimedBy = a.agent
 	if e.Offset > 0 {
-		x.resumed = true
 		x.s.metrics.Resumes.Inc()
 	}
 	x.run.ResumeOffset = uint64(e.Offset)
--- a/internal/edge/entryd/call.go
+++ b/internal/edge/entryd/call.go
@@ -23,28 +23,24 @@
 
 // call is one request in progress. Its goroutine alone writes to the caller.
 type call struct {
-	s          *Server
-	id         string
-	call       entry.Call
-	key        string
-	run        *gladegaugev1.Run
-	out        responder
-	arrived    time.Time
-	ticket     *entry.Ticket
-	attempts   []*attempt
-	events     chan attemptEvent
-	streams    errgroup.Group
-	first      time.Time
-	completed  time.Time
-	claimedBy  string
-	bound      string
-	resumed    bool
-	outcome    dispatch.Outcome
-	callerGone bool
+	s         *Server
+	id        string
+	call      entry.Call
+	key       string
+	run       *gladegaugev1.Run
+	out       responder
+	arrived   time.Time
+	ticket    *entry.Ticket
+	attempts  []*attempt
+	events    chan attemptEvent
+	streams   errgroup.Group
+	first     time.Time
+	completed time.Time
+	claimedBy string
+	bound     string
+	outcome   dispatch.Outcome
 	// status is that of the upstream's answer.
 	status int
-	// version is the configuration that the request came in under.
-	version *gladegaugev1.Version
 }
 
 // responder writes the answer to the caller.
@@ -73,7 +69,6 @@
 	x.s.loop.Must(func(now time.Time) {
 		x.arrived = now
 		x.ticket, rejection = x.s.entry.Admit(now, x.call)
-		x.version = x.s.sync.Version()
 		if rejection == nil {
 			effects = x.ticket.Start(now)
 		}
@@ -131,7 +126,6 @@
 		}
 		if err != nil {
 			// The caller cannot be written to any more.
-			x.callerGone = true
 			effects = x.ticket.HungUp()
 		}
 		if finished, err := x.carryOut(streamCtx, effects); finished {
@@ -182,7 +176,6 @@
 		x.completed = time.Now()
 		return x.out.end()
 	case dispatch.Abandoned:
-		x.callerGone = true
 		return nil
 	case dispatch.NotRun, dispatch.Unknown, dispatch.Incomplete, dispatch.AlreadyRun:
 	}
--- a/internal/edge/entryd/events.go
+++ b/internal/edge/entryd/events.go
@@ -30,15 +30,23 @@
 func (x *call) onLost(n int, a *attempt) []dispatch.Effect {
 	var effects []dispatch.Effect
 	x.s.loop.Must(func(now time.Time) {
-		if effects = x.ticket.Broken(now, n, false); len(effects) > 0 {
-			x.s.entry.Lost(now, a.agent)
-			x.s.metrics.Attempts.WithLabelValues("lost").Inc()
-		}
+		effects = x.broken(now, n, a, false)
 		x.settle(now, a, false)
 	})
 	return effects
 }
 
+// broken takes the loss of an attempt, and counts it if it still mattered. It
+// runs in the control loop.
+func (x *call) broken(now time.Time, n int, a *attempt, notRun bool) []dispatch.Effect {
+	effects := x.ticket.Broken(now, n, notRun)
+	if len(effects) > 0 {
+		x.s.entry.Lost(now, a.agent)
+		x.s.metrics.Attempts.WithLabelValues("lost").Inc()
+	}
+	return effects
+}
+
 // onControl takes an event that changes the request's state.
 func (x *call) onControl(n int, a *attempt, event *gladegaugev1.AttemptEvent) []dispatch.Effect {
 	var effects []dispatch.Effect
@@ -88,12 +96,7 @@
 	if f.GetAlreadyRun() {
 		return x.ticket.AlreadyRun(n)
 	}
-	effects := x.ticket.Broken(now, n, f.GetNotRun())
-	if len(effects) > 0 {
-		x.s.entry.Lost(now, a.agent)
-		x.s.metrics.Attempts.WithLabelValues("lost").Inc()
-	}
-	return effects
+	return x.broken(now, n, a, f.GetNotRun())
 }
 
 // onEnd takes the end of an answer. An answer that is not all there is broken.
--- a/internal/edge/entryd/server.go
+++ b/internal/edge/entryd/server.go
@@ -144,7 +144,7 @@
 	if err := s.serveCallers(ctx, group); err != nil {
 		return err
 	}
-	if err := s.serveProcesses(ctx, group); err != nil {
+	if err := s.o.Serve(ctx, group, s.o.Log, s.rpcHandler(), ops.Handler(s.metrics.Registry, s.notReady)); err != nil {
 		return err
 	}
 	group.Go(func() error { return s.loop.Run(ctx) })
@@ -172,7 +172,7 @@
 		} else {
 			err = s.callers.Serve(l)
 		}
-		return ignoreClosed(err)
+		return rpc.IgnoreClosed(err)
 	})
 	group.Go(func() error {
 		<-ctx.Done()
@@ -182,36 +182,6 @@
 	return nil
 }
 
-// serveProcesses listens for other processes and operators.
-func (s *Server) serveProcesses(ctx context.Context, group *errgroup.Group) error {
-	rpcListener, err := program.Listen(s.o.Log, "rpc-listen", s.o.RPC)
-	if err != nil {
-		return err
-	}
-	opsListener, err := program.Listen(s.o.Log, "ops-listen", s.o.Ops)
-	if err != nil {
-		return err
-	}
-	rpcServer, err := s.o.Keys.Server(s.rpcHandler())
-	if err != nil {
-		return err
-	}
-	plain := &rpc.Keys{Plain: true}
-	opsServer, err := plain.Server(ops.Handler(s.metrics.Registry, s.notReady))
-	if err != nil {
-		return err
-	}
-	group.Go(func() error { return s.o.Keys.Serve(rpcServer, rpcListener) })
-	group.Go(func() error { return plain.Serve(opsServer, opsListener) })
-	group.Go(func() error {
-		<-ctx.Done()
-		_ = rpcServer.Close()
-		_ = opsServer.Close()
-		return nil
-	})
-	return nil
-}
-
 func (s *Server) rpcHandler() http.Handler {
 	mux := http.NewServeMux()
 	path, h := gladegaugev1connect.NewPeerServiceHandler(s.sync, rpc.SmallMessages)
@@ -221,13 +191,6 @@
 	return mux
 }
 
-func ignoreClosed(err error) error {
-	if err == http.ErrServerClosed { //nolint:errorlint // The server returns it as it is.
-		return nil
-	}
-	return err
-}
-
 func (s *Server) notReady() string {
 	switch {
 	case s.leaving.Load():
--- a/internal/edge/program/program.go
+++ b/internal/edge/program/program.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -177,6 +178,37 @@
 	return l, nil
 }
 
+// Serve listens for other processes and for operators' tools, until the context
+// ends.
+func (c *Common) Serve(ctx context.Context, group *errgroup.Group, log zerolog.Logger, processes, operators http.Handler) error {
+	rpcListener, err := Listen(log, "rpc-listen", c.RPC)
+	if err != nil {
+		return err
+	}
+	opsListener, err := Listen(log, "ops-listen", c.Ops)
+	if err != nil {
+		return err
+	}
+	rpcServer, err := c.Keys.Server(processes)
+	if err != nil {
+		return err
+	}
+	plain := &rpc.Keys{Plain: true}
+	opsServer, err := plain.Server(operators)
+	if err != nil {
+		return err
+	}
+	group.Go(func() error { return c.Keys.Serve(rpcServer, rpcListener) })
+	group.Go(func() error { return plain.Serve(opsServer, opsListener) })
+	group.Go(func() error {
+		<-ctx.Done()
+		_ = rpcServer.Close()
+		_ = opsServer.Close()
+		return nil
+	})
+	return nil
+}
+
 // WaitUntil asks again and again until the condition holds.
 func WaitUntil(ctx context.Context, done func() bool) error {
 	const every = 20 * time.Millisecond
--- a/internal/edge/rpc/rpc.go
+++ b/internal/edge/rpc/rpc.go
@@ -83,10 +83,15 @@
 	} else {
 		err = s.ServeTLS(l, "", "")
 	}
+	return IgnoreClosed(errors.Wrapf(err, "serve %s", l.Addr()))
+}
+
+// IgnoreClosed returns the error of a server, but not that it was closed.
+func IgnoreClosed(err error) error {
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
-	return errors.Wrapf(err, "serve %s", l.Addr())
+	return err
 }
 
 // Client returns a client of the other processes.
--- a/internal/edge/spread/peers.go
+++ b/internal/edge/spread/peers.go
@@ -73,16 +73,17 @@
 	if err != nil {
 		return false
 	}
-	behind := false
+	want := &gladegaugev1.FetchRequest{}
 	err = s.o.Loop.Do(ctx, func(now time.Time) {
-		s.Heard(resp.Msg.GetState().GetVersion(), address)
-		behind = s.behind(resp.Msg.GetState())
-		if !behind {
+		want.Manifest = s.newer(resp.Msg.GetState().GetVersion(), address)
+		want.Zones = s.newerZones(resp.Msg.GetState())
+		if !want.GetManifest() && len(want.GetZones()) == 0 {
 			s.fresh.Confirmed(now)
+			want = nil
 		}
 	})
-	if err == nil && behind {
-		return s.fetchFrom(ctx, address)
+	if err == nil && want != nil {
+		return s.fetchFrom(ctx, address, want)
 	}
 	return err == nil
 }
@@ -95,24 +96,21 @@
 	s.o.Metrics.PeerCalls.WithLabelValues(kind, result).Inc()
 }
 
-// pullLoop fetches from processes that were heard to be ahead.
+// pullLoop asks and fetches from processes that were heard to be ahead.
 func (s *Sync) pullLoop(ctx context.Context) error {
 	for {
 		select {
 		case address := <-s.pulls:
-			fetchCtx, cancel := context.WithTimeout(ctx, callTimeout)
-			s.fetchFrom(fetchCtx, address)
-			cancel()
+			s.exchange(ctx, address)
 		case <-ctx.Done():
 			return nil
 		}
 	}
 }
 
-// fetchFrom fetches all that the peer has newer.
-func (s *Sync) fetchFrom(ctx context.Context, address string) bool {
-	zones := s.wantedZones(ctx, address)
-	resp, err := s.peer(address).Fetch(ctx, connect.NewRequest(&gladegaugev1.FetchRequest{Manifest: true, Zones: zones}))
+// fetchFrom fetches what the peer has newer.
+func (s *Sync) fetchFrom(ctx context.Context, address string, want *gladegaugev1.FetchRequest) bool {
+	resp, err := s.peer(address).Fetch(ctx, connect.NewRequest(want))
 	s.countPeer("fetch", err)
 	if err != nil {
 		return false
@@ -124,7 +122,7 @@
 		for _, list := range resp.Msg.GetLists() {
 			s.takeList(now, list)
 		}
-		if manifest != nil && s.holder.Consider(manifest) == revision.Newer {
+		if manifest != nil && s.consider(manifest, address) == revision.Newer {
 			wanted = true
 			missing = s.holder.Missing(manifest)
 		}
@@ -152,15 +150,3 @@
 	_ = s.o.Loop.Do(ctx, func(now time.Time) { verdict = s.apply(now, doc) })
 	return verdict != revision.Rejected
 }
-
-// wantedZones asks the peer which host lists it has newer.
-func (s *Sync) wantedZones(ctx context.Context, address string) []string {
-	resp, err := s.peer(address).Exchange(ctx, connect.NewRequest(&gladegaugev1.ExchangeRequest{}))
-	s.countPeer("exchange", err)
-	if err != nil {
-		return nil
-	}
-	var zones []string
-	_ = s.o.Loop.Do(ctx, func(time.Time) { zones = s.newerZones(resp.Msg.GetState()) })
-	return zones
-}
--- a/internal/edge/spread/platform.go
+++ b/internal/edge/spread/platform.go
@@ -235,7 +235,7 @@
 	var verdict revision.Verdict
 	var missing []string
 	err := s.o.Loop.Do(ctx, func(time.Time) {
-		verdict = s.holder.Consider(m)
+		verdict = s.consider(m, platformName)
 		missing = s.holder.Missing(m)
 	})
 	if err != nil || verdict != revision.Newer {
--- a/internal/edge/spread/sync.go
+++ b/internal/edge/spread/sync.go
@@ -72,6 +72,8 @@
 	rewatch  chan struct{}
 	turn     int
 	watching bool
+	// conflicting is the revision whose conflict was logged last.
+	conflicting uint64
 }
 
 // New returns a Sync that knows nothing yet.
@@ -128,21 +130,34 @@
 // Heard compares a version that rode on another process's message, and fetches
 // from it if it is newer. It runs in the control loop.
 func (s *Sync) Heard(v *gladegaugev1.Version, address string) {
-	if v.GetRevision() == 0 || address == "" {
-		return
+	if s.newer(v, address) {
+		s.pull(address)
+	}
+}
+
+// newer reports whether another process's version is above the one in force,
+// and notes a conflict. It runs in the control loop.
+func (s *Sync) newer(v *gladegaugev1.Version, address string) bool {
+	if v.GetRevision() == 0 {
+		return false
 	}
 	switch s.holder.Compare(v.GetRevision(), string(v.GetDigest())) {
 	case revision.Newer:
-		s.pull(address)
+		return true
 	case revision.Conflict:
 		s.conflict(v.GetRevision(), address)
 	case revision.Older, revision.Same, revision.Accepted, revision.Rejected:
 	}
+	return false
 }
 
+// platformName stands for the platform where a peer's address would.
+const platformName = "platform"
+
 func (s *Sync) conflict(rev uint64, address string) {
 	s.o.Metrics.Conflicts.Inc()
-	if s.holder.Conflicts() == 1 {
+	if s.conflicting != rev {
+		s.conflicting = rev
 		s.o.Log.Error().Uint64("revision", rev).Str("peer", address).
 			Msg("another document has the revision in force; the first one stays")
 	}
@@ -180,14 +195,6 @@
 	return zones
 }
 
-// behind reports whether the other state has anything newer. It runs in the
-// control loop.
-func (s *Sync) behind(st *gladegaugev1.PeerState) bool {
-	v := st.GetVersion()
-	newer := v.GetRevision() > 0 && s.holder.Compare(v.GetRevision(), string(v.GetDigest())) == revision.Newer
-	return newer || len(s.newerZones(st)) > 0
-}
-
 // takeList takes a host list into force. It runs in the control loop.
 func (s *Sync) takeList(now time.Time, list *gladegaugev1.HostList) {
 	list.Hosts = slices.DeleteFunc(list.GetHosts(), s.faulty)
@@ -239,6 +246,16 @@
 	}
 }
 
+// consider judges a manifest before its shards are fetched, and notes a
+// conflict. It runs in the control loop.
+func (s *Sync) consider(m *gladegaugev1.Manifest, from string) revision.Verdict {
+	verdict := s.holder.Consider(m)
+	if verdict == revision.Conflict {
+		s.conflict(m.GetRevision(), from)
+	}
+	return verdict
+}
+
 // apply takes a document into force. It runs in the control loop.
 func (s *Sync) apply(now time.Time, doc config.Document) revision.Verdict {
 	verdict, faults := s.holder.Apply(doc)
@@ -256,7 +273,7 @@
 				Msg("published configuration is rejected")
 		}
 	case revision.Conflict:
-		s.conflict(doc.Manifest.GetRevision(), "platform")
+		s.conflict(doc.Manifest.GetRevision(), platformName)
 	case revision.Older, revision.Same, revision.Newer:
 	}
 	return verdict
@@ -272,11 +289,11 @@
 	resp := &gladegaugev1.ExchangeResponse{}
 	err := s.o.Loop.Do(ctx, func(now time.Time) {
 		resp.State = s.state()
-		if !s.behind(req.Msg.GetState()) {
-			return
-		}
-		if h, ok := s.set.Host(req.Msg.GetFrom()); ok {
-			s.pull(h.Address)
+		from, known := s.set.Host(req.Msg.GetFrom())
+		state := req.Msg.GetState()
+		behind := s.newer(state.GetVersion(), from.Address) || len(s.newerZones(state)) > 0
+		if behind && known {
+			s.pull(from.Address)
 		}
 	})
 	if err != nil {
--- a/internal/edge/spread/sync_test.go
+++ b/internal/edge/spread/sync_test.go
@@ -1,12 +1,13 @@
 package spread
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -77,6 +78,8 @@
 	cancel   context.CancelFunc
 	group    *errgroup.Group
 	revision func() uint64
+	metrics  *metrics.Metrics
+	log      bytes.Buffer
 }
 
 // fleet is a number of processes with one platform.
@@ -157,11 +160,12 @@
 	client := &http.Client{Transport: port{f: f.fabric, from: n.id}}
 	l := loop.New(time.Now)
 	m := metrics.New(prometheus.NewRegistry())
+	n.metrics = m
 	n.sync = New(Options{
 		Self: member.Host{ID: n.id, Zone: n.zone, Role: member.Entry}, Loop: l, HTTP: client,
 		Platform: platform.New("http://"+platformHost, client, func(string, string) {}),
 		URL:      func(a string) string { return "http://" + a }, Seeds: seeds, Metrics: m,
-		Log:      zerolog.New(os.Stderr).Level(zerolog.Disabled),
+		Log:      zerolog.New(zerolog.SyncWriter(&n.log)),
 		OnConfig: func(time.Time, *config.Config) {}, OnMembers: func(time.Time, *member.Set) {},
 	})
 	mux := http.NewServeMux()
@@ -226,6 +230,24 @@
 	return watches
 }
 
+// logged returns the log, read between two steps of the control loop.
+func (n *process) logged() string {
+	text := ""
+	n.sync.o.Loop.Must(func(time.Time) { text = n.log.String() })
+	return text
+}
+
+// counted returns the value of a counter without labels.
+func (n *process) counted(name string) float64 {
+	families, _ := n.metrics.Registry.Gather()
+	for _, family := range families {
+		if family.GetName() == name {
+			return family.GetMetric()[0].GetCounter().GetValue()
+		}
+	}
+	return 0
+}
+
 // revisions returns the lowest and highest revision in force.
 func (f *fleet) revisions() (low, high uint64) {
 	low = 1 << 60
@@ -415,6 +437,14 @@
 			if seen == 0 {
 				f.t.Error("the conflict went unnoticed")
 			}
+			for _, n := range f.processes {
+				if n.counted("gladegauge_configuration_conflicts_total") == 0 {
+					f.t.Errorf("%s did not count the conflict", n.id)
+				}
+				if lines := strings.Count(n.logged(), "another document has the revision in force"); lines != 1 {
+					f.t.Errorf("%s logged the conflict %d times", n.id, lines)
+				}
+			}
 		}, 2},
 	}
 	for _, tt := range tests {
--- a/internal/slopes/main.go
+++ b/internal/slopes/main.go
@@ -343,7 +343,7 @@
 	}
 	for range offers {
 		messages = append(messages,
-			&gladegaugev1.Offer{Attempt: "0123456789abcdef0123/0", Class: "class-1", Organisation: "organisation-1", Weight: 1, AgeMs: 1, Copies: 2, Version: version()},
+			&gladegaugev1.Offer{Attempt: "0123456789abcdef0123/0", Class: "class-1", Organisation: "organisation-1", Weight: 1, AgeMs: 1, Copies: 2},
 			&gladegaugev1.Accepted{Load: load})
 	}
 	sum := 0
