Gateway: an entry that calls the replicas itself, over an adapter to the users' platform

Cause: on the users' machines replicas order their own queues and plain services have no process of ours beside them, so an entry must keep every promise alone. The first division of the design is built thin: one program on the entry hosts.

Ruled out for now: agents in the path (no slot beside the plain services).

--- /dev/null
+++ b/cmd/gladegauge-gateway/main.go
@@ -0,0 +1,125 @@
+// Command gladegauge-gateway takes callers' requests and calls upstreams
+// itself, without agents beside them.
+//
+// # Usage
+//
+//	GLADEGAUGE_NODE_FILE=/etc/gladegauge/settings.conf gladegauge-gateway run
+//	gladegauge-gateway settings
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/gladegauge/gladegauge/internal/core/config"
+	"github.com/gladegauge/gladegauge/internal/edge/gatewayd"
+	"github.com/gladegauge/gladegauge/internal/edge/logging"
+	"github.com/gladegauge/gladegauge/internal/edge/program"
+	"github.com/gladegauge/gladegauge/internal/edge/settings"
+	"github.com/gladegauge/gladegauge/platform"
+)
+
+const (
+	// memoryShare is the part of the host's limit at which the garbage
+	// collector works harder, so that the process is never killed for memory.
+	memoryShare = 0.7
+	// collectAt is the garbage collector's target in percent of live data.
+	// Memory is dear on the hosts of entries, and their live data is small.
+	collectAt = 50
+	// maxPort is the highest port number.
+	maxPort = 65535
+)
+
+type options struct {
+	path        string
+	logLevel    string
+	metricsPort int
+	settings    platform.Settings
+}
+
+func main() {
+	run := runCommand()
+	program.Main(run, runCommand().Settings(), program.VersionCommand())
+}
+
+func runCommand() *program.Command {
+	o := &options{}
+	return &program.Command{
+		Title: "run",
+		Short: "run the gateway until it is told to stop",
+		Declare: func(s *settings.Set) {
+			s.String(&o.path, "node-file", "", "path of the platform's settings file", settings.Required)
+			s.String(&o.logLevel, "log-level", "info", "lowest level of log lines", settings.OneOf(logging.Levels...))
+			s.Int(&o.metricsPort, "metrics-port", 0, "port of /metrics on this host's address; 0 for none")
+		},
+		Check: func() config.Faults { return check(o) },
+		Do:    func(ctx context.Context, _ []string) int { return run(ctx, o) },
+	}
+}
+
+func check(o *options) config.Faults {
+	var f config.Faults
+	if o.metricsPort < 0 || o.metricsPort > maxPort {
+		f.Add("-metrics-port", "must be from 0 to %d", maxPort)
+	}
+	var more config.Faults
+	o.settings, more = platform.ReadSettings(o.path)
+	return append(f, more...)
+}
+
+func run(ctx context.Context, o *options) int {
+	debug.SetGCPercent(collectAt)
+	if limit := o.settings.MemoryBytes; limit > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(limit)))
+	}
+	out := logging.NewBounded(os.Stdout)
+	log := newLogger(out, o)
+	log.Info().Str("version", program.Version()).Str("zone", o.settings.Zone).
+		Bool("first_start", o.settings.FirstStart).Msg("starting")
+	s := gatewayd.New(&gatewayd.Options{
+		Settings:     o.settings,
+		SettingsPath: o.path,
+		MetricsPort:  o.metricsPort,
+		Log:          log,
+		LogsDropped:  out.Dropped,
+	})
+	code := serve(ctx, s, log)
+	if err := out.Close(); err != nil {
+		return program.ExitFailure
+	}
+	return code
+}
+
+func newLogger(out *logging.Bounded, o *options) zerolog.Logger {
+	zerolog.TimeFieldFormat = time.RFC3339Nano
+	level, err := zerolog.ParseLevel(o.logLevel)
+	if err != nil {
+		level = zerolog.InfoLevel
+	}
+	return zerolog.New(out).Level(level).With().Timestamp().Str("host", o.settings.Host).Logger()
+}
+
+// serve runs the gateway until a signal to stop, and takes changed settings.
+func serve(ctx context.Context, s *gatewayd.Server, log zerolog.Logger) int {
+	stop, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
+	defer cancel()
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
+	group, stop := errgroup.WithContext(stop)
+	group.Go(func() error { return s.Run(stop) })
+	group.Go(func() error { return s.Reload(stop, reload) })
+	if err := group.Wait(); err != nil {
+		log.Error().Err(err).Msg("stopped")
+		return program.ExitFailure
+	}
+	log.Info().Msg("stopped")
+	return program.ExitOK
+}
--- /dev/null
+++ b/internal/core/balance/cache.go
@@ -0,0 +1,80 @@
+package balance
+
+import "time"
+
+// Bounds of the picture of an engine's KV cache.
+const (
+	// cacheShare is the part of an engine's memory that the parts in the
+	// picture may fill; the rest is for running requests and for parts that
+	// other gateways caused.
+	cacheShare = 0.5
+	// cacheEntries bounds the memory of the picture of one engine.
+	cacheEntries = 2048
+	// cacheKeep is how long a part is believed to be kept without use.
+	cacheKeep = 30 * time.Second
+)
+
+type cachedPart struct {
+	tokens int
+	usedAt time.Time
+}
+
+// cache is what one engine is believed to keep, by what was sent to it.
+type cache struct {
+	parts  map[uint64]cachedPart
+	tokens int
+	limit  int
+}
+
+func newCache(memoryTokens int) *cache {
+	return &cache{
+		parts: make(map[uint64]cachedPart),
+		limit: int(cacheShare * float64(memoryTokens)),
+	}
+}
+
+// held returns the tokens of the prompt that the engine is believed to keep.
+func (c *cache) held(now time.Time, p Prompt, keys []uint64) int {
+	tokens := 0
+	for i, key := range keys {
+		part, ok := c.parts[key]
+		if !ok || now.Sub(part.usedAt) > cacheKeep {
+			break
+		}
+		tokens += p.Parts[i].Tokens
+	}
+	return tokens
+}
+
+// used notes that the engine has read the prompt.
+func (c *cache) used(now time.Time, p Prompt, keys []uint64) {
+	for i, key := range keys {
+		if _, ok := c.parts[key]; !ok {
+			c.tokens += p.Parts[i].Tokens
+		}
+		c.parts[key] = cachedPart{tokens: p.Parts[i].Tokens, usedAt: now}
+	}
+	for len(c.parts) > cacheEntries || (c.limit > 0 && c.tokens > c.limit) {
+		if !c.evict() {
+			return
+		}
+	}
+}
+
+// evict forgets the part that was unused for the longest, as the engine does.
+func (c *cache) evict() bool {
+	var oldest uint64
+	var at time.Time
+	for key, part := range c.parts {
+		if at.IsZero() || part.usedAt.Before(at) || (part.usedAt.Equal(at) && key < oldest) {
+			oldest, at = key, part.usedAt
+		}
+	}
+	part, ok := c.parts[oldest]
+	if !ok {
+		return false
+	}
+	delete(c.parts, oldest)
+	c.tokens -= part.tokens
+	return true
+}
--- /dev/null
+++ b/internal/core/balance/doc.go
@@ -0,0 +1,26 @@
+// Package balance picks the upstream that a gateway sends a request to.
+//
+// A gateway has no agent to ask. It knows exactly what it sent itself, it
+// learns from answers what others sent, and it keeps a picture of what each
+// model engine has in its KV cache. A pick compares the expected cost of each
+// upstream in milliseconds: the wait for work that is already there, the
+// prompt that must be read anew, and the harm that reading does to streams
+// that run beside it.
+//
+// Shared prompts have a home: the first upstream in rendezvous order of the
+// deepest shared part. All gateways that know the same upstreams agree on it
+// without a word, and leave it for the next in order when it is overloaded.
+// Streams with tight pauses are kept apart from long prompts in the same way,
+// by ranking the upstreams and giving the first few of them to the former.
+//
+// Upstreams that fail more often than the rest of their pool are ejected for
+// a time. Ejection never covers more than half of a pool.
+//
+// # Usage
+//
+//	t := balance.New(zone)
+//	t.SetInstances(now, instances)
+//	c, ok := t.Pick(now, balance.Request{Pool: "judge", Prompt: prompt})
+//	t.Began(now, c)                      // its first byte came
+//	t.Ended(now, c, balance.Completed)
+package balance
--- /dev/null
+++ b/internal/core/balance/health.go
@@ -0,0 +1,99 @@
+package balance
+
+import "time"
+
+// Bounds of ejection.
+const (
+	// failureMemory is the weight of the latest answer in the failure rate;
+	// the rate covers about the last eight answers.
+	failureMemory = 0.13
+	// ejectRate is the failure rate, above the pool's own, that ejects an
+	// upstream: two failures after a clean past stay below it, three do not.
+	ejectRate = 0.3
+	// ejectBase and ejectMax bound how long an upstream is ejected; the time
+	// doubles with each ejection that follows at once.
+	ejectBase = time.Second
+	ejectMax  = 8 * time.Second
+	// ejectForget is the time without an ejection after which the next one is
+	// short again.
+	ejectForget = 20 * time.Second
+	// unreachableFor is how long an upstream is left alone after a connection
+	// to it could not be made.
+	unreachableFor = 700 * time.Millisecond
+	// maxEjectedShare is the part of a pool that may be ejected at once.
+	maxEjectedShare = 0.5
+)
+
+// health follows how often an upstream fails.
+type health struct {
+	rate      float64
+	ejections int
+	ejectedAt time.Time
+	until     time.Time
+}
+
+func (h *health) ejected(now time.Time) bool { return now.Before(h.until) }
+
+func (h *health) succeeded() {
+	h.rate -= failureMemory * h.rate
+}
+
+func (h *health) failed() {
+	h.rate += failureMemory * (1 - h.rate)
+}
+
+func (h *health) eject(now time.Time, d time.Duration) {
+	h.ejectedAt = now
+	if until := now.Add(d); until.After(h.until) {
+		h.until = until
+	}
+}
+
+// nextEjection returns how long the next ejection lasts.
+func (h *health) nextEjection(now time.Time) time.Duration {
+	if !h.ejectedAt.IsZero() && now.Sub(h.ejectedAt) > ejectForget {
+		h.ejections = 0
+	}
+	d := min(ejectBase<<min(h.ejections, 5), ejectMax)
+	h.ejections++
+	return d
+}
+
+// judge ejects the upstream if it fails more often than its pool.
+func (t *Table) judge(now time.Time, u *upstream) {
+	p := t.pools[u.Pool]
+	if p == nil || u.health.ejected(now) {
+		return
+	}
+	if u.health.rate < p.failureRate(u)+ejectRate || !p.mayEject(now) {
+		return
+	}
+	u.health.eject(now, u.health.nextEjection(now))
+	// On its return it has to fail again before it is ejected again.
+	u.health.rate = ejectRate / 2
+}
+
+// failureRate is the mean rate of the other upstreams of the pool.
+func (p *pool) failureRate(except *upstream) float64 {
+	sum, n := 0.0, 0
+	for _, u := range p.members {
+		if u != except {
+			sum += u.health.rate
+			n++
+		}
+	}
+	if n == 0 {
+		return 1
+	}
+	return sum / float64(n)
+}
+
+func (p *pool) mayEject(now time.Time) bool {
+	ejected := 0
+	for _, u := range p.members {
+		if u.health.ejected(now) {
+			ejected++
+		}
+	}
+	return float64(ejected+1) <= maxEjectedShare*float64(len(p.members))
+}
--- /dev/null
+++ b/internal/core/balance/load.go
@@ -0,0 +1,80 @@
+package balance
+
+import "time"
+
+// Load is what an upstream says of itself in an answer.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int
+}
+
+// staleAfter is the age at which a load says nothing any more: many requests
+// come and go in that time.
+const staleAfter = 2 * time.Second
+
+// load is the latest word of an upstream, and what this gateway had sent then.
+type load struct {
+	Load
+	at    time.Time
+	own   int
+	known bool
+}
+
+// run is a request that this gateway sent and that has not ended.
+type run struct {
+	route string
+	// unread is the part of the prompt that the engine has to read, in tokens;
+	// 0 once its first event came.
+	unread int
+	// pause is the longest pause that its caller bears; 0 for any.
+	pause  time.Duration
+	sentAt time.Time
+	begun  bool
+}
+
+// others estimates how many requests of other gateways are at the upstream.
+func (u *upstream) others(now time.Time) float64 {
+	if !u.load.known {
+		return 0
+	}
+	trust := 1 - float64(now.Sub(u.load.at))/float64(staleAfter)
+	if trust <= 0 {
+		return 0
+	}
+	return trust * float64(max(0, u.load.Running+u.load.Waiting-u.load.own))
+}
+
+// inFlight estimates how many requests are at the upstream.
+func (u *upstream) inFlight(now time.Time) float64 {
+	return float64(len(u.running)) + u.others(now)
+}
+
+// unread is the prompt tokens that this gateway's requests still wait for.
+func (u *upstream) unread() int {
+	tokens := 0
+	for _, r := range u.running {
+		tokens += r.unread
+	}
+	return tokens
+}
+
+// tight counts the streams that bear only pauses up to the limit.
+func (u *upstream) tight(limit time.Duration) int {
+	n := 0
+	for _, r := range u.running {
+		if r.pause > 0 && r.pause <= limit {
+			n++
+		}
+	}
+	return n
+}
+
+// Reported takes the load that rode on an answer.
+func (t *Table) Reported(now time.Time, id string, l Load) {
+	u, ok := t.upstreams[id]
+	if !ok {
+		return
+	}
+	u.load = load{Load: l, at: now, own: len(u.running), known: true}
+}
--- /dev/null
+++ b/internal/core/balance/outcome.go
@@ -0,0 +1,97 @@
+package balance
+
+import "time"
+
+// Outcome is what became of a request at an upstream.
+type Outcome int
+
+// Outcomes of a request.
+const (
+	// Completed means that the whole answer came.
+	Completed Outcome = iota + 1
+	// Faulty means that the upstream answered with an error of its own.
+	Faulty
+	// Refused means that the upstream did not run the request.
+	Refused
+	// Unreachable means that no connection could be made.
+	Unreachable
+	// Broken means that no answer came, or only a part of one.
+	Broken
+	// Abandoned means that the gateway gave the request up; it says nothing
+	// about the upstream.
+	Abandoned
+)
+
+// String names the outcome in logs.
+func (o Outcome) String() string {
+	names := [...]string{"", "completed", "faulty", "refused", "unreachable", "broken", "abandoned"}
+	if o < Completed || int(o) >= len(names) {
+		return "unknown"
+	}
+	return names[o]
+}
+
+// Began notes that the first event of a stream, or the head of an answer, came.
+func (t *Table) Began(now time.Time, c Choice) {
+	u, ok := t.upstreams[c.ID]
+	if !ok {
+		return
+	}
+	u.heard(now)
+	r, ok := u.running[c.run]
+	if !ok || r.begun {
+		return
+	}
+	r.begun = true
+	r.unread = 0
+	if c.prompt.Tokens > 0 {
+		t.pool(u.Pool).speed.learn(c.Unread, now.Sub(r.sentAt))
+		u.cache.used(now, c.prompt, c.keys)
+	}
+}
+
+// Heard notes that anything came from the upstream.
+func (t *Table) Heard(now time.Time, id string) {
+	if u, ok := t.upstreams[id]; ok {
+		u.heard(now)
+	}
+}
+
+func (u *upstream) heard(now time.Time) {
+	u.heardAt = now
+	u.askedAt = time.Time{}
+}
+
+// Ended notes what became of the request. Tokens is the size of the answer.
+func (t *Table) Ended(now time.Time, c Choice, o Outcome, tokens int) {
+	u, ok := t.upstreams[c.ID]
+	if !ok {
+		return
+	}
+	r, ok := u.running[c.run]
+	if !ok {
+		return
+	}
+	delete(u.running, c.run)
+	if len(u.running) == 0 && o != Broken {
+		u.askedAt = time.Time{}
+	}
+	switch o {
+	case Completed:
+		u.heard(now)
+		u.health.succeeded()
+		u.pace.learn(now.Sub(r.sentAt))
+		t.pool(u.Pool).split.answered(r.route, tokens)
+	case Refused:
+		u.heard(now)
+	case Faulty, Broken:
+		u.health.failed()
+		t.judge(now, u)
+	case Unreachable:
+		u.health.failed()
+		if p := t.pools[u.Pool]; p.mayEject(now) {
+			u.health.eject(now, unreachableFor)
+		}
+	case Abandoned:
+	}
+}
--- /dev/null
+++ b/internal/core/balance/table.go
@@ -0,0 +1,152 @@
+package balance
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/gladegauge/gladegauge/internal/core/ingress"
+)
+
+// Instance is one start of an upstream, as the platform lists it.
+type Instance struct {
+	// ID names this start; the next start at the same address has another one.
+	ID      string
+	Address string
+	Zone    string
+	Pool    string
+	// Slots is the number of requests that run at once.
+	Slots   int
+	Leaving bool
+}
+
+// upstream is what the table knows of one instance.
+type upstream struct {
+	Instance
+	hash    uint64
+	health  health
+	cache   *cache
+	load    load
+	pace    pace
+	running map[uint64]*run
+	// heardAt is when anything last came from it; askedAt is when the oldest
+	// request was sent that it has not said anything after.
+	heardAt time.Time
+	askedAt time.Time
+}
+
+// pool is the upstreams that serve the same requests.
+type pool struct {
+	members []*upstream
+	engine  *ingress.Engine
+	speed   speed
+	split   split
+}
+
+// Table is one gateway's view of the upstreams. It is not safe for concurrent
+// use.
+type Table struct {
+	zone      string
+	upstreams map[string]*upstream
+	pools     map[string]*pool
+	lastRun   uint64
+}
+
+// New returns a table without upstreams for a gateway in the zone.
+func New(zone string) *Table {
+	return &Table{
+		zone:      zone,
+		upstreams: make(map[string]*upstream),
+		pools:     make(map[string]*pool),
+	}
+}
+
+// SetInstances takes the list of upstreams. What is known of those that stay
+// is kept. It returns the identities that came and went.
+func (t *Table) SetInstances(list []Instance) (came, went []string) {
+	seen := make(map[string]bool, len(list))
+	for _, in := range list {
+		seen[in.ID] = true
+		u, ok := t.upstreams[in.ID]
+		if !ok {
+			u = &upstream{
+				hash:    xxhash.Sum64String(in.ID),
+				cache:   newCache(0),
+				running: make(map[uint64]*run),
+			}
+			t.upstreams[in.ID] = u
+			came = append(came, in.ID)
+		}
+		u.Instance = in
+	}
+	for id := range t.upstreams {
+		if !seen[id] {
+			delete(t.upstreams, id)
+			went = append(went, id)
+		}
+	}
+	t.index()
+	slices.Sort(came)
+	slices.Sort(went)
+	return came, went
+}
+
+// index sorts the upstreams into their pools, in order of rank.
+func (t *Table) index() {
+	for _, p := range t.pools {
+		p.members = p.members[:0]
+	}
+	for _, u := range t.upstreams {
+		p := t.pool(u.Pool)
+		p.members = append(p.members, u)
+	}
+	for _, p := range t.pools {
+		slices.SortFunc(p.members, func(a, b *upstream) int { return cmp.Compare(a.hash, b.hash) })
+	}
+	t.limitCaches()
+}
+
+func (t *Table) pool(name string) *pool {
+	p, ok := t.pools[name]
+	if !ok {
+		p = &pool{}
+		t.pools[name] = p
+	}
+	return p
+}
+
+// SetPools takes what the configuration says of the pools' engines.
+func (t *Table) SetPools(table *ingress.Table) {
+	for name := range t.pools {
+		if p, ok := table.Pool(name); ok {
+			t.pools[name].engine = p.Engine
+		}
+	}
+	t.limitCaches()
+}
+
+func (t *Table) limitCaches() {
+	for _, p := range t.pools {
+		if p.engine == nil {
+			continue
+		}
+		for _, u := range p.members {
+			u.cache.limit = int(cacheShare * float64(p.engine.MemoryTokens))
+		}
+	}
+}
+
+// Size returns the number of upstreams of the pool that do not leave.
+func (t *Table) Size(name string) int {
+	n := 0
+	if p, ok := t.pools[name]; ok {
+		for _, u := range p.members {
+			if !u.Leaving {
+				n++
+			}
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/core/gateway/next.go
@@ -0,0 +1,152 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+)
+
+// Failure is how an attempt ended without a good answer.
+type Failure int
+
+// Failures of an attempt.
+const (
+	// Unsent means that no byte of the request was written.
+	Unsent Failure = iota + 1
+	// NotRun means that the upstream promised not to have run it.
+	NotRun
+	// Faulty means that the upstream answered with an error of its own.
+	Faulty
+	// Lost means that there was no answer, or none that can be used.
+	Lost
+	// Silent means that the gateway stopped waiting for this upstream.
+	Silent
+	// CallerGone means that the caller has left.
+	CallerGone
+)
+
+// String names the failure in logs.
+func (f Failure) String() string {
+	names := [...]string{"", "unsent", "not_run", "faulty", "lost", "silent", "caller_gone"}
+	if f < Unsent || int(f) >= len(names) {
+		return "unknown"
+	}
+	return names[f]
+}
+
+// Bounds of attempts.
+const (
+	// maxUnsent is the number of upstreams that may turn out unreachable
+	// before the request is refused. They do not count as attempts.
+	maxUnsent = 4
+	// leastLeft is the time that must be left for another attempt to be worth
+	// it: a round trip and a short answer.
+	leastLeft = 15 * time.Millisecond
+)
+
+// Progress is what happened to a request so far.
+type Progress struct {
+	// Sent is the number of upstreams that a byte of it was written to.
+	Sent int
+	// Unsent is the number of upstreams that could not be reached.
+	Unsent int
+	// MayHaveRun is true once an attempt is not provably unrun.
+	MayHaveRun bool
+	// Answering is true once the head of an answer went to the caller.
+	Answering bool
+	// Replayable is false if the body was passed on without being kept.
+	Replayable bool
+}
+
+// With returns the progress after an attempt failed.
+func (p Progress) With(f Failure) Progress {
+	switch f {
+	case Unsent:
+		p.Unsent++
+	case NotRun:
+		p.Sent++
+	default:
+		p.Sent++
+		p.MayHaveRun = true
+	}
+	return p
+}
+
+// Action is what is done after an attempt failed.
+type Action int
+
+// Actions after a failure.
+const (
+	// Again tries another upstream.
+	Again Action = iota + 1
+	// Relay passes on the upstream's own answer.
+	Relay
+	// Refuse answers with the refusal.
+	Refuse
+	// Cut closes the caller's connection: the head of an answer went out, and
+	// the rest will not come.
+	Cut
+)
+
+// Step is the decision after a failure.
+type Step struct {
+	Do      Action
+	Refusal *Refusal
+}
+
+// Next decides what follows a failure. The progress includes it. Spend takes a
+// retry from the budget and is called only if one is due.
+func Next(now time.Time, a Admission, p Progress, f Failure, spend func() bool) Step {
+	if f == CallerGone {
+		return Step{Do: Cut}
+	}
+	if mayTryAgain(now, a, p, f) && (f == Unsent || spend()) {
+		return Step{Do: Again}
+	}
+	switch {
+	case p.Answering:
+		return Step{Do: Cut}
+	case f == Faulty:
+		return Step{Do: Relay}
+	default:
+		return Step{Do: Refuse, Refusal: refusalAfter(now, a, p, f)}
+	}
+}
+
+func mayTryAgain(now time.Time, a Admission, p Progress, f Failure) bool {
+	if a.Deadline.Sub(now) < leastLeft || p.Sent >= a.Route.MaxAttempts {
+		return false
+	}
+	switch f {
+	case Unsent:
+		return p.Unsent < maxUnsent
+	case NotRun:
+		return p.Replayable
+	default:
+		return p.Replayable && a.Route.MayRepeat()
+	}
+}
+
+// refusalAfter tells the caller the truth about what ran.
+func refusalAfter(now time.Time, a Admission, p Progress, f Failure) *Refusal {
+	switch {
+	case p.MayHaveRun && !now.Before(a.Deadline):
+		return unknown(http.StatusGatewayTimeout, OutOfTime)
+	case p.MayHaveRun:
+		return unknown(http.StatusBadGateway, OutcomeUnknown)
+	case f == NotRun:
+		return notRun(RefusedByAll, comeBackSoon)
+	default:
+		return notRun(Unreachable, comeBackSoon)
+	}
+}
+
+// NothingLeft is the refusal when no upstream is left to try.
+func NothingLeft(now time.Time, a Admission, p Progress) *Refusal {
+	if p.MayHaveRun {
+		return refusalAfter(now, a, p, Lost)
+	}
+	if p.Sent+p.Unsent == 0 {
+		return notRun(NoUpstream, comeBackLater)
+	}
+	return refusalAfter(now, a, p, NotRun)
+}
--- /dev/null
+++ b/internal/core/gateway/refusal.go
@@ -0,0 +1,74 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+)
+
+// Reason says in logs and metrics why a request was refused.
+type Reason string
+
+// Reasons of refusals.
+const (
+	NoConfiguration  Reason = "no_configuration"
+	ViewTooOld       Reason = "view_too_old"
+	NoRoute          Reason = "no_route"
+	NoKey            Reason = "no_key"
+	UnknownKey       Reason = "unknown_key"
+	NoUpstream       Reason = "no_upstream"
+	RefusedByAll     Reason = "refused_by_upstreams"
+	Unreachable      Reason = "upstreams_unreachable"
+	OutcomeUnknown   Reason = "outcome_unknown"
+	OutOfTime        Reason = "out_of_time"
+	BodyTooLarge     Reason = "body_too_large"
+	BodyNotRead      Reason = "body_not_read"
+	Overloaded       Reason = "overloaded"
+	StoppingProcess  Reason = "stopping"
+	TooManyInFlight  Reason = "too_many_in_flight"
+	MalformedRequest Reason = "malformed_request"
+)
+
+// Times after which a refused caller should come back.
+const (
+	// comeBackSoon suits what passes in moments: another upstream is tried
+	// then. It is a few round trips.
+	comeBackSoon = 50 * time.Millisecond
+	// comeBackLater suits an outage: upstreams and configurations come back
+	// within seconds.
+	comeBackLater = 500 * time.Millisecond
+)
+
+// Refusal is an answer of the gateway's own.
+type Refusal struct {
+	Status int
+	Reason Reason
+	// NotRun promises that the request has not run and will not run.
+	NotRun bool
+	// ComeBack is when the caller may try again; 0 says nothing.
+	ComeBack time.Duration
+}
+
+func notRun(reason Reason, comeBack time.Duration) *Refusal {
+	return &Refusal{Status: http.StatusServiceUnavailable, Reason: reason, NotRun: true, ComeBack: comeBack}
+}
+
+func denied(status int, reason Reason) *Refusal {
+	return &Refusal{Status: status, Reason: reason, NotRun: true}
+}
+
+func unknown(status int, reason Reason) *Refusal {
+	return &Refusal{Status: status, Reason: reason}
+}
+
+// Overload refuses a request before it is sent; comeBack is when there is
+// expected to be room.
+func Overload(comeBack time.Duration) *Refusal { return notRun(Overloaded, comeBack) }
+
+// Body returns the refusal of a request whose body is too large or did not
+// come. Nothing was sent to an upstream.
+func Body(tooLarge bool) *Refusal {
+	if tooLarge {
+		return denied(http.StatusRequestEntityTooLarge, BodyTooLarge)
+	}
+	return denied(http.StatusRequestTimeout, BodyNotRead)
+}
--- /dev/null
+++ b/internal/core/ingress/table.go
@@ -0,0 +1,167 @@
+package ingress
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/gladegauge/gladegauge/internal/core/config"
+)
+
+// Organisation is one that sends requests.
+type Organisation struct {
+	Name string
+	// Tier ranks the organisation before the tier of the route; 0 is the highest.
+	Tier int
+	Keys []config.Key
+}
+
+// Pool is a set of upstreams that serve the same requests.
+type Pool struct {
+	Name string
+	// MaxConnections is what one upstream takes from all callers together.
+	MaxConnections int
+	// Engine describes the model engines of the pool; nil for plain services.
+	Engine *Engine
+}
+
+// Engine is what the operator says of a pool's model engines.
+type Engine struct {
+	// Slots is the number of requests in one batch.
+	Slots int
+	// MemoryTokens is the KV cache of one engine in tokens.
+	MemoryTokens int
+	// EventTokens is the number of tokens in one event.
+	EventTokens int
+}
+
+// Limits bound what a caller may send and how long it may take.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Table is one version of the configuration. It is immutable and safe to share.
+type Table struct {
+	Version       int64
+	Limits        Limits
+	routes        map[string][]*Route
+	pools         map[string]Pool
+	organisations map[config.Key]*Organisation
+	open          bool
+	ranks         []rank
+}
+
+// New returns a table, or all faults of its parts. Version is positive.
+func New(version int64, routes []*Route, pools []Pool, organisations []Organisation, limits Limits) (*Table, config.Faults) {
+	t := &Table{
+		Version:       version,
+		Limits:        limits,
+		routes:        make(map[string][]*Route),
+		pools:         make(map[string]Pool, len(pools)),
+		organisations: make(map[config.Key]*Organisation),
+		open:          len(organisations) == 0,
+	}
+	var f config.Faults
+	if version <= 0 {
+		f.Add("version", "must be above 0")
+	}
+	for _, p := range pools {
+		t.pools[p.Name] = p
+	}
+	for _, r := range routes {
+		f = append(f, t.addRoute(r)...)
+	}
+	for i := range organisations {
+		f = append(f, t.addOrganisation(&organisations[i])...)
+	}
+	if len(f) > 0 {
+		return nil, f
+	}
+	for _, rs := range t.routes {
+		slices.SortFunc(rs, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	t.ranks = ranksOf(routes, organisations)
+	return t, nil
+}
+
+func (t *Table) addRoute(r *Route) config.Faults {
+	var f config.Faults
+	field := "routes." + r.Name
+	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+		f.Add(field+".prefix", "%q must begin and end with a slash", r.Prefix)
+	}
+	if r.Kind == 0 {
+		f.Add(field+".kind", "is not known")
+	}
+	if len(r.Shares) == 0 {
+		f.Add(field+".shares", "must name a pool")
+	}
+	for _, s := range r.Shares {
+		if s.Weight < 0 {
+			f.Add(field+".shares", "weight of %q is below 0", s.Pool)
+		}
+		if _, ok := t.pools[s.Pool]; !ok {
+			f.Add(field+".shares", "pool %q is not declared", s.Pool)
+		}
+	}
+	if r.Timeout <= 0 {
+		f.Add(field+".timeout", "must be above 0")
+	}
+	if r.MaxAttempts < 1 {
+		f.Add(field+".max_attempts", "must be 1 or more")
+	}
+	t.routes[r.Host] = append(t.routes[r.Host], r)
+	return f
+}
+
+func (t *Table) addOrganisation(o *Organisation) config.Faults {
+	var f config.Faults
+	if o.Name == "" {
+		f.Add("organisations", "one has no name")
+	}
+	for _, k := range o.Keys {
+		if held, ok := t.organisations[k]; ok && held.Name != o.Name {
+			f.Add("organisations."+o.Name, "shares a key with %q", held.Name)
+		}
+		t.organisations[k] = o
+	}
+	return f
+}
+
+// Route returns the route with the longest prefix of path on the host.
+func (t *Table) Route(host, path string) (*Route, bool) {
+	for _, r := range t.routes[host] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+// Routes returns the number of routes.
+func (t *Table) Routes() int {
+	n := 0
+	for _, rs := range t.routes {
+		n += len(rs)
+	}
+	return n
+}
+
+// NeedsKey reports whether requests on the route must carry a key.
+func (t *Table) NeedsKey(r *Route) bool { return !t.open && !r.Public }
+
+// Organisation returns the one that holds the key.
+func (t *Table) Organisation(key string) (*Organisation, bool) {
+	o, ok := t.organisations[config.HashKey(key)]
+	return o, ok
+}
+
+// Pool returns a pool by name.
+func (t *Table) Pool(name string) (Pool, bool) {
+	p, ok := t.pools[name]
+	return p, ok
+}
--- /dev/null
+++ b/internal/core/ingress/view.go
@@ -0,0 +1,32 @@
+package ingress
+
+import "time"
+
+// View is a table with the proof of its age.
+type View struct {
+	Table *Table
+	// NewestAt is a moment at which the table was known to be the newest one
+	// that was accepted, on the steady clock of this process.
+	NewestAt time.Time
+}
+
+// Age is how long ago the table was known to be the newest.
+func (v View) Age(now time.Time) time.Duration { return now.Sub(v.NewestAt) }
+
+// WithProof returns a view that was also the newest at the given moment. An
+// earlier moment proves nothing new.
+func (v View) WithProof(at time.Time) View {
+	if at.After(v.NewestAt) {
+		v.NewestAt = at
+	}
+	return v
+}
+
+// WithTable returns a view of a table that was the newest at the given moment.
+// A table that is not newer than the one in force is not taken.
+func (v View) WithTable(t *Table, at time.Time) (View, bool) {
+	if v.Table != nil && t.Version <= v.Table.Version {
+		return v, false
+	}
+	return View{Table: t, NewestAt: at}, true
+}
--- /dev/null
+++ b/internal/core/roster/roster.go
@@ -0,0 +1,114 @@
+// Package roster holds which upstreams there are, by what the platform said.
+//
+// An upstream that was taken off the list is gone at once. After an outage of
+// the list's keeper that does not hold: entries lapse because nobody could
+// renew them, and come back when the upstream reaches the keeper again. Until
+// then they are kept.
+//
+// # Usage
+//
+//	r := roster.New()
+//	r.Replace(now, listed)
+//	r.Change(now, changed, removed)
+//	r.Recovered(now) // the keeper answers again after an outage
+//	instances := r.Current(now)
+package roster
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/gladegauge/gladegauge/internal/core/balance"
+)
+
+// Times after an outage of the platform's store, from the users' letter: an
+// upstream that lives is back within about two seconds of the store's return.
+const (
+	// lapseGrace is how long a lapsed entry is kept.
+	lapseGrace = 2 * time.Second
+	// recovering is how long after the return entries count as lapsed.
+	recovering = 2 * time.Second
+)
+
+// Roster is the list of upstreams. It is not safe for concurrent use.
+type Roster struct {
+	listed      map[string]balance.Instance
+	lapsed      map[string]time.Time
+	recoveredAt time.Time
+}
+
+// New returns an empty roster.
+func New() *Roster {
+	return &Roster{
+		listed: make(map[string]balance.Instance),
+		lapsed: make(map[string]time.Time),
+	}
+}
+
+// Recovered notes that the keeper of the list answers again.
+func (r *Roster) Recovered(now time.Time) { r.recoveredAt = now }
+
+// Replace takes a whole list.
+func (r *Roster) Replace(now time.Time, list []balance.Instance) {
+	seen := make(map[string]bool, len(list))
+	for _, in := range list {
+		seen[in.ID] = true
+		r.put(in)
+	}
+	for id := range r.listed {
+		if !seen[id] {
+			r.remove(now, id)
+		}
+	}
+}
+
+// Change takes upstreams that came, changed or went.
+func (r *Roster) Change(now time.Time, changed []balance.Instance, removed []string) {
+	for _, in := range changed {
+		r.put(in)
+	}
+	for _, id := range removed {
+		r.remove(now, id)
+	}
+}
+
+func (r *Roster) put(in balance.Instance) {
+	r.listed[in.ID] = in
+	delete(r.lapsed, in.ID)
+}
+
+func (r *Roster) remove(now time.Time, id string) {
+	in, ok := r.listed[id]
+	if !ok {
+		return
+	}
+	if r.recoveredAt.IsZero() || now.Sub(r.recoveredAt) > recovering || in.Leaving {
+		delete(r.listed, id)
+		delete(r.lapsed, id)
+		return
+	}
+	if _, ok := r.lapsed[id]; !ok {
+		r.lapsed[id] = now.Add(lapseGrace)
+	}
+}
+
+// Current returns the upstreams in order of identity, and forgets the lapsed
+// ones whose time is over.
+func (r *Roster) Current(now time.Time) []balance.Instance {
+	for id, until := range r.lapsed {
+		if !now.Before(until) {
+			delete(r.listed, id)
+			delete(r.lapsed, id)
+		}
+	}
+	list := make([]balance.Instance, 0, len(r.listed))
+	for _, in := range r.listed {
+		list = append(list, in)
+	}
+	slices.SortFunc(list, func(a, b balance.Instance) int { return cmp.Compare(a.ID, b.ID) })
+	return list
+}
+
+// Lapsed returns the number of entries that are kept though they lapsed.
+func (r *Roster) Lapsed() int { return len(r.lapsed) }
--- /dev/null
+++ b/internal/edge/gatewayd/follow.go
@@ -0,0 +1,191 @@
+package gatewayd
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/gladegauge/gladegauge/internal/core/ingress"
+	"github.com/gladegauge/gladegauge/internal/edge/loop"
+	"github.com/gladegauge/gladegauge/platform"
+)
+
+// Times of following the store.
+const (
+	// defaultWatch is how long a watch waits where keys may be honoured at any
+	// age of the view.
+	defaultWatch = 10 * time.Second
+	// watchShare is the part of the age up to which keys are honoured that one
+	// watch may take; each answer proves the age anew, and one may be lost.
+	watchShare = 0.35
+	// backoffFirst and backoffMost bound the pause after a call that failed.
+	// Every call is paid for, but a revoked key must be learned of in time.
+	backoffFirst = 50 * time.Millisecond
+	backoffMost  = 400 * time.Millisecond
+	// outageAfter is how long calls must have failed to count as an outage, in
+	// which upstreams could not renew their entries.
+	outageAfter = time.Second
+)
+
+// follower keeps the state of one gateway's reading of the store.
+type follower struct {
+	server   *Server
+	store    *platform.Store
+	revision int64
+	lostAt   time.Time
+	lastGood time.Time
+	backoff  time.Duration
+}
+
+// follow reads what is published and then every change, until the context ends.
+func (s *Server) follow(ctx context.Context) error {
+	f := &follower{
+		server:   s,
+		store:    platform.NewStore(s.o.Settings.Store, s.metrics.storeCall),
+		lastGood: time.Now(),
+	}
+	for ctx.Err() == nil {
+		if f.list(ctx) {
+			f.watch(ctx)
+		}
+	}
+	return nil
+}
+
+// list reads everything; it reports false after a failure and a pause.
+func (f *follower) list(ctx context.Context) bool {
+	asked := time.Now()
+	l, err := f.store.List(ctx)
+	if err != nil {
+		f.failed(ctx, err)
+		return false
+	}
+	f.succeeded()
+	f.revision = l.Revision
+	f.server.report(l.Faults)
+	return f.server.control.Must(func(now time.Time) {
+		f.server.roster.Replace(now, l.Instances)
+		f.server.applyRoster(now)
+		f.server.applyTable(l.Table, len(l.Faults) == 0, asked)
+	})
+}
+
+// watch takes changes until the history is gone.
+func (f *follower) watch(ctx context.Context) {
+	wait := defaultWatch
+	if age := f.server.bounds.Load().KeyAge; age > 0 {
+		wait = time.Duration(watchShare * float64(age))
+	}
+	for ctx.Err() == nil {
+		asked := time.Now()
+		c, err := f.store.Watch(ctx, f.revision, wait)
+		if errors.Is(err, platform.ErrCompacted) {
+			f.server.log.Info().Int64("revision", f.revision).Msg("store: history is gone, reading everything anew")
+			return
+		}
+		if err != nil {
+			f.failed(ctx, err)
+			continue
+		}
+		f.succeeded()
+		f.revision = c.Revision
+		f.server.report(c.Faults)
+		f.server.control.Must(func(now time.Time) {
+			if len(c.Changed)+len(c.Removed) > 0 {
+				f.server.roster.Change(now, c.Changed, c.Removed)
+				f.server.applyRoster(now)
+			}
+			f.server.applyTable(c.Table, len(c.Faults) == 0, asked)
+		})
+	}
+}
+
+// failed notes a failure and pauses.
+func (f *follower) failed(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	if f.lostAt.IsZero() {
+		f.lostAt = time.Now()
+		f.server.log.Warn().Err(err).Int64("revision", f.revision).Msg("store: lost")
+	}
+	f.backoff = min(max(2*f.backoff, backoffFirst), backoffMost)
+	//nolint:gosec // Jitter needs no secret randomness.
+	loop.Pause(ctx, f.backoff/2+rand.N(f.backoff/2))
+}
+
+// succeeded notes an answer. After an outage upstreams need a moment to renew
+// their entries.
+func (f *follower) succeeded() {
+	now := time.Now()
+	if !f.lostAt.IsZero() {
+		f.server.log.Info().Dur("after", now.Sub(f.lostAt)).Msg("store: regained")
+		if now.Sub(f.lastGood) > outageAfter {
+			f.server.control.Must(func(now time.Time) { f.server.roster.Recovered(now) })
+		}
+	}
+	f.lostAt = time.Time{}
+	f.lastGood = now
+	f.backoff = 0
+}
+
+// report logs values that could not be read.
+func (s *Server) report(faults []platform.Fault) {
+	for _, f := range faults {
+		s.metrics.faults.Inc()
+		s.log.Error().Str("key", f.Key).Str("faults", f.Faults).Msg("store: value is faulty and changes nothing")
+	}
+}
+
+// applyTable runs in the control goroutine. A nil table means that nothing
+// newer was published; if it could be read, the table in force was the newest
+// when the store was asked.
+func (s *Server) applyTable(t *ingress.Table, sound bool, asked time.Time) {
+	view := *s.view.Load()
+	if t == nil {
+		if sound && view.Table != nil {
+			view = view.WithProof(asked)
+			s.view.Store(&view)
+		}
+		return
+	}
+	next, taken := view.WithTable(t, asked)
+	if !taken {
+		if t.Version == view.Table.Version {
+			view = view.WithProof(asked)
+			s.view.Store(&view)
+			return
+		}
+		s.log.Warn().Int64("version", t.Version).Int64("in_force", view.Table.Version).Msg("configuration: an older version changes nothing")
+		return
+	}
+	s.view.Store(&next)
+	s.table.SetPools(t)
+	s.metrics.version.Set(float64(t.Version))
+	s.log.Info().Int64("version", t.Version).Int("routes", t.Routes()).Msg("configuration: in force")
+}
+
+// applyRoster runs in the control goroutine.
+func (s *Server) applyRoster(now time.Time) {
+	list := s.roster.Current(now)
+	came, went := s.table.SetInstances(list)
+	addresses := make(map[string]bool, len(list))
+	leaving := 0
+	for _, in := range list {
+		addresses[in.Address] = true
+		if in.Leaving {
+			leaving++
+		}
+	}
+	s.addresses.Store(&addresses)
+	if v := s.view.Load(); v.Table != nil && len(came) > 0 {
+		s.table.SetPools(v.Table)
+	}
+	s.metrics.upstreams.Set(float64(len(list)))
+	if len(came)+len(went) > 0 {
+		s.log.Info().Strs("came", came).Strs("went", went).Int("upstreams", len(list)).
+			Int("leaving", leaving).Int("lapsed", s.roster.Lapsed()).Msg("upstreams: list changed")
+	}
+}
--- /dev/null
+++ b/internal/edge/gatewayd/server.go
@@ -0,0 +1,149 @@
+// Package gatewayd runs a gateway: an entry that calls upstreams itself.
+//
+// It is for deployments where upstreams order their own queues and no process
+// of the project stands before them. The decisions are those of the core
+// packages gateway, ingress, balance and retry; this package carries requests
+// and answers, follows the platform's store, and stops without cutting a
+// request off.
+//
+// # Usage
+//
+//	s := gatewayd.New(options)
+//	err := s.Run(ctx)
+package gatewayd
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/gladegauge/gladegauge/internal/core/balance"
+	"github.com/gladegauge/gladegauge/internal/core/gateway"
+	"github.com/gladegauge/gladegauge/internal/core/ingress"
+	"github.com/gladegauge/gladegauge/internal/core/retry"
+	"github.com/gladegauge/gladegauge/internal/core/roster"
+	"github.com/gladegauge/gladegauge/internal/edge/exchange"
+	"github.com/gladegauge/gladegauge/internal/edge/loop"
+	"github.com/gladegauge/gladegauge/platform"
+)
+
+const (
+	// assumedGateways is the number of gateways that the retry budget is split
+	// over while nobody tells how many there are.
+	assumedGateways = 6
+	// retryMargin is the part of the budget that is used: requests of the same
+	// window that other gateways refuse are not known here.
+	retryMargin = 0.8
+	// keyMargin is taken off the time within which a revoked key must be
+	// refused: a watch may hear nothing for a second before it is cut off, and
+	// a check needs a moment to take effect.
+	keyMargin = 1200 * time.Millisecond
+	// sweepEvery is how often idle connections are looked through.
+	sweepEvery = time.Second
+)
+
+// Options are the settings of a gateway.
+type Options struct {
+	Settings platform.Settings
+	// SettingsPath is the file that the settings came from.
+	SettingsPath string
+	// MetricsPort serves the metrics on this host's address; 0 for none.
+	MetricsPort int
+	Log         zerolog.Logger
+	// LogsDropped returns the number of log lines that were dropped.
+	LogsDropped func() uint64
+}
+
+// Server is one gateway.
+type Server struct {
+	o       *Options
+	log     zerolog.Logger
+	control *loop.Loop
+	view    atomic.Pointer[ingress.View]
+	// addresses are those of the upstreams on the list.
+	addresses atomic.Pointer[map[string]bool]
+	bounds    atomic.Pointer[gateway.Bounds]
+	client    *exchange.Client
+	metrics   *meters
+	inFlight  atomic.Int64
+	lastSeen  atomic.Int64
+	stopping  atomic.Bool
+
+	// Only the control goroutine touches these.
+	table  *balance.Table
+	roster *roster.Roster
+	budget *retry.Budget
+}
+
+// New returns a gateway that does not run yet.
+func New(o *Options) *Server {
+	s := &Server{
+		o:       o,
+		log:     o.Log,
+		control: loop.New(time.Now),
+		metrics: newMeters(o.LogsDropped),
+		table:   balance.New(o.Settings.Zone),
+		roster:  roster.New(),
+		budget:  budgetOf(o.Settings.Bounds),
+	}
+	bounds := boundsOf(o.Settings.Bounds)
+	s.bounds.Store(&bounds)
+	s.view.Store(&ingress.View{})
+	s.addresses.Store(&map[string]bool{})
+	s.client = exchange.New(exchange.Options{
+		KeepFor: func(h http.Header) time.Duration { return platform.DecodeAnswer(0, h).KeepFor },
+		Opened:  func() { s.metrics.connections.Inc() },
+		Clock:   time.Now,
+	})
+	return s
+}
+
+func boundsOf(b platform.Bounds) gateway.Bounds {
+	g := gateway.Bounds{DenyAge: b.ConfigWithin, UrgencySteps: platform.UrgencySteps}
+	if b.StrictRevocation {
+		g.KeyAge = max(b.RevokeWithin-keyMargin, b.RevokeWithin/4)
+	}
+	return g
+}
+
+func budgetOf(b platform.Bounds) *retry.Budget {
+	return retry.NewBudget(retryMargin*b.RetryShare, retryMargin*b.RetryReserve/assumedGateways)
+}
+
+// Run serves until the context ends and what was in progress has its answer.
+func (s *Server) Run(ctx context.Context) error {
+	// The work outlives the context: a planned stop cuts nothing.
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	listeners, err := s.listen()
+	if err != nil {
+		return err
+	}
+	group, work := errgroup.WithContext(work)
+	group.Go(func() error { return s.control.Run(work) })
+	group.Go(func() error { return s.follow(work) })
+	group.Go(func() error { return s.control.Every(work, sweepEvery, s.sweep) })
+	listeners.serve(group, s)
+	group.Go(func() error {
+		defer cancel()
+		select {
+		case <-ctx.Done():
+			s.drain(work)
+		case <-work.Done():
+		}
+		listeners.close()
+		return nil
+	})
+	return group.Wait()
+}
+
+// sweep runs in the control goroutine.
+func (s *Server) sweep(now time.Time) {
+	s.applyRoster(now)
+	wanted := *s.addresses.Load()
+	s.client.Sweep(func(address string) bool { return wanted[address] })
+}
--- /dev/null
+++ b/internal/edge/logging/bounded.go
@@ -0,0 +1,89 @@
+package logging
+
+import (
+	"bytes"
+	"io"
+	"sync"
+	"sync/atomic"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// Bounds of the buffer between the writers of lines and a slow output.
+const (
+	// boundedBytes is what waits at the most; a few thousand lines.
+	boundedBytes = 256 << 10
+)
+
+// Bounded is a writer that never blocks: lines that do not fit its buffer are
+// dropped and counted. It is safe for concurrent use.
+type Bounded struct {
+	out     io.Writer
+	mu      sync.Mutex
+	buf     bytes.Buffer
+	wake    chan struct{}
+	done    chan struct{}
+	dropped atomic.Uint64
+	writer  errgroup.Group
+}
+
+// NewBounded returns a writer to out. Close writes what is left.
+func NewBounded(out io.Writer) *Bounded {
+	b := &Bounded{out: out, wake: make(chan struct{}, 1), done: make(chan struct{})}
+	b.writer.Go(b.run)
+	return b
+}
+
+// Write takes one line, or drops it.
+func (b *Bounded) Write(line []byte) (int, error) {
+	b.mu.Lock()
+	fits := b.buf.Len()+len(line) <= boundedBytes
+	if fits {
+		b.buf.Write(line)
+	}
+	b.mu.Unlock()
+	if !fits {
+		b.dropped.Add(1)
+		return len(line), nil
+	}
+	select {
+	case b.wake <- struct{}{}:
+	default:
+	}
+	return len(line), nil
+}
+
+// Dropped returns the number of lines that were dropped.
+func (b *Bounded) Dropped() uint64 { return b.dropped.Load() }
+
+// Close writes what waits and ends the writer.
+func (b *Bounded) Close() error {
+	close(b.done)
+	return b.writer.Wait()
+}
+
+// run writes everything that waits in one call.
+func (b *Bounded) run() error {
+	var spare []byte
+	for {
+		stop := false
+		select {
+		case <-b.wake:
+		case <-b.done:
+			stop = true
+		}
+		b.mu.Lock()
+		spare = append(spare[:0], b.buf.Bytes()...)
+		b.buf.Reset()
+		b.mu.Unlock()
+		if len(spare) > 0 {
+			if _, err := b.out.Write(spare); err != nil {
+				// There is nowhere left to tell; the lines count as dropped.
+				b.dropped.Add(uint64(bytes.Count(spare, []byte("\n"))))
+			}
+		}
+		if stop {
+			return nil
+		}
+	}
+}
