--- a/internal/core/balance/table.go
+++ b/internal/core/balance/table.go
@@ -63,9 +63,21 @@
 	}
 }
 
+// Changes are the identities of upstreams that came and went, and of those that
+// began to leave.
+type Changes struct {
+	Came    []string
+	Went    []string
+	Leaving []string
+}
+
+// Any reports whether anything changed.
+func (c Changes) Any() bool { return len(c.Came)+len(c.Went)+len(c.Leaving) > 0 }
+
 // SetInstances takes the list of upstreams. What is known of those that stay
-// is kept. It returns the identities that came and went.
-func (t *Table) SetInstances(list []Instance) (came, went []string) {
+// is kept.
+func (t *Table) SetInstances(list []Instance) Changes {
+	var c Changes
 	seen := make(map[string]bool, len(list))
 	for _, in := range list {
 		seen[in.ID] = true
@@ -77,20 +89,22 @@
 				running: make(map[uint64]*run),
 			}
 			t.upstreams[in.ID] = u
-			came = append(came, in.ID)
+			c.Came = append(c.Came, in.ID)
+		}
+		if in.Leaving && !u.Leaving {
+			c.Leaving = append(c.Leaving, in.ID)
 		}
 		u.Instance = in
 	}
 	for id := range t.upstreams {
 		if !seen[id] {
 			delete(t.upstreams, id)
-			went = append(went, id)
+			c.Went = append(c.Went, id)
 		}
 	}
 	t.index()
-	slices.Sort(came)
-	slices.Sort(went)
-	return came, went
+	slices.Sort(c.Went)
+	return c
 }
 
 // index sorts the upstreams into their pools, in order of rank.
--- a/internal/core/gateway/refusal.go
+++ b/internal/core/gateway/refusal.go
@@ -64,6 +64,9 @@
 // expected to be room.
 func Overload(comeBack time.Duration) *Refusal { return notRun(Overloaded, comeBack) }
 
+// Stopping refuses a request that came too late to a process that stops.
+func Stopping() *Refusal { return notRun(StoppingProcess, comeBackSoon) }
+
 // Body returns the refusal of a request whose body is too large or did not
 // come. Nothing was sent to an upstream.
 func Body(tooLarge bool) *Refusal {
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -22,14 +22,11 @@
 	"github.com/gladegauge/gladegauge/internal/core/balance"
 )
 
-// Times after an outage of the platform's store, from the users' letter: an
-// upstream that lives is back within about two seconds of the store's return.
-const (
-	// lapseGrace is how long a lapsed entry is kept.
-	lapseGrace = 2 * time.Second
-	// recovering is how long after the return entries count as lapsed.
-	recovering = 2 * time.Second
-)
+// recovering is how long after an outage of the keeper a missing entry is kept.
+// From the users' letter: an upstream that lives is back within about two
+// seconds of the return. It is counted from the return, so that an upstream
+// that leaves just then is not kept beyond the time in which it must be left.
+const recovering = 2200 * time.Millisecond
 
 // Roster is the list of upstreams. It is not safe for concurrent use.
 type Roster struct {
@@ -89,7 +86,7 @@
 		return
 	}
 	if _, ok := r.lapsed[id]; !ok {
-		r.lapsed[id] = now.Add(lapseGrace)
+		r.lapsed[id] = r.recoveredAt.Add(recovering)
 	}
 }
 
--- a/internal/edge/gatewayd/follow.go
+++ b/internal/edge/gatewayd/follow.go
@@ -170,22 +170,18 @@
 // applyRoster runs in the control goroutine.
 func (s *Server) applyRoster(now time.Time) {
 	list := s.roster.Current(now)
-	came, went := s.table.SetInstances(list)
+	changes := s.table.SetInstances(list)
 	addresses := make(map[string]bool, len(list))
-	leaving := 0
 	for _, in := range list {
-		addresses[in.Address] = true
-		if in.Leaving {
-			leaving++
-		}
+		addresses[in.Address] = !in.Leaving || addresses[in.Address]
 	}
 	s.addresses.Store(&addresses)
-	if v := s.view.Load(); v.Table != nil && len(came) > 0 {
+	if v := s.view.Load(); v.Table != nil && len(changes.Came) > 0 {
 		s.table.SetPools(v.Table)
 	}
 	s.metrics.upstreams.Set(float64(len(list)))
-	if len(came)+len(went) > 0 {
-		s.log.Info().Strs("came", came).Strs("went", went).Int("upstreams", len(list)).
-			Int("leaving", leaving).Int("lapsed", s.roster.Lapsed()).Msg("upstreams: list changed")
+	if changes.Any() {
+		s.log.Info().Strs("came", changes.Came).Strs("went", changes.Went).Strs("leaving", changes.Leaving).
+			Int("upstreams", len(list)).Int("lapsed", s.roster.Lapsed()).Msg("upstreams: list changed")
 	}
 }
--- a/internal/edge/gatewayd/listen.go
+++ b/internal/edge/gatewayd/listen.go
@@ -30,6 +30,9 @@
 	// leaveAfter is how long callers may still come after readiness is off:
 	// the balancer asks every second and needs two misses.
 	leaveAfter = 2500 * time.Millisecond
+	// lastCallAfter is when requests are refused that still come, so that those
+	// in progress end in time. Upstreams may work on a request for seconds.
+	lastCallAfter = 3 * time.Second
 	// quietFor is how long no request must have come before the listener closes.
 	quietFor = 300 * time.Millisecond
 	// stopReserve is kept of the time until the kill to end in order.
@@ -154,22 +157,22 @@
 
 // ready reports whether the gateway takes new callers.
 func (s *Server) ready() bool {
-	return !s.stopping.Load() && s.view.Load().Table != nil
+	return s.stoppingAt.Load() == nil && s.view.Load().Table != nil
 }
 
 // drain ends new work and returns when nothing is in progress, or shortly
 // before the process would be killed.
 func (s *Server) drain(ctx context.Context) {
 	began := time.Now()
-	s.stopping.Store(true)
+	s.stoppingAt.Store(&began)
 	s.log.Info().Int64("in_progress", s.inFlight.Load()).Msg("planned stop: not ready for new callers")
 	limit := max(leaveAfter, s.o.Settings.Bounds.StopWithin-stopReserve)
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	err := waitUntil(ctx, func() bool {
-		now := time.Now()
-		quiet := now.Sub(time.Unix(0, s.lastSeen.Load())) >= quietFor
-		return now.Sub(began) >= leaveAfter && quiet && s.inFlight.Load() == 0
+		took := time.Since(began)
+		quiet := took >= lastCallAfter || time.Since(time.Unix(0, s.lastSeen.Load())) >= quietFor
+		return took >= leaveAfter && quiet && s.inFlight.Load() == 0
 	})
 	if err != nil {
 		s.log.Warn().Int64("cut", s.inFlight.Load()).Dur("after", limit).Msg("planned stop: out of time")
--- a/internal/edge/gatewayd/request.go
+++ b/internal/edge/gatewayd/request.go
@@ -79,8 +79,12 @@
 		began:  now,
 	}
 	x.lastEvent = x.call.LastEvent
-	if s.stopping.Load() {
+	if stopping := s.stoppingAt.Load(); stopping != nil {
 		x.w.Header().Set("Connection", "close")
+		if now.Sub(*stopping) >= lastCallAfter {
+			x.refuse(gateway.Stopping())
+			return nil
+		}
 	}
 	if refusal := x.admit(now); refusal != nil {
 		x.refuse(refusal)
--- a/internal/edge/gatewayd/server.go
+++ b/internal/edge/gatewayd/server.go
@@ -71,7 +71,8 @@
 	metrics   *meters
 	inFlight  atomic.Int64
 	lastSeen  atomic.Int64
-	stopping  atomic.Bool
+	// stoppingAt is when the planned stop began; nil before.
+	stoppingAt atomic.Pointer[time.Time]
 
 	// Only the control goroutine touches these.
 	table  *balance.Table
