--- a/cmd/gladegauge-gateway/main.go
+++ b/cmd/gladegauge-gateway/main.go
@@ -87,6 +87,7 @@
 		Settings:     o.settings,
 		SettingsPath: o.path,
 		MetricsPort:  o.metricsPort,
+		Stop:         gatewayd.DefaultStopTimes(),
 		Log:          log,
 		LogsDropped:  out.Dropped,
 	})
@@ -113,6 +114,10 @@
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	defer signal.Stop(reload)
+	if err := s.Listen(); err != nil {
+		log.Error().Err(err).Msg("cannot start")
+		return program.ExitFailure
+	}
 	group, stop := errgroup.WithContext(stop)
 	group.Go(func() error { return s.Run(stop) })
 	group.Go(func() error { return s.Reload(stop, reload) })
--- a/internal/core/balance/pick.go
+++ b/internal/core/balance/pick.go
@@ -150,7 +150,7 @@
 	}
 	c.Unread = unreadTokens(now, u, r.Prompt, keys, home)
 	if r.Prompt.Tokens > 0 {
-		c.Cost = p.engineCost(now, u, r, c)
+		c.Cost = p.engineCost(u, r, c)
 	} else {
 		c.Cost = serviceCost(u, c)
 	}
@@ -175,7 +175,7 @@
 }
 
 // engineCost is the cost at a model engine.
-func (p *pool) engineCost(now time.Time, u *upstream, r Request, c Choice) float64 {
+func (p *pool) engineCost(u *upstream, r Request, c Choice) float64 {
 	perMs := p.speed.tokensPerMs()
 	reading := float64(c.Unread) / perMs
 	cost := float64(u.unread())/perMs + readWeight*reading + slotCost*c.InFlight
--- a/internal/core/gateway/admit.go
+++ b/internal/core/gateway/admit.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"net/http"
 	"time"
 
 	"github.com/gladegauge/gladegauge/internal/core/ingress"
@@ -55,7 +54,7 @@
 	certain := age <= b.DenyAge
 	route, ok := v.Table.Route(c.Host, c.Path)
 	if !ok {
-		return a, deny(certain, http.StatusNotFound, NoRoute)
+		return a, deny(certain, NotFound, NoRoute)
 	}
 	a.Route = route
 	if v.Table.NeedsKey(route) {
@@ -63,11 +62,11 @@
 			return a, notRun(ViewTooOld, comeBackLater)
 		}
 		if c.Key == "" {
-			return a, denied(http.StatusUnauthorized, NoKey)
+			return a, denied(Unauthorised, NoKey)
 		}
 		o, ok := v.Table.Organisation(c.Key)
 		if !ok {
-			return a, deny(certain, http.StatusUnauthorized, UnknownKey)
+			return a, deny(certain, Unauthorised, UnknownKey)
 		}
 		a.Organisation = o
 	}
@@ -81,9 +80,9 @@
 	return a, nil
 }
 
-func deny(certain bool, status int, reason Reason) *Refusal {
+func deny(certain bool, kind Kind, reason Reason) *Refusal {
 	if !certain {
 		return notRun(ViewTooOld, comeBackLater)
 	}
-	return denied(status, reason)
+	return denied(kind, reason)
 }
--- a/internal/core/gateway/next.go
+++ b/internal/core/gateway/next.go
@@ -1,9 +1,6 @@
 package gateway
 
-import (
-	"net/http"
-	"time"
-)
+import "time"
 
 // Failure is how an attempt ended without a good answer.
 type Failure int
@@ -130,9 +127,9 @@
 func refusalAfter(now time.Time, a Admission, p Progress, f Failure) *Refusal {
 	switch {
 	case p.MayHaveRun && !now.Before(a.Deadline):
-		return unknown(http.StatusGatewayTimeout, OutOfTime)
+		return unknown(TimedOut, OutOfTime)
 	case p.MayHaveRun:
-		return unknown(http.StatusBadGateway, OutcomeUnknown)
+		return unknown(Unknown, OutcomeUnknown)
 	case f == NotRun:
 		return notRun(RefusedByAll, comeBackSoon)
 	default:
--- a/internal/core/gateway/refusal.go
+++ b/internal/core/gateway/refusal.go
@@ -1,8 +1,21 @@
 package gateway
 
-import (
-	"net/http"
-	"time"
+import "time"
+
+// Kind is what a refusal tells the caller.
+type Kind int
+
+// Kinds of refusal. Unavailable and TimedOutReading promise that the request
+// has not run.
+const (
+	Unavailable Kind = iota + 1
+	NotFound
+	Unauthorised
+	TooLarge
+	TimedOutReading
+	// Unknown and TimedOut promise nothing.
+	Unknown
+	TimedOut
 )
 
 // Reason says in logs and metrics why a request was refused.
@@ -10,22 +23,20 @@
 
 // Reasons of refusals.
 const (
-	NoConfiguration  Reason = "no_configuration"
-	ViewTooOld       Reason = "view_too_old"
-	NoRoute          Reason = "no_route"
-	NoKey            Reason = "no_key"
-	UnknownKey       Reason = "unknown_key"
-	NoUpstream       Reason = "no_upstream"
-	RefusedByAll     Reason = "refused_by_upstreams"
-	Unreachable      Reason = "upstreams_unreachable"
-	OutcomeUnknown   Reason = "outcome_unknown"
-	OutOfTime        Reason = "out_of_time"
-	BodyTooLarge     Reason = "body_too_large"
-	BodyNotRead      Reason = "body_not_read"
-	Overloaded       Reason = "overloaded"
-	StoppingProcess  Reason = "stopping"
-	TooManyInFlight  Reason = "too_many_in_flight"
-	MalformedRequest Reason = "malformed_request"
+	NoConfiguration Reason = "no_configuration"
+	ViewTooOld      Reason = "view_too_old"
+	NoRoute         Reason = "no_route"
+	NoKey           Reason = "no_key"
+	UnknownKey      Reason = "unknown_key"
+	NoUpstream      Reason = "no_upstream"
+	RefusedByAll    Reason = "refused_by_upstreams"
+	Unreachable     Reason = "upstreams_unreachable"
+	OutcomeUnknown  Reason = "outcome_unknown"
+	OutOfTime       Reason = "out_of_time"
+	BodyTooLarge    Reason = "body_too_large"
+	BodyNotRead     Reason = "body_not_read"
+	Overloaded      Reason = "overloaded"
+	StoppingProcess Reason = "stopping"
 )
 
 // Times after which a refused caller should come back.
@@ -40,7 +51,7 @@
 
 // Refusal is an answer of the gateway's own.
 type Refusal struct {
-	Status int
+	Kind   Kind
 	Reason Reason
 	// NotRun promises that the request has not run and will not run.
 	NotRun bool
@@ -49,15 +60,15 @@
 }
 
 func notRun(reason Reason, comeBack time.Duration) *Refusal {
-	return &Refusal{Status: http.StatusServiceUnavailable, Reason: reason, NotRun: true, ComeBack: comeBack}
+	return &Refusal{Kind: Unavailable, Reason: reason, NotRun: true, ComeBack: comeBack}
 }
 
-func denied(status int, reason Reason) *Refusal {
-	return &Refusal{Status: status, Reason: reason, NotRun: true}
+func denied(kind Kind, reason Reason) *Refusal {
+	return &Refusal{Kind: kind, Reason: reason, NotRun: true}
 }
 
-func unknown(status int, reason Reason) *Refusal {
-	return &Refusal{Status: status, Reason: reason}
+func unknown(kind Kind, reason Reason) *Refusal {
+	return &Refusal{Kind: kind, Reason: reason}
 }
 
 // Overload refuses a request before it is sent; comeBack is when there is
@@ -71,7 +82,7 @@
 // come. Nothing was sent to an upstream.
 func Body(tooLarge bool) *Refusal {
 	if tooLarge {
-		return denied(http.StatusRequestEntityTooLarge, BodyTooLarge)
+		return denied(TooLarge, BodyTooLarge)
 	}
-	return denied(http.StatusRequestTimeout, BodyNotRead)
+	return denied(TimedOutReading, BodyNotRead)
 }
--- a/internal/edge/exchange/exchange.go
+++ b/internal/edge/exchange/exchange.go
@@ -273,7 +273,7 @@
 	} else {
 		writer.Go(write)
 	}
-	resp, err := readHead(cn, req, own)
+	resp, err := readHead(cn, req, own) //nolint:bodyclose // Answer closes it with its connection.
 	if err != nil {
 		_ = cn.Close()
 		if werr := writer.Wait(); werr != nil && w.n == 0 {
--- a/internal/edge/gatewayd/attempt.go
+++ b/internal/edge/gatewayd/attempt.go
@@ -245,7 +245,7 @@
 func (x *request) relayError() {
 	x.commit(x.faulty.status, x.faulty.header, int64(len(x.faulty.body)))
 	if _, err := io.Copy(x.w, bytes.NewReader(x.faulty.body)); err != nil {
-		x.log(levelDecision).Err(err).Msg("caller left before the upstream's error went out")
+		x.log().Err(err).Msg("caller left before the upstream's error went out")
 	}
 	x.logEnd("upstream_error", nil)
 }
--- a/internal/edge/gatewayd/listen.go
+++ b/internal/edge/gatewayd/listen.go
@@ -25,19 +25,29 @@
 	limitsPatience = 2 * time.Second
 )
 
-// Times of a planned stop.
-const (
-	// leaveAfter is how long callers may still come after readiness is off:
-	// the balancer asks every second and needs two misses.
-	leaveAfter = 2500 * time.Millisecond
-	// lastCallAfter is when requests are refused that still come, so that those
-	// in progress end in time. Upstreams may work on a request for seconds.
-	lastCallAfter = 3 * time.Second
-	// quietFor is how long no request must have come before the listener closes.
-	quietFor = 300 * time.Millisecond
-	// stopReserve is kept of the time until the kill to end in order.
-	stopReserve = 400 * time.Millisecond
-)
+// stopReserve is kept of the time until the kill to end in order.
+const stopReserve = 400 * time.Millisecond
+
+// StopTimes are the times of a planned stop, from its beginning.
+type StopTimes struct {
+	// LeaveAfter is how long callers may still come after readiness is off.
+	LeaveAfter time.Duration
+	// LastCallAfter is when requests are refused that still come, so that those
+	// in progress end in time.
+	LastCallAfter time.Duration
+	// QuietFor is how long no request must have come before the process ends.
+	QuietFor time.Duration
+}
+
+// DefaultStopTimes suit a balancer that asks every second and leaves a host out
+// after two misses, and upstreams that work on a request for a few seconds.
+func DefaultStopTimes() StopTimes {
+	return StopTimes{
+		LeaveAfter:    2500 * time.Millisecond,
+		LastCallAfter: 3 * time.Second,
+		QuietFor:      300 * time.Millisecond,
+	}
+}
 
 // listeners are the open ports of a gateway.
 type listeners struct {
@@ -47,25 +57,32 @@
 	servers   []*http.Server
 }
 
-func (s *Server) listen() (*listeners, error) {
+// Listen opens the ports. It comes before Run.
+func (s *Server) Listen() error {
 	l := &listeners{}
 	var err error
 	if l.callers, err = s.open("callers", s.o.Settings.Callers); err != nil {
-		return nil, err
+		return err
 	}
 	if l.readiness, err = s.open("readiness", s.o.Settings.Readiness); err != nil {
-		return nil, err
+		return err
 	}
-	if s.o.MetricsPort == 0 {
-		return l, nil
-	}
-	address := net.JoinHostPort(s.o.Settings.IP, strconv.Itoa(s.o.MetricsPort))
-	if l.metrics, err = s.open("metrics", address); err != nil {
-		return nil, err
+	if s.o.MetricsPort > 0 {
+		address := net.JoinHostPort(s.o.Settings.IP, strconv.Itoa(s.o.MetricsPort))
+		if l.metrics, err = s.open("metrics", address); err != nil {
+			return err
+		}
 	}
-	return l, nil
+	s.listeners = l
+	return nil
 }
 
+// CallersAddress returns where callers are served.
+func (s *Server) CallersAddress() string { return s.listeners.callers.Addr().String() }
+
+// ReadinessAddress returns where readiness is told.
+func (s *Server) ReadinessAddress() string { return s.listeners.readiness.Addr().String() }
+
 func (s *Server) open(name, address string) (net.Listener, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
@@ -76,18 +93,20 @@
 }
 
 // serve starts the servers. Readiness is told from the start.
-func (l *listeners) serve(group *errgroup.Group, s *Server) {
+func (l *listeners) serve(ctx context.Context, group *errgroup.Group, s *Server) {
 	ready := http.NewServeMux()
 	ready.HandleFunc(platform.ReadyPath, s.answerReady)
-	group.Go(func() error { return l.run(l.server(ready), l.readiness) })
+	readiness := l.server(ready)
+	group.Go(func() error { return l.run(readiness, l.readiness) })
 	if l.metrics != nil {
 		m := http.NewServeMux()
 		m.Handle("/metrics", promhttp.HandlerFor(s.metrics.registry, promhttp.HandlerOpts{}))
-		group.Go(func() error { return l.run(l.server(m), l.metrics) })
+		metrics := l.server(m)
+		group.Go(func() error { return l.run(metrics, l.metrics) })
 	}
 	callers := l.server(s.handler())
 	group.Go(func() error {
-		s.awaitLimits(callers)
+		s.awaitLimits(ctx, callers)
 		return l.run(callers, l.callers)
 	})
 }
@@ -118,8 +137,8 @@
 
 // awaitLimits takes the bounds of callers' connections from the first
 // configuration. Later ones hold from the next start on.
-func (s *Server) awaitLimits(server *http.Server) {
-	ctx, cancel := context.WithTimeout(context.Background(), limitsPatience)
+func (s *Server) awaitLimits(ctx context.Context, server *http.Server) {
+	ctx, cancel := context.WithTimeout(ctx, limitsPatience)
 	defer cancel()
 	if err := waitUntil(ctx, func() bool { return s.view.Load().Table != nil }); err != nil {
 		s.log.Warn().Dur("waited", limitsPatience).Msg("no configuration yet; callers' connections get the default bounds")
@@ -163,16 +182,17 @@
 // drain ends new work and returns when nothing is in progress, or shortly
 // before the process would be killed.
 func (s *Server) drain(ctx context.Context) {
+	stop := s.o.Stop
 	began := time.Now()
 	s.stoppingAt.Store(&began)
 	s.log.Info().Int64("in_progress", s.inFlight.Load()).Msg("planned stop: not ready for new callers")
-	limit := max(leaveAfter, s.o.Settings.Bounds.StopWithin-stopReserve)
+	limit := max(stop.LeaveAfter, s.o.Settings.Bounds.StopWithin-stopReserve)
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	err := waitUntil(ctx, func() bool {
 		took := time.Since(began)
-		quiet := took >= lastCallAfter || time.Since(time.Unix(0, s.lastSeen.Load())) >= quietFor
-		return took >= leaveAfter && quiet && s.inFlight.Load() == 0
+		quiet := took >= stop.LastCallAfter || time.Since(time.Unix(0, s.lastSeen.Load())) >= stop.QuietFor
+		return took >= stop.LeaveAfter && quiet && s.inFlight.Load() == 0
 	})
 	if err != nil {
 		s.log.Warn().Int64("cut", s.inFlight.Load()).Dur("after", limit).Msg("planned stop: out of time")
--- a/internal/edge/gatewayd/request.go
+++ b/internal/edge/gatewayd/request.go
@@ -81,7 +81,7 @@
 	x.lastEvent = x.call.LastEvent
 	if stopping := s.stoppingAt.Load(); stopping != nil {
 		x.w.Header().Set("Connection", "close")
-		if now.Sub(*stopping) >= lastCallAfter {
+		if now.Sub(*stopping) > s.o.Stop.LastCallAfter {
 			x.refuse(gateway.Stopping())
 			return nil
 		}
@@ -248,6 +248,6 @@
 }
 
 // log begins a line about this request.
-func (x *request) log(level zerolog.Level) *zerolog.Event {
-	return x.server.log.WithLevel(level).Str("request", x.call.ID)
+func (x *request) log() *zerolog.Event {
+	return x.server.log.Info().Str("request", x.call.ID)
 }
--- a/internal/edge/gatewayd/respond.go
+++ b/internal/edge/gatewayd/respond.go
@@ -5,15 +5,30 @@
 	"strconv"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"github.com/gladegauge/gladegauge/internal/core/balance"
 	"github.com/gladegauge/gladegauge/internal/core/gateway"
 	"github.com/gladegauge/gladegauge/platform"
 )
 
-// levelDecision is the level of the lines about single requests.
-const levelDecision = zerolog.InfoLevel
+// statusOf is the HTTP status of a refusal.
+func statusOf(k gateway.Kind) int {
+	switch k {
+	case gateway.Unavailable:
+		return http.StatusServiceUnavailable
+	case gateway.NotFound:
+		return http.StatusNotFound
+	case gateway.Unauthorised:
+		return http.StatusUnauthorized
+	case gateway.TooLarge:
+		return http.StatusRequestEntityTooLarge
+	case gateway.TimedOutReading:
+		return http.StatusRequestTimeout
+	case gateway.TimedOut:
+		return http.StatusGatewayTimeout
+	default:
+		return http.StatusBadGateway
+	}
+}
 
 // end answers with a refusal, or cuts an answer that cannot be completed.
 func (x *request) end(refusal *gateway.Refusal) {
@@ -32,9 +47,9 @@
 	text := string(refusal.Reason) + "\n"
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	h.Set("Content-Length", strconv.Itoa(len(text)))
-	x.w.WriteHeader(refusal.Status)
+	x.w.WriteHeader(statusOf(refusal.Kind))
 	if _, err := x.w.Write([]byte(text)); err != nil {
-		x.log(levelDecision).Err(err).Msg("caller left before the refusal went out")
+		x.log().Err(err).Msg("caller left before the refusal went out")
 	}
 	x.server.metrics.refusals.WithLabelValues(string(refusal.Reason)).Inc()
 	x.logEnd("refused", refusal)
@@ -52,7 +67,7 @@
 }
 
 func (x *request) logPick(c balance.Choice) {
-	x.log(levelDecision).
+	x.log().
 		Int("attempt", len(x.tried)).
 		Str("route", x.admission.Route.Name).
 		Str("upstream", c.ID).
@@ -69,7 +84,7 @@
 }
 
 func (x *request) logFailure(c balance.Choice, f gateway.Failure, step gateway.Step, err error) {
-	x.log(levelDecision).
+	x.log().
 		Int("attempt", len(x.tried)).
 		Str("upstream", c.ID).
 		Stringer("failure", f).
@@ -95,7 +110,7 @@
 		}
 	}
 	x.server.metrics.requests.WithLabelValues(kind, result).Inc()
-	line := x.log(levelDecision).
+	line := x.log().
 		Str("result", result).
 		Dur("first", x.firstByte).
 		Dur("took", took).
@@ -103,7 +118,7 @@
 		Int("sent", x.progress.Sent)
 	if refusal != nil {
 		line = line.Str("reason", string(refusal.Reason)).
-			Int("status", refusal.Status).
+			Int("status", statusOf(refusal.Kind)).
 			Bool("not_run", refusal.NotRun).
 			Dur("come_back", refusal.ComeBack).
 			Int64("version", x.admission.Version).
--- a/internal/edge/gatewayd/server.go
+++ b/internal/edge/gatewayd/server.go
@@ -9,7 +9,8 @@
 // # Usage
 //
 //	s := gatewayd.New(options)
-//	err := s.Run(ctx)
+//	err := s.Listen()
+//	err = s.Run(ctx)
 package gatewayd
 
 import (
@@ -18,6 +19,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
@@ -53,6 +55,7 @@
 	SettingsPath string
 	// MetricsPort serves the metrics on this host's address; 0 for none.
 	MetricsPort int
+	Stop        StopTimes
 	Log         zerolog.Logger
 	// LogsDropped returns the number of log lines that were dropped.
 	LogsDropped func() uint64
@@ -69,6 +72,7 @@
 	bounds    atomic.Pointer[gateway.Bounds]
 	client    *exchange.Client
 	metrics   *meters
+	listeners *listeners
 	inFlight  atomic.Int64
 	lastSeen  atomic.Int64
 	// stoppingAt is when the planned stop began; nil before.
@@ -120,15 +124,15 @@
 	// The work outlives the context: a planned stop cuts nothing.
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	listeners, err := s.listen()
-	if err != nil {
-		return err
+	listeners := s.listeners
+	if listeners == nil {
+		return errors.AssertionFailedf("Run needs Listen first")
 	}
 	group, work := errgroup.WithContext(work)
 	group.Go(func() error { return s.control.Run(work) })
 	group.Go(func() error { return s.follow(work) })
 	group.Go(func() error { return s.control.Every(work, sweepEvery, s.sweep) })
-	listeners.serve(group, s)
+	listeners.serve(work, group, s)
 	group.Go(func() error {
 		defer cancel()
 		select {
--- /dev/null
+++ b/internal/edge/gatewayd/state_test.go
@@ -0,0 +1,140 @@
+package gatewayd
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gladegauge/gladegauge/platform/standin"
+)
+
+// closedAddress is an address where nobody listens.
+func closedAddress(t *testing.T) net.Addr {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Close(); err != nil {
+		t.Fatal(err)
+	}
+	return l.Addr()
+}
+
+func fine(int, standin.Request) standin.Reply { return standin.Reply{Body: "ok"} }
+
+// A process that knows no configuration promises nothing and denies nothing.
+func TestStartWithoutStore(t *testing.T) {
+	for _, trouble := range []standin.Trouble{standin.Busy, standin.Limited, standin.Cut, standin.Nonsense} {
+		w := &world{t: t, is: is.New(t), store: standin.NewStore(t)}
+		w.store.PutConfig(configuration(1))
+		w.store.SetTrouble(trouble)
+		w.start(boundsOfTests())
+		w.is.Equal(w.readiness(), 503)
+		w.store.SetTrouble(standin.Well)
+		w.await(func() bool { return w.readiness() == 200 })
+	}
+}
+
+// Every change arrives: configurations, upstreams, and both after the store has
+// forgotten its history.
+func TestChangesArrive(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 2, fine)
+	is.Equal(w.call("/read/1").Status, 200)
+
+	dropped := configuration(2)
+	dropped.Routes = routes[1:]
+	w.store.PutConfig(dropped)
+	w.await(func() bool { return w.server.view.Load().Table.Version == 2 })
+	is.Equal(w.call("/read/1").Status, 404)
+
+	w.store.PutConfig(configuration(1))
+	w.store.PutReplica(w.replicas[0], "app", true)
+	w.await(func() bool { return w.upstreams() == 1 })
+	is.Equal(w.server.view.Load().Table.Version, int64(2))
+
+	w.store.Compact()
+	w.store.PutConfig(configuration(3))
+	w.store.RemoveReplica("i-b")
+	w.await(func() bool { return w.server.view.Load().Table.Version == 3 && w.upstreams() == 0 })
+}
+
+// A faulty configuration changes nothing, and the view is no longer proved.
+func TestFaultyConfiguration(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1, fine)
+	for _, value := range []string{"{", `{"version":0}`, `{"version":9,"routes":[{"name":"r","path_prefix":"x"}]}`} {
+		before := w.server.view.Load().NewestAt
+		calls := w.store.Calls()
+		w.store.Put("op/config", []byte(value))
+		w.await(func() bool { return w.store.Calls() > calls })
+		is.Equal(w.server.view.Load().Table.Version, int64(1))
+		is.True(!w.server.view.Load().NewestAt.Before(before))
+	}
+	is.Equal(w.call("/read/1").Status, 200)
+}
+
+// Keys are honoured only while the view is provably young, whoever is cut off.
+func TestRevocationWithoutStore(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1, fine)
+	is.Equal(w.call("/read/1").Status, 200)
+	w.store.SetTrouble(standin.Silent)
+	old := *w.server.view.Load()
+	old.NewestAt = time.Now().Add(-w.server.bounds.Load().KeyAge - time.Millisecond)
+	w.server.control.Must(func(time.Time) { w.server.view.Store(&old) })
+	a := w.call("/read/1")
+	is.Equal(a.Status, 503)
+	is.True(a.ComeBack() > 0)
+	is.Equal(len(w.ran()), 1)
+}
+
+// A key that was taken away is refused as soon as the change arrives.
+func TestRevocation(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1, fine)
+	next := configuration(2)
+	next.Keys = map[string][]string{"org-a": {"key-b"}}
+	w.store.PutConfig(next)
+	w.await(func() bool { return w.server.view.Load().Table.Version == 2 })
+	is.Equal(w.call("/read/1").Status, 401)
+}
+
+// A planned stop answers what is in progress, also on a kept connection, and
+// refuses truthfully what comes too late.
+func TestPlannedStop(t *testing.T) {
+	is := is.New(t)
+	hold := make(chan struct{})
+	w := newWorld(t, 1, func(n int, _ standin.Request) standin.Reply {
+		if n == 1 {
+			return standin.Reply{Body: "late", Hold: hold}
+		}
+		return standin.Reply{Body: "ok"}
+	})
+	is.Equal(w.call("/write/1").Status, 200)
+	done := make(chan standin.Answer, 1)
+	w.group.Go(func() error {
+		done <- w.caller.Call(context.Background(), standin.Request{ID: "r-2", Host: "x.example", URI: "/chat/1", Key: "key-a"})
+		return nil
+	})
+	w.await(func() bool { return len(w.ran()) == 2 })
+	w.stop()
+	w.await(func() bool { return w.readiness() == 503 })
+	a := w.call("/write/3")
+	is.Equal(a.Status, 200)
+	is.True(a.Closing)
+	began := time.Now().Add(-2 * w.server.o.Stop.LastCallAfter)
+	w.server.stoppingAt.Store(&began)
+	a = w.call("/write/4")
+	is.Equal(a.Status, 503)
+	is.True(a.ComeBack() > 0)
+	is.Equal(len(w.ran()), 3)
+	close(hold)
+	a = <-done
+	is.Equal(a.Status, 200)
+	is.Equal(a.Body, "late")
+}
--- /dev/null
+++ b/internal/edge/gatewayd/world_test.go
@@ -0,0 +1,147 @@
+package gatewayd
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/gladegauge/gladegauge/platform"
+	"github.com/gladegauge/gladegauge/platform/standin"
+)
+
+// patienceOfTests bounds every wait of a test.
+const patienceOfTests = 10 * time.Second
+
+// world is one gateway, the store, and replicas that share a script.
+type world struct {
+	t        *testing.T
+	is       *is.I
+	store    *standin.Store
+	server   *Server
+	caller   *standin.Caller
+	replicas []*standin.Replica
+	stop     context.CancelFunc
+	group    *errgroup.Group
+
+	mu    sync.Mutex
+	calls int
+}
+
+// routes of every test, by kind.
+var routes = []standin.Route{
+	{Name: "read", Host: "x.example", Prefix: "/read/", Kind: "idempotent", Pool: "app", TimeoutMs: 2000, TargetMs: 1000, Attempts: 2},
+	{Name: "write", Host: "x.example", Prefix: "/write/", Kind: "non_idempotent", Pool: "app", TimeoutMs: 2000, TargetMs: 1000, Attempts: 2},
+	{Name: "chat", Host: "x.example", Prefix: "/chat/", Kind: "streaming", Pool: "app", TimeoutMs: 2000, TargetMs: 1000, PauseMs: 500, Attempts: 2},
+	{Name: "note", Host: "x.example", Prefix: "/note/", Kind: "streaming", Pool: "app", TimeoutMs: 2000, TargetMs: 1000, PauseMs: 500, Attempts: 2, Resume: true},
+	{Name: "short", Host: "x.example", Prefix: "/short/", Kind: "non_idempotent", Pool: "app", TimeoutMs: 150, TargetMs: 100, Attempts: 1},
+}
+
+func configuration(version int64) standin.Config {
+	return standin.Config{Version: version, Routes: routes, Keys: map[string][]string{"org-a": {"key-a", "key-b"}}}
+}
+
+func boundsOfTests() platform.Bounds {
+	return platform.Bounds{
+		StrictRevocation: true,
+		RevokeWithin:     5 * time.Second,
+		ConfigWithin:     2 * time.Second,
+		StopWithin:       8 * time.Second,
+		RetryShare:       0.2,
+		RetryReserve:     60,
+	}
+}
+
+// newWorld starts a gateway and n replicas. The script gets the number of
+// requests that any replica got before.
+func newWorld(t *testing.T, n int, script func(n int, r standin.Request) standin.Reply) *world {
+	t.Helper()
+	w := &world{t: t, is: is.New(t), store: standin.NewStore(t)}
+	w.store.PutConfig(configuration(1))
+	for i := range n {
+		r := standin.NewReplica(t, "i-"+string(rune('a'+i)), func(_ int, r standin.Request) standin.Reply {
+			w.mu.Lock()
+			n := w.calls
+			w.calls++
+			w.mu.Unlock()
+			return script(n, r)
+		})
+		w.replicas = append(w.replicas, r)
+		w.store.PutReplica(r, "app", false)
+	}
+	w.start(boundsOfTests())
+	w.await(func() bool { return w.upstreams() == n })
+	return w
+}
+
+func (w *world) start(b platform.Bounds) {
+	w.t.Helper()
+	w.server = New(&Options{
+		Settings: platform.Settings{
+			Host: "h", Zone: "a", IP: "127.0.0.1",
+			Callers: "127.0.0.1:0", Readiness: "127.0.0.1:0",
+			Store: w.store.Address(), Bounds: b,
+		},
+		Stop: StopTimes{LastCallAfter: time.Hour},
+		Log:  zerolog.Nop(),
+	})
+	w.is.NoErr(w.server.Listen())
+	ctx, cancel := context.WithCancel(context.Background())
+	w.stop = cancel
+	w.group = new(errgroup.Group)
+	w.group.Go(func() error { return w.server.Run(ctx) })
+	w.t.Cleanup(func() {
+		cancel()
+		w.is.NoErr(w.group.Wait())
+	})
+	w.caller = standin.NewCaller(w.t, w.server.CallersAddress())
+}
+
+// upstreams is the number that the gateway may use.
+func (w *world) upstreams() int {
+	n := 0
+	w.server.control.Must(func(time.Time) { n = w.server.table.Size("app") })
+	return n
+}
+
+// await waits for a condition.
+func (w *world) await(done func() bool) {
+	w.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patienceOfTests)
+	defer cancel()
+	if err := waitUntil(ctx, done); err != nil {
+		w.t.Fatal("the condition did not come true")
+	}
+}
+
+func (w *world) call(uri string) standin.Answer {
+	w.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patienceOfTests)
+	defer cancel()
+	return w.caller.Call(ctx, standin.Request{ID: "r-1", Host: "x.example", URI: uri, Key: "key-a", Body: "hello", DeadlineMs: 1500})
+}
+
+// ran returns what all replicas ran.
+func (w *world) ran() []standin.Request {
+	var all []standin.Request
+	for _, r := range w.replicas {
+		all = append(all, r.Ran()...)
+	}
+	return all
+}
+
+func (w *world) readiness() int {
+	req, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+w.server.ReadinessAddress()+platform.ReadyPath, nil)
+	w.is.NoErr(err)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0
+	}
+	w.is.NoErr(resp.Body.Close())
+	return resp.StatusCode
+}
