Balance: a slow or broken upstream is tried again; tests of the decisions and the adapter

Cause: two faults found by the new tests. An upstream that was slow once kept its pace for ever and got nothing while others were idle. One whose last attempt broke was doubted for its silence though it had nothing to answer. Ruled out: ejection (it ends after at most 8 s).

--- /dev/null
+++ b/internal/core/balance/balance_test.go
@@ -0,0 +1,221 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gladegauge/gladegauge/internal/core/ingress"
+)
+
+var t0 = time.Unix(1000, 0)
+
+func at(ms int) time.Time { return t0.Add(time.Duration(ms) * time.Millisecond) }
+
+// tableWith returns a table of n upstreams of one pool of engines.
+func tableWith(t *testing.T, n int) *Table {
+	t.Helper()
+	table := New("a")
+	list := make([]Instance, n)
+	for i := range list {
+		list[i] = Instance{ID: fmt.Sprintf("i-%d", i), Address: fmt.Sprintf("10.0.0.%d:80", i), Zone: "a", Pool: "p", Slots: 8}
+	}
+	table.SetInstances(list)
+	cfg, faults := ingress.New(1, nil, []ingress.Pool{{Name: "p", Engine: &ingress.Engine{Slots: 8, MemoryTokens: 100_000, EventTokens: 5}}}, nil, ingress.Limits{})
+	if len(faults) > 0 {
+		t.Fatal(faults)
+	}
+	table.SetPools(cfg)
+	return table
+}
+
+func prompt(subject uint64, own uint64) Prompt {
+	return Prompt{Model: 1, Tokens: 9000, Parts: []Part{{ID: 10, Tokens: 2000}, {ID: 100 + subject, Tokens: 4000}, {ID: 1000 + own, Tokens: 3000}}}
+}
+
+// Gateways that never spoke send a subject to the same home.
+func TestHomesAgree(t *testing.T) {
+	is := is.New(t)
+	homes := make(map[string]int)
+	for subject := range uint64(40) {
+		var first string
+		for gateway := range 3 {
+			table := tableWith(t, 6)
+			c, ok := table.Pick(t0, Request{Pool: "p", Route: "r", Prompt: prompt(subject, uint64(gateway)), Hash: uint64(gateway) * 77})
+			is.True(ok)
+			if gateway == 0 {
+				first = c.ID
+			}
+			is.Equal(c.ID, first)
+		}
+		homes[first]++
+	}
+	is.True(len(homes) >= 5) // spread over the pool
+}
+
+// A home that is overloaded is left for another upstream.
+func TestHomeIsLeftUnderLoad(t *testing.T) {
+	is := is.New(t)
+	table := tableWith(t, 4)
+	used := make(map[string]int)
+	for i := range 12 {
+		c, _ := table.Pick(t0, Request{Pool: "p", Route: "r", Prompt: prompt(1, uint64(i))})
+		used[c.ID]++
+	}
+	is.True(len(used) >= 3)
+}
+
+// Tight streams and long prompts keep apart, and one side may be borrowed.
+func TestSplitKeepsApart(t *testing.T) {
+	is := is.New(t)
+	table := tableWith(t, 6)
+	side := map[string]map[string]bool{"chat": {}, "long": {}}
+	chat := Request{Pool: "p", Route: "chat", Pause: 250 * time.Millisecond, Prompt: Prompt{Model: 1, Tokens: 500, Parts: []Part{{ID: 1, Tokens: 500}}}}
+	for i := range 60 {
+		now := at(20 * i)
+		long := Request{Pool: "p", Route: "long", Pause: time.Second, Prompt: prompt(uint64(i%20), uint64(i))}
+		for _, r := range []Request{long, chat} {
+			c, ok := table.Pick(now, r)
+			is.True(ok)
+			if i > 10 {
+				side[r.Route][c.ID] = true
+			}
+			table.Began(now.Add(5*time.Millisecond), c)
+			table.Ended(now.Add(10*time.Millisecond), c, Completed, 300)
+		}
+	}
+	for id := range side["chat"] {
+		is.True(!side["long"][id])
+	}
+	is.True(len(side["chat"]) > 0 && len(side["long"]) > len(side["chat"]))
+}
+
+// What an upstream has read counts until it is known to be gone.
+func TestCache(t *testing.T) {
+	is := is.New(t)
+	c := newCache(20_000) // half of it is for the picture
+	p := prompt(1, 1)
+	keys := p.chain()
+	is.Equal(c.held(t0, p, keys), 0)
+	c.used(t0, p, keys)
+	is.Equal(c.held(t0, p, keys), 9000)
+	same := prompt(1, 2)
+	is.Equal(c.held(t0, same, same.chain()), 6000)
+	other := prompt(2, 3)
+	is.Equal(c.held(t0, other, other.chain()), 2000)
+	c.used(at(1), other, other.chain())
+	is.True(c.tokens <= 10_000) // the oldest parts gave way
+	is.Equal(c.held(t0.Add(cacheKeep+time.Second), other, other.chain()), 0)
+	// The same part after another beginning is another one.
+	moved := Prompt{Model: 1, Tokens: 4000, Parts: other.Parts[1:2]}
+	is.Equal(c.held(at(2), moved, moved.chain()), 0)
+}
+
+func plainRequest(hash int) Request { return Request{Pool: "p", Route: "r", Hash: uint64(hash)} }
+
+// An upstream that fails more often than the others gets nothing for a time,
+// and is tried again later.
+func TestEjection(t *testing.T) {
+	is := is.New(t)
+	table := tableWith(t, 4)
+	got := func(from, n int) map[string]int {
+		used := make(map[string]int)
+		for i := range n {
+			now := at(from + i)
+			c, _ := table.Pick(now, plainRequest(i*7919))
+			used[c.ID]++
+			o := Completed
+			if c.ID == "i-2" && from < 1000 {
+				o = Broken
+			}
+			table.Ended(now, c, o, 0)
+		}
+		return used
+	}
+	got(0, 100)
+	is.Equal(got(200, 50)["i-2"], 0)
+	is.True(got(20_000, 50)["i-2"] > 0)
+}
+
+// If all fail alike, none is ejected: there is nothing better.
+func TestAllFail(t *testing.T) {
+	is := is.New(t)
+	table := tableWith(t, 4)
+	used := make(map[string]int)
+	for i := range 200 {
+		c, _ := table.Pick(at(i), plainRequest(i*7919))
+		used[c.ID]++
+		table.Ended(at(i), c, Broken, 0)
+	}
+	is.Equal(len(used), 4)
+	for _, n := range used {
+		is.True(n > 10)
+	}
+}
+
+func TestPickLeavesOut(t *testing.T) {
+	tests := []struct {
+		name string
+		list []Instance
+		not  []string
+		want string
+	}{
+		{"leaving upstreams", []Instance{{ID: "x", Pool: "p", Leaving: true}, {ID: "y", Pool: "p"}}, nil, "y"},
+		{"tried upstreams", []Instance{{ID: "x", Pool: "p"}, {ID: "y", Pool: "p"}}, []string{"x"}, "y"},
+		{"other pools", []Instance{{ID: "x", Pool: "q"}, {ID: "y", Pool: "p"}}, nil, "y"},
+		{"all that are left", []Instance{{ID: "x", Pool: "p"}}, []string{"x"}, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			table := New("a")
+			table.SetInstances(tt.list)
+			for i := range 10 {
+				c, ok := table.Pick(t0, Request{Pool: "p", Exclude: tt.not, Hash: uint64(i)})
+				is.Equal(ok, tt.want != "")
+				is.Equal(c.ID, tt.want)
+			}
+		})
+	}
+}
+
+// Load that others caused is seen in answers, and believed less as it ages.
+func TestOthersLoad(t *testing.T) {
+	is := is.New(t)
+	table := tableWith(t, 2)
+	table.Reported(t0, "i-0", Load{Running: 8, Waiting: 8, Slots: 8})
+	c, _ := table.Pick(at(1), plainRequest(1))
+	is.Equal(c.ID, "i-1")
+	u := table.upstreams["i-0"]
+	is.True(u.inFlight(at(1)) > 15)
+	is.Equal(u.inFlight(t0.Add(staleAfter)), 0.0)
+}
+
+// An upstream that was asked and says nothing is doubted before it is known to
+// be dead.
+func TestSilence(t *testing.T) {
+	is := is.New(t)
+	table := tableWith(t, 2)
+	first, _ := table.Pick(t0, plainRequest(1))
+	for i := range 20 {
+		c, _ := table.Pick(at(1500), plainRequest(i))
+		is.True(c.ID != first.ID)
+		table.Ended(at(1500), c, Completed, 0)
+	}
+}
+
+// Everything that is counted is given back, whatever the end.
+func TestNothingLeaks(t *testing.T) {
+	is := is.New(t)
+	table := tableWith(t, 3)
+	for i := range 300 {
+		c, _ := table.Pick(at(i*50), Request{Pool: "p", Route: "r", Prompt: prompt(uint64(i), uint64(i))})
+		table.Ended(at(i*50+20), c, Outcome(1+i%6), 5)
+	}
+	for _, u := range table.upstreams {
+		is.Equal(len(u.running), 0)
+		is.True(len(u.cache.parts) <= cacheEntries)
+	}
+}
--- a/internal/core/balance/outcome.go
+++ b/internal/core/balance/outcome.go
@@ -73,14 +73,14 @@
 		return
 	}
 	delete(u.running, c.run)
-	if len(u.running) == 0 && o != Broken {
+	if len(u.running) == 0 {
 		u.askedAt = time.Time{}
 	}
 	switch o {
 	case Completed:
 		u.heard(now)
 		u.health.succeeded()
-		u.pace.learn(now.Sub(r.sentAt))
+		u.pace.learn(now, now.Sub(r.sentAt))
 		t.pool(u.Pool).split.answered(r.route, tokens)
 	case Refused:
 		u.heard(now)
--- a/internal/core/balance/pick.go
+++ b/internal/core/balance/pick.go
@@ -150,9 +150,9 @@
 	}
 	c.Unread = unreadTokens(now, u, r.Prompt, keys, home)
 	if r.Prompt.Tokens > 0 {
-		c.Cost = p.engineCost(u, r, c)
+		c.Cost = p.engineCost(now, u, r, c)
 	} else {
-		c.Cost = serviceCost(u, c)
+		c.Cost = p.serviceCost(now, u, c)
 	}
 	if u.Zone != t.zone {
 		c.Cost += zoneCost
@@ -175,13 +175,13 @@
 }
 
 // engineCost is the cost at a model engine.
-func (p *pool) engineCost(u *upstream, r Request, c Choice) float64 {
+func (p *pool) engineCost(now time.Time, u *upstream, r Request, c Choice) float64 {
 	perMs := p.speed.tokensPerMs()
 	reading := float64(c.Unread) / perMs
 	cost := float64(u.unread())/perMs + readWeight*reading + slotCost*c.InFlight
 	if slots := float64(u.Slots); slots > 0 && c.InFlight >= slots {
 		// Beyond its slots a request waits for another one to end.
-		cost += u.pace.workMs() * (c.InFlight + 1 - slots) / slots
+		cost += u.pace.workMs(now, p.usualWork()) * (c.InFlight + 1 - slots) / slots
 	}
 	if limit := p.split.limit(); limit > 0 && r.Pause > limit {
 		cost += harmWeight * reading * float64(u.tight(limit))
@@ -190,9 +190,9 @@
 }
 
 // serviceCost is the cost at a plain service.
-func serviceCost(u *upstream, c Choice) float64 {
+func (p *pool) serviceCost(now time.Time, u *upstream, c Choice) float64 {
 	slots := float64(max(u.Slots, 1))
-	work := u.pace.workMs()
+	work := u.pace.workMs(now, p.usualWork())
 	return work * (1 + max(0, c.InFlight+1-slots)/slots + 0.5*c.InFlight/slots)
 }
 
--- a/internal/core/balance/speed.go
+++ b/internal/core/balance/speed.go
@@ -49,24 +49,47 @@
 	s.reading = s.tokensPerMs() + weight*(sample-s.tokensPerMs())
 }
 
+// paceKeep is the time after which an upstream's own pace says nothing any
+// more. One that was slow is tried again then.
+const paceKeep = 5 * time.Second
+
 // pace is how long one upstream takes for its answers.
 type pace struct {
 	work float64
+	at   time.Time
 }
 
-func (p *pace) learn(d time.Duration) {
+func (p *pace) learn(now time.Time, d time.Duration) {
 	if p.work == 0 {
-		p.work = milliseconds(defaultWork)
+		p.work = milliseconds(d)
 	}
 	p.work += workWeight * (milliseconds(d) - p.work)
+	p.at = now
 }
 
-// workMs is the mean time of an answer in milliseconds.
-func (p *pace) workMs() float64 {
-	if p.work == 0 {
+// workMs is the mean time of an answer in milliseconds, trusted less as it
+// ages; usual is the mean of the pool.
+func (p *pace) workMs(now time.Time, usual float64) float64 {
+	trust := 1 - float64(now.Sub(p.at))/float64(paceKeep)
+	if p.work == 0 || trust <= 0 {
+		return usual
+	}
+	return trust*p.work + (1-trust)*usual
+}
+
+// usualWork is the mean time of an answer of the pool's upstreams.
+func (p *pool) usualWork() float64 {
+	sum, n := 0.0, 0
+	for _, u := range p.members {
+		if u.pace.work > 0 {
+			sum += u.pace.work
+			n++
+		}
+	}
+	if n == 0 {
 		return milliseconds(defaultWork)
 	}
-	return p.work
+	return sum / float64(n)
 }
 
 func milliseconds(d time.Duration) float64 {
--- /dev/null
+++ b/internal/core/gateway/gateway_test.go
@@ -0,0 +1,138 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gladegauge/gladegauge/internal/core/config"
+	"github.com/gladegauge/gladegauge/internal/core/ingress"
+)
+
+var t0 = time.Unix(1000, 0)
+
+func view(t *testing.T, age time.Duration) ingress.View {
+	t.Helper()
+	route := func(name string, public bool) *ingress.Route {
+		return &ingress.Route{Name: name, Host: "h", Prefix: "/" + name + "/", Kind: ingress.Once, Timeout: time.Second, MaxAttempts: 2, Public: public, Shares: []ingress.Share{{Pool: "p", Weight: 1}}}
+	}
+	table, faults := ingress.New(3, []*ingress.Route{route("a", false), route("open", true)}, []ingress.Pool{{Name: "p"}},
+		[]ingress.Organisation{{Name: "o", Keys: []config.Key{config.HashKey("k")}}}, ingress.Limits{})
+	if len(faults) > 0 {
+		t.Fatal(faults)
+	}
+	return ingress.View{Table: table, NewestAt: t0.Add(-age)}
+}
+
+func TestAdmit(t *testing.T) {
+	b := Bounds{KeyAge: 4 * time.Second, DenyAge: 2 * time.Second, UrgencySteps: 10}
+	tests := []struct {
+		name   string
+		age    time.Duration
+		c      Call
+		kind   Kind
+		reason Reason
+	}{
+		{"a young view", 0, Call{Path: "/a/1", Key: "k"}, 0, ""},
+		{"an old view still knows the key", 4 * time.Second, Call{Path: "/a/1", Key: "k"}, 0, ""},
+		{"a view that may miss a revocation", 4*time.Second + 1, Call{Path: "/a/1", Key: "k"}, Unavailable, ViewTooOld},
+		{"a public route needs no key", time.Hour, Call{Path: "/open/1"}, 0, ""},
+		{"no route, surely", 0, Call{Path: "/none/"}, NotFound, NoRoute},
+		{"no route, as far as is known", 3 * time.Second, Call{Path: "/none/"}, Unavailable, ViewTooOld},
+		{"an unknown key, surely", 0, Call{Path: "/a/1", Key: "z"}, Unauthorised, UnknownKey},
+		{"an unknown key, as far as is known", 3 * time.Second, Call{Path: "/a/1", Key: "z"}, Unavailable, ViewTooOld},
+		{"no key", 3 * time.Second, Call{Path: "/a/1"}, Unauthorised, NoKey},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			tt.c.Host = "h"
+			tt.c.Patience = 300 * time.Millisecond
+			a, refusal := Admit(t0, view(t, tt.age), tt.c, b)
+			if tt.kind == 0 {
+				is.True(refusal == nil)
+				is.Equal(a.Deadline, t0.Add(300*time.Millisecond))
+				is.Equal(a.Pool, "p")
+				return
+			}
+			is.Equal(refusal.Kind, tt.kind)
+			is.Equal(refusal.Reason, tt.reason)
+			is.True(refusal.NotRun)
+			is.Equal(refusal.ComeBack > 0, tt.kind == Unavailable)
+		})
+	}
+	is := is.New(t)
+	_, refusal := Admit(t0, ingress.View{}, Call{}, b)
+	is.Equal(refusal.Reason, NoConfiguration)
+}
+
+// A request that may run once goes on only after failures that prove that it
+// did not run, and the words of a refusal are true.
+func TestNext(t *testing.T) {
+	tests := []struct {
+		name     string
+		kind     ingress.Kind
+		resume   bool
+		failures []Failure
+		now      time.Time
+		poor     bool
+		fixed    bool
+		answered bool
+		do       Action
+		refusal  Kind
+		notRun   bool
+	}{
+		{name: "once, unreachable", kind: ingress.Once, failures: []Failure{Unsent}, do: Again},
+		{name: "once, unreachable costs no budget", kind: ingress.Once, failures: []Failure{Unsent}, poor: true, do: Again},
+		{name: "once, four unreachable", kind: ingress.Once, failures: []Failure{Unsent, Unsent, Unsent, Unsent}, do: Refuse, refusal: Unavailable, notRun: true},
+		{name: "once, refused", kind: ingress.Once, failures: []Failure{NotRun}, do: Again},
+		{name: "once, refused, no budget", kind: ingress.Once, failures: []Failure{NotRun}, poor: true, do: Refuse, refusal: Unavailable, notRun: true},
+		{name: "once, refused twice", kind: ingress.Once, failures: []Failure{NotRun, NotRun}, do: Refuse, refusal: Unavailable, notRun: true},
+		{name: "once, refused, body gone", kind: ingress.Once, failures: []Failure{NotRun}, fixed: true, do: Refuse, refusal: Unavailable, notRun: true},
+		{name: "once, lost", kind: ingress.Once, failures: []Failure{Lost}, do: Refuse, refusal: Unknown},
+		{name: "once, silent", kind: ingress.Once, failures: []Failure{Silent}, do: Refuse, refusal: Unknown},
+		{name: "once, faulty", kind: ingress.Once, failures: []Failure{Faulty}, do: Relay},
+		{name: "once, refused and then lost", kind: ingress.Once, failures: []Failure{NotRun, Lost}, do: Refuse, refusal: Unknown},
+		{name: "once, lost at the end", kind: ingress.Once, failures: []Failure{Lost}, now: t0.Add(time.Second), do: Refuse, refusal: TimedOut},
+		{name: "repeatable, lost", kind: ingress.Repeatable, failures: []Failure{Lost}, do: Again},
+		{name: "repeatable, lost, no budget", kind: ingress.Repeatable, failures: []Failure{Lost}, poor: true, do: Refuse, refusal: Unknown},
+		{name: "repeatable, lost and refused", kind: ingress.Repeatable, failures: []Failure{Lost, NotRun}, do: Refuse, refusal: Unknown},
+		{name: "repeatable, faulty twice", kind: ingress.Repeatable, failures: []Failure{Faulty, Faulty}, do: Relay},
+		{name: "repeatable, no time", kind: ingress.Repeatable, failures: []Failure{Lost}, now: t0.Add(999 * time.Millisecond), do: Refuse, refusal: Unknown},
+		{name: "stream, lost", kind: ingress.Stream, failures: []Failure{Lost}, do: Refuse, refusal: Unknown},
+		{name: "stream, lost in the middle", kind: ingress.Stream, failures: []Failure{Lost}, answered: true, do: Cut},
+		{name: "resumable, lost in the middle", kind: ingress.Stream, resume: true, failures: []Failure{Lost}, answered: true, do: Again},
+		{name: "resumable, lost twice", kind: ingress.Stream, resume: true, failures: []Failure{Lost, Lost}, answered: true, do: Cut},
+		{name: "the caller left", kind: ingress.Repeatable, failures: []Failure{CallerGone}, do: Cut},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			a := Admission{Deadline: t0.Add(time.Second), Route: &ingress.Route{Kind: tt.kind, Resumable: tt.resume, MaxAttempts: 2}}
+			p := Progress{Replayable: !tt.fixed, Answering: tt.answered}
+			for _, f := range tt.failures {
+				p = p.With(f)
+			}
+			now := tt.now
+			if now.IsZero() {
+				now = t0
+			}
+			step := Next(now, a, p, tt.failures[len(tt.failures)-1], func() bool { return !tt.poor })
+			is.Equal(step.Do, tt.do)
+			if tt.do == Refuse {
+				is.Equal(step.Refusal.Kind, tt.refusal)
+				is.Equal(step.Refusal.NotRun, tt.notRun)
+				is.Equal(step.Refusal.ComeBack > 0, tt.notRun)
+			}
+		})
+	}
+}
+
+func TestNothingLeft(t *testing.T) {
+	is := is.New(t)
+	a := Admission{Deadline: t0.Add(time.Second), Route: &ingress.Route{Kind: ingress.Repeatable, MaxAttempts: 2}}
+	is.Equal(NothingLeft(t0, a, Progress{}).Reason, NoUpstream)
+	is.Equal(NothingLeft(t0, a, Progress{}.With(Unsent)).NotRun, true)
+	is.Equal(NothingLeft(t0, a, Progress{}.With(Lost)).NotRun, false)
+}
--- /dev/null
+++ b/internal/core/ingress/ingress_test.go
@@ -0,0 +1,97 @@
+package ingress
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gladegauge/gladegauge/internal/core/config"
+)
+
+func route(name, prefix string, tier int) *Route {
+	return &Route{Name: name, Host: "h", Prefix: prefix, Kind: Once, Shares: []Share{{"p", 9}, {"q", 1}}, Timeout: time.Second, MaxAttempts: 1, Tier: tier}
+}
+
+func tableOf(t *testing.T, version int64) *Table {
+	t.Helper()
+	table, faults := New(version,
+		[]*Route{route("short", "/a/", 0), route("long", "/a/b/", 2), route("root", "/c/", 1)},
+		[]Pool{{Name: "p"}, {Name: "q"}},
+		[]Organisation{{Name: "low", Tier: 1, Keys: []config.Key{config.HashKey("k-low")}}, {Name: "high", Keys: []config.Key{config.HashKey("k-high")}}},
+		Limits{})
+	if len(faults) > 0 {
+		t.Fatal(faults)
+	}
+	return table
+}
+
+func TestLongestPrefix(t *testing.T) {
+	table := tableOf(t, 1)
+	tests := []struct{ host, path, want string }{
+		{"h", "/a/x", "short"},
+		{"h", "/a/b/x", "long"},
+		{"h", "/a/bx", "short"},
+		{"h", "/c/", "root"},
+		{"h", "/c", ""},
+		{"other", "/a/x", ""},
+	}
+	for _, tt := range tests {
+		is := is.New(t)
+		r, ok := table.Route(tt.host, tt.path)
+		is.Equal(ok, tt.want != "")
+		if ok {
+			is.Equal(r.Name, tt.want)
+		}
+	}
+}
+
+// The split is steady for an identity and near the weights over many.
+func TestSplit(t *testing.T) {
+	is := is.New(t)
+	r := route("r", "/", 0)
+	n := 0
+	for i := range 2000 {
+		hash := HashID(strconv.Itoa(i))
+		is.Equal(r.Pool(hash), r.Pool(hash))
+		if r.Pool(hash) == "q" {
+			n++
+		}
+	}
+	is.True(n > 140 && n < 260)
+	is.Equal((&Route{}).Pool(7), "")
+}
+
+// The organisation's tier goes before the route's.
+func TestUrgency(t *testing.T) {
+	is := is.New(t)
+	table := tableOf(t, 1)
+	high, _ := table.Organisation("k-high")
+	low, _ := table.Organisation("k-low")
+	var order []int
+	for _, o := range []*Organisation{high, low} {
+		for _, path := range []string{"/a/", "/c/", "/a/b/"} {
+			r, _ := table.Route("h", path)
+			order = append(order, table.Urgency(o, r, 10))
+		}
+	}
+	is.Equal(order, []int{0, 1, 2, 3, 4, 5})
+	r, _ := table.Route("h", "/a/b/")
+	is.True(table.Urgency(low, r, 3) <= 2)
+	is.Equal(table.Urgency(nil, r, 10), 2)
+}
+
+func TestViewAge(t *testing.T) {
+	is := is.New(t)
+	t0 := time.Unix(1000, 0)
+	v, ok := View{}.WithTable(tableOf(t, 5), t0)
+	is.True(ok)
+	is.Equal(v.Age(t0.Add(time.Second)), time.Second)
+	is.Equal(v.WithProof(t0.Add(-time.Second)).NewestAt, t0) // an older proof proves nothing
+	is.Equal(v.WithProof(t0.Add(time.Second)).Age(t0.Add(time.Second)), time.Duration(0))
+	for _, version := range []int64{4, 5} {
+		_, ok = v.WithTable(tableOf(t, version), t0.Add(time.Minute))
+		is.True(!ok) // never back
+	}
+}
--- a/internal/core/ingress/table.go
+++ b/internal/core/ingress/table.go
@@ -112,7 +112,7 @@
 		f.Add(field+".timeout", "must be above 0")
 	}
 	if r.MaxAttempts < 1 {
-		f.Add(field+".max_attempts", "must be 1 or more")
+		f.Add(field+".attempts", "must be 1 or more")
 	}
 	t.routes[r.Host] = append(t.routes[r.Host], r)
 	return f
--- a/internal/edge/gatewayd/state_test.go
+++ b/internal/edge/gatewayd/state_test.go
@@ -70,7 +70,7 @@
 	for _, value := range []string{"{", `{"version":0}`, `{"version":9,"routes":[{"name":"r","path_prefix":"x"}]}`} {
 		before := w.server.view.Load().NewestAt
 		calls := w.store.Calls()
-		w.store.Put("op/config", []byte(value))
+		w.store.PutRawConfig([]byte(value))
 		w.await(func() bool { return w.store.Calls() > calls })
 		is.Equal(w.server.view.Load().Table.Version, int64(1))
 		is.True(!w.server.view.Load().NewestAt.Before(before))
