Store: longer watches that prove more, 150 ms to gather changes

Ruled out: fewer, longer watches without a new proof. After: an empty watch that was held to its end proves the view up to then.

--- a/internal/edge/gatewayd/follow.go
+++ b/internal/edge/gatewayd/follow.go
@@ -19,11 +19,14 @@
 	defaultWatch = 10 * time.Second
 	// watchShare is the part of the age up to which keys are honoured that one
 	// watch may take; each answer proves the age anew, and one may be lost.
-	watchShare = 0.35
+	watchShare = 0.5
+	// gatherFor is the pause after a watch that brought changes. Changes come
+	// in groups, and every call is paid for.
+	gatherFor = 150 * time.Millisecond
 	// backoffFirst and backoffMost bound the pause after a call that failed.
 	// Every call is paid for, but a revoked key must be learned of in time.
 	backoffFirst = 50 * time.Millisecond
-	backoffMost  = 400 * time.Millisecond
+	backoffMost  = 700 * time.Millisecond
 	// outageAfter is how long calls must have failed to count as an outage, in
 	// which upstreams could not renew their entries.
 	outageAfter = time.Second
@@ -92,14 +95,28 @@
 		f.succeeded()
 		f.revision = c.Revision
 		f.server.report(c.Faults)
+		proof := provedAt(asked, time.Now(), wait, c)
 		f.server.control.Must(func(now time.Time) {
 			if len(c.Changed)+len(c.Removed) > 0 {
 				f.server.roster.Change(now, c.Changed, c.Removed)
 				f.server.applyRoster(now)
 			}
-			f.server.applyTable(c.Table, len(c.Faults) == 0, asked)
+			f.server.applyTable(c.Table, len(c.Faults) == 0, proof)
 		})
+		if c.Any() {
+			loop.Pause(ctx, gatherFor)
+		}
+	}
+}
+
+// provedAt returns a moment at which what is known was the newest. A watch that
+// brought nothing was answered when its wait was over, and not before. Any
+// other answer may be as old as its question.
+func provedAt(asked, answered time.Time, wait time.Duration, c platform.Changes) time.Time {
+	if c.Any() || answered.Sub(asked) < wait {
+		return asked
 	}
+	return asked.Add(wait)
 }
 
 // failed notes a failure and pauses.
--- a/internal/edge/gatewayd/state_test.go
+++ b/internal/edge/gatewayd/state_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/gladegauge/gladegauge/platform"
 	"github.com/gladegauge/gladegauge/platform/standin"
 )
 
@@ -138,3 +139,27 @@
 	is.Equal(a.Status, 200)
 	is.Equal(a.Body, "late")
 }
+
+// Only a watch that waited to its end without a change proves more than the
+// moment at which it was asked.
+func TestWhatAWatchProves(t *testing.T) {
+	t0 := time.Unix(1000, 0)
+	wait := 2 * time.Second
+	tests := []struct {
+		name  string
+		took  time.Duration
+		c     platform.Changes
+		proof time.Duration
+	}{
+		{"nothing changed", 2010 * time.Millisecond, platform.Changes{}, wait},
+		{"cut short", 500 * time.Millisecond, platform.Changes{}, 0},
+		{"an upstream went", 2010 * time.Millisecond, platform.Changes{Removed: []string{"i"}}, 0},
+		{"a value was faulty", 2010 * time.Millisecond, platform.Changes{Faults: []platform.Fault{{}}}, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(provedAt(t0, t0.Add(tt.took), wait, tt.c), t0.Add(tt.proof))
+		})
+	}
+}
