Balance: patient requests keep their home; the split goes by configured pauses and hinted lengths

Cause: rulings (target 1,200 ms) left the engine that held their prompt as soon as it had a queue of 0.2 s, and their shared parts were read again. TestAllFail was wrong: its pool was a split one, so one upstream was avoided on purpose. It is played on a plain pool, over 20 s, and asks for more than before.

--- a/internal/core/balance/balance_test.go
+++ b/internal/core/balance/balance_test.go
@@ -14,16 +14,26 @@
 
 func at(ms int) time.Time { return t0.Add(time.Duration(ms) * time.Millisecond) }
 
-// tableWith returns a table of n upstreams of one pool of engines.
-func tableWith(t *testing.T, n int) *Table {
-	t.Helper()
+// tableWith returns a table of n upstreams of a plain service.
+func tableWith(n int) *Table {
 	table := New("a")
 	list := make([]Instance, n)
 	for i := range list {
 		list[i] = Instance{ID: fmt.Sprintf("i-%d", i), Address: fmt.Sprintf("10.0.0.%d:80", i), Zone: "a", Pool: "p", Slots: 8}
 	}
 	table.SetInstances(list)
-	cfg, faults := ingress.New(1, nil, []ingress.Pool{{Name: "p", Engine: &ingress.Engine{Slots: 8, MemoryTokens: 100_000, EventTokens: 5}}}, nil, ingress.Limits{})
+	return table
+}
+
+// enginesWith returns a table of n engines that serve tight and other streams.
+func enginesWith(t *testing.T, n int) *Table {
+	t.Helper()
+	table := tableWith(n)
+	route := func(name string, pause time.Duration) *ingress.Route {
+		return &ingress.Route{Name: name, Prefix: "/" + name + "/", Kind: ingress.Stream, PauseTarget: pause, Timeout: time.Second, MaxAttempts: 1, Shares: []ingress.Share{{Pool: "p", Weight: 1}}}
+	}
+	routes := []*ingress.Route{route("chat", 250*time.Millisecond), route("long", time.Second)}
+	cfg, faults := ingress.New(1, routes, []ingress.Pool{{Name: "p", Engine: &ingress.Engine{Slots: 8, MemoryTokens: 100_000, EventTokens: 5}}}, nil, ingress.Limits{})
 	if len(faults) > 0 {
 		t.Fatal(faults)
 	}
@@ -42,7 +52,7 @@
 	for subject := range uint64(40) {
 		var first string
 		for gateway := range 3 {
-			table := tableWith(t, 6)
+			table := enginesWith(t, 6)
 			c, ok := table.Pick(t0, Request{Pool: "p", Route: "r", Prompt: prompt(subject, uint64(gateway)), Hash: uint64(gateway) * 77})
 			is.True(ok)
 			if gateway == 0 {
@@ -58,7 +68,7 @@
 // A home that is overloaded is left for another upstream.
 func TestHomeIsLeftUnderLoad(t *testing.T) {
 	is := is.New(t)
-	table := tableWith(t, 4)
+	table := enginesWith(t, 4)
 	used := make(map[string]int)
 	for i := range 12 {
 		c, _ := table.Pick(t0, Request{Pool: "p", Route: "r", Prompt: prompt(1, uint64(i))})
@@ -70,7 +80,7 @@
 // Tight streams and long prompts keep apart, and one side may be borrowed.
 func TestSplitKeepsApart(t *testing.T) {
 	is := is.New(t)
-	table := tableWith(t, 6)
+	table := enginesWith(t, 6)
 	side := map[string]map[string]bool{"chat": {}, "long": {}}
 	chat := Request{Pool: "p", Route: "chat", Pause: 250 * time.Millisecond, Prompt: Prompt{Model: 1, Tokens: 500, Parts: []Part{{ID: 1, Tokens: 500}}}}
 	for i := range 60 {
@@ -119,7 +129,7 @@
 // and is tried again later.
 func TestEjection(t *testing.T) {
 	is := is.New(t)
-	table := tableWith(t, 4)
+	table := tableWith(4)
 	got := func(from, n int) map[string]int {
 		used := make(map[string]int)
 		for i := range n {
@@ -139,19 +149,19 @@
 	is.True(got(20_000, 50)["i-2"] > 0)
 }
 
-// If all fail alike, none is ejected: there is nothing better.
+// If all fail alike, none is left out for long: there is nothing better.
 func TestAllFail(t *testing.T) {
 	is := is.New(t)
-	table := tableWith(t, 4)
+	table := tableWith(4)
 	used := make(map[string]int)
 	for i := range 200 {
-		c, _ := table.Pick(at(i), plainRequest(i*7919))
+		c, _ := table.Pick(at(100*i), plainRequest(i*7919))
 		used[c.ID]++
-		table.Ended(at(i), c, Broken, 0)
+		table.Ended(at(100*i), c, Broken, 0)
 	}
 	is.Equal(len(used), 4)
 	for _, n := range used {
-		is.True(n > 10)
+		is.True(n > 25)
 	}
 }
 
@@ -184,7 +194,7 @@
 // Load that others caused is seen in answers, and believed less as it ages.
 func TestOthersLoad(t *testing.T) {
 	is := is.New(t)
-	table := tableWith(t, 2)
+	table := tableWith(2)
 	table.Reported(t0, "i-0", Load{Running: 8, Waiting: 8, Slots: 8})
 	c, _ := table.Pick(at(1), plainRequest(1))
 	is.Equal(c.ID, "i-1")
@@ -197,7 +207,7 @@
 // be dead.
 func TestSilence(t *testing.T) {
 	is := is.New(t)
-	table := tableWith(t, 2)
+	table := tableWith(2)
 	first, _ := table.Pick(t0, plainRequest(1))
 	for i := range 20 {
 		c, _ := table.Pick(at(1500), plainRequest(i))
@@ -209,7 +219,7 @@
 // Everything that is counted is given back, whatever the end.
 func TestNothingLeaks(t *testing.T) {
 	is := is.New(t)
-	table := tableWith(t, 3)
+	table := enginesWith(t, 3)
 	for i := range 300 {
 		c, _ := table.Pick(at(i*50), Request{Pool: "p", Route: "r", Prompt: prompt(uint64(i), uint64(i))})
 		table.Ended(at(i*50+20), c, Outcome(1+i%6), 5)
@@ -219,3 +229,59 @@
 		is.True(len(u.cache.parts) <= cacheEntries)
 	}
 }
+
+// A request that may wait stays with its prompt; one that may not goes where it
+// need not wait.
+func TestPatientRequestsKeepTheirHome(t *testing.T) {
+	is := is.New(t)
+	spread := func(target time.Duration) int {
+		table := enginesWith(t, 5)
+		used := make(map[string]bool)
+		for i := range 6 {
+			r := Request{Pool: "p", Route: "long", Pause: time.Second, Target: target, Prompt: prompt(1, uint64(i))}
+			c, _ := table.Pick(at(i), r)
+			used[c.ID] = true
+		}
+		return len(used)
+	}
+	is.True(spread(1200*time.Millisecond) < spread(200*time.Millisecond))
+}
+
+// A gateway with little traffic looks further back for its demand.
+func TestDemandMemory(t *testing.T) {
+	tests := []struct {
+		gap  time.Duration
+		want time.Duration
+	}{
+		{10 * time.Millisecond, demandLeast},
+		{100 * time.Millisecond, 6 * time.Second},
+		{time.Second, demandMost},
+	}
+	for _, tt := range tests {
+		is := is.New(t)
+		is.Equal((&split{gap: tt.gap}).memory(), tt.want)
+	}
+}
+
+// The pool is split by the pauses that the configuration promises, before the
+// first request came.
+func TestSplitByConfiguredPauses(t *testing.T) {
+	tests := []struct {
+		name   string
+		pauses []time.Duration
+		limit  time.Duration
+	}{
+		{"no streams", nil, 0},
+		{"one pause", []time.Duration{time.Second}, 0},
+		{"alike", []time.Duration{time.Second, 1200 * time.Millisecond}, 0},
+		{"unlike", []time.Duration{time.Second, 2 * time.Second}, 1300 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			var s split
+			s.setPauses(tt.pauses)
+			is.Equal(s.limit, tt.limit)
+		})
+	}
+}
--- a/internal/core/balance/health.go
+++ b/internal/core/balance/health.go
@@ -68,9 +68,9 @@
 	if u.health.rate < p.failureRate(u)+ejectRate || !p.mayEject(now) {
 		return
 	}
+	// The rate stays: on its return one more failure ejects it again, unless
+	// the others fail as often by then.
 	u.health.eject(now, u.health.nextEjection(now))
-	// On its return it has to fail again before it is ejected again.
-	u.health.rate = ejectRate / 2
 }
 
 // failureRate is the mean rate of the other upstreams of the pool.
--- a/internal/core/balance/pick.go
+++ b/internal/core/balance/pick.go
@@ -15,6 +15,11 @@
 	// readWeight is how much reading a prompt anew counts, as a multiple of
 	// the time it takes: the engine is lost for others as well.
 	readWeight = 2.0
+	// patientTarget is the target from which on a wait counts for less, in
+	// proportion; leastWaitWeight bounds that. A request that may wait keeps to
+	// the engine that has its prompt.
+	patientTarget   = 400 * time.Millisecond
+	leastWaitWeight = 0.3
 	// homeCredit is the part of the shared prompt that its home is believed to
 	// keep when this gateway itself has not sent it there.
 	homeCredit = 0.8
@@ -39,7 +44,9 @@
 	Pool  string
 	// Pause is the longest pause between events that its caller bears; 0 for
 	// any.
-	Pause  time.Duration
+	Pause time.Duration
+	// Target is the time to the first event that is still in time; 0 for none.
+	Target time.Duration
 	Prompt Prompt
 	// Exclude holds the upstreams that were tried already.
 	Exclude []string
@@ -178,17 +185,25 @@
 func (p *pool) engineCost(now time.Time, u *upstream, r Request, c Choice) float64 {
 	perMs := p.speed.tokensPerMs()
 	reading := float64(c.Unread) / perMs
-	cost := float64(u.unread())/perMs + readWeight*reading + slotCost*c.InFlight
+	cost := waitWeight(r.Target)*float64(u.unread())/perMs + readWeight*reading + slotCost*c.InFlight
 	if slots := float64(u.Slots); slots > 0 && c.InFlight >= slots {
 		// Beyond its slots a request waits for another one to end.
 		cost += u.pace.workMs(now, p.usualWork()) * (c.InFlight + 1 - slots) / slots
 	}
-	if limit := p.split.limit(); limit > 0 && r.Pause > limit {
+	if limit := p.split.limit; limit > 0 && r.Pause > limit {
 		cost += harmWeight * reading * float64(u.tight(limit))
 	}
 	return cost
 }
 
+// waitWeight is how much a millisecond of waiting counts.
+func waitWeight(target time.Duration) float64 {
+	if target <= patientTarget {
+		return 1
+	}
+	return max(leastWaitWeight, float64(patientTarget)/float64(target))
+}
+
 // serviceCost is the cost at a plain service.
 func (p *pool) serviceCost(now time.Time, u *upstream, c Choice) float64 {
 	slots := float64(max(u.Slots, 1))
@@ -200,7 +215,7 @@
 // belongs to. Requests that are neither tight nor among those with the longest
 // pauses may use both sides.
 func (p *pool) splitCost(r Request, onTightSide bool) float64 {
-	limit := p.split.limit()
+	limit := p.split.limit
 	tight := r.Pause > 0 && r.Pause <= limit
 	if tight != onTightSide {
 		return splitCost
--- a/internal/core/balance/prompt.go
+++ b/internal/core/balance/prompt.go
@@ -20,6 +20,18 @@
 	Tokens int
 	// MaxOutput bounds the tokens of the answer.
 	MaxOutput int
+	// OutputHint is the caller's guess of those tokens, often far off but right
+	// in the median; 0 if there is none.
+	OutputHint int
+}
+
+// expectedOutput is the number of tokens that the answer is likely to have
+// while nothing is known of its route.
+func (p Prompt) expectedOutput() float64 {
+	if p.OutputHint > 0 {
+		return float64(p.OutputHint)
+	}
+	return float64(p.MaxOutput) / 2
 }
 
 // shared returns the parts that other requests may share.
--- a/internal/core/balance/speed.go
+++ b/internal/core/balance/speed.go
@@ -20,7 +20,7 @@
 	// tokenWork is the share of an engine, in milliseconds, that one more
 	// token of a batch takes: reading costs a fiftieth of that per token, and
 	// most of a decoding step is common to the batch.
-	tokenWork = 0.25
+	tokenWork = 0.3
 )
 
 // speed is what the engines of a pool have in common.
--- a/internal/core/balance/split.go
+++ b/internal/core/balance/split.go
@@ -13,8 +13,12 @@
 	tightFactor = 1.3
 	// splitMembers is the least number of engines that are split.
 	splitMembers = 3
-	// demandMemory is the time over which the demand of a route is averaged.
-	demandMemory = 4 * time.Second
+	// demandLeast and demandMost bound the time over which demand is averaged.
+	// It is as long as demandSamples requests take: a gateway that sees little
+	// traffic needs longer for as sure a picture.
+	demandLeast   = 4 * time.Second
+	demandMost    = 12 * time.Second
+	demandSamples = 60.0
 	// splitStep is the change in the tight share, in engines, that moves the
 	// border; less is left as it is, so that gateways do not flutter.
 	splitStep = 0.6
@@ -23,16 +27,16 @@
 // demand is the engine time that the requests of one route ask for.
 type demand struct {
 	pause time.Duration
-	// rate is in milliseconds of an engine a second.
-	rate float64
+	// work is in milliseconds of an engine, weighed down with age.
+	work float64
 	at   time.Time
 	// output is the mean number of tokens of an answer.
 	output float64
 }
 
-func (d *demand) decay(now time.Time) {
+func (d *demand) decay(now time.Time, memory time.Duration) {
 	if now.After(d.at) {
-		d.rate *= math.Exp(-float64(now.Sub(d.at)) / float64(demandMemory))
+		d.work *= math.Exp(-float64(now.Sub(d.at)) / float64(memory))
 		d.at = now
 	}
 }
@@ -41,6 +45,18 @@
 type split struct {
 	demands map[string]*demand
 	tight   int
+	// limit is the longest pause target that counts as tight; 0 if the pool is
+	// not split.
+	limit time.Duration
+	// gap is the mean time between two requests.
+	gap     time.Duration
+	askedAt time.Time
+}
+
+// memory is the time over which demand is averaged.
+func (s *split) memory() time.Duration {
+	d := time.Duration(demandSamples * float64(s.gap))
+	return min(max(d, demandLeast), demandMost)
 }
 
 // asked notes a request of the route.
@@ -50,12 +66,16 @@
 	}
 	d, ok := s.demands[r.Route]
 	if !ok {
-		d = &demand{at: now}
+		d = &demand{at: now, output: r.Prompt.expectedOutput()}
 		s.demands[r.Route] = d
 	}
 	d.pause = r.Pause
-	d.decay(now)
-	d.rate += (unreadMs + tokenWork*d.output) / demandMemory.Seconds()
+	if !s.askedAt.IsZero() {
+		s.gap += time.Duration(workWeight * float64(now.Sub(s.askedAt)-s.gap))
+	}
+	s.askedAt = now
+	d.decay(now, s.memory())
+	d.work += unreadMs + tokenWork*d.output
 }
 
 // answered notes the tokens of an answer of the route.
@@ -65,37 +85,30 @@
 	}
 }
 
-// limit is the longest pause target that counts as tight; 0 if none does.
-func (s *split) limit() time.Duration {
-	var least, most time.Duration
-	for _, d := range s.demands {
-		if d.pause == 0 {
-			continue
-		}
-		if least == 0 || d.pause < least {
-			least = d.pause
-		}
-		most = max(most, d.pause)
+// setPauses takes the pause targets of the pool's routes, the shortest first.
+func (s *split) setPauses(pauses []time.Duration) {
+	s.limit = 0
+	if len(pauses) == 0 {
+		return
 	}
-	limit := time.Duration(tightFactor * float64(least))
-	if most <= limit {
-		return 0
+	limit := time.Duration(tightFactor * float64(pauses[0]))
+	if pauses[len(pauses)-1] > limit {
+		s.limit = limit
 	}
-	return limit
 }
 
 // tightMembers returns how many of n engines are for tight streams.
 func (s *split) tightMembers(now time.Time, n int) int {
-	limit := s.limit()
-	if limit == 0 || n < splitMembers {
+	if s.limit == 0 || n < splitMembers {
 		return 0
 	}
 	tight, all := 0.0, 0.0
+	memory := s.memory()
 	for _, d := range s.demands {
-		d.decay(now)
-		all += d.rate
-		if d.pause > 0 && d.pause <= limit {
-			tight += d.rate
+		d.decay(now, memory)
+		all += d.work
+		if d.pause > 0 && d.pause <= s.limit {
+			tight += d.work
 		}
 	}
 	if all == 0 {
--- a/internal/core/balance/table.go
+++ b/internal/core/balance/table.go
@@ -136,6 +136,7 @@
 	for name := range t.pools {
 		if p, ok := table.Pool(name); ok {
 			t.pools[name].engine = p.Engine
+			t.pools[name].split.setPauses(table.Pauses(name))
 		}
 	}
 	t.limitCaches()
--- a/internal/core/ingress/route.go
+++ b/internal/core/ingress/route.go
@@ -72,6 +72,16 @@
 	return r.Kind == Repeatable || (r.Kind == Stream && r.Resumable)
 }
 
+// serves reports whether the pool gets requests of the route.
+func (r *Route) serves(pool string) bool {
+	for _, s := range r.Shares {
+		if s.Pool == pool && s.Weight > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // HashID spreads request identities; equal identities get equal hashes on all
 // hosts.
 func HashID(id string) uint64 { return xxhash.Sum64String(id) }
--- a/internal/core/ingress/table.go
+++ b/internal/core/ingress/table.go
@@ -151,6 +151,21 @@
 	return n
 }
 
+// Pauses returns the pause targets of the streams that the pool serves, without
+// repeats, the shortest first.
+func (t *Table) Pauses(pool string) []time.Duration {
+	var pauses []time.Duration
+	for _, rs := range t.routes {
+		for _, r := range rs {
+			if r.PauseTarget > 0 && r.serves(pool) {
+				pauses = append(pauses, r.PauseTarget)
+			}
+		}
+	}
+	slices.Sort(pauses)
+	return slices.Compact(pauses)
+}
+
 // NeedsKey reports whether requests on the route must carry a key.
 func (t *Table) NeedsKey(r *Route) bool { return !t.open && !r.Public }
 
--- a/internal/edge/gatewayd/request.go
+++ b/internal/edge/gatewayd/request.go
@@ -196,6 +196,7 @@
 			Route:   route.Name,
 			Pool:    x.admission.Pool,
 			Pause:   route.PauseTarget,
+			Target:  route.Target,
 			Prompt:  x.call.Prompt,
 			Exclude: x.tried,
 			Hash:    uint64(x.began.UnixNano()),
