The users' platform as stand-ins for the demo; the real gateway from start to stop, by its log

The test through the real binary follows requests through the log by their identity, reloads good and faulty settings and stops the process in order.

--- a/cmd/gladegauge-standin/main.go
+++ b/cmd/gladegauge-standin/main.go
@@ -9,6 +9,8 @@
 //	gladegauge-standin service -listen 127.0.0.1:9002
 //	gladegauge-standin publish -platform-url http://127.0.0.1:7000 -values out/values -hosts hosts.yaml
 //	gladegauge-standin load -entries http://127.0.0.1:8080 -deployment salish
+//	gladegauge-standin users-platform -node-file settings.conf
+//	gladegauge-standin users-load -entry 127.0.0.1:8080
 package main
 
 import (
@@ -32,7 +34,7 @@
 )
 
 func main() {
-	program.Main(platformCommand(), engineCommand(), serviceCommand(), publishCommand(), loadCommand(), program.VersionCommand())
+	program.Main(platformCommand(), engineCommand(), serviceCommand(), publishCommand(), loadCommand(), usersCommand(), usersLoadCommand(), program.VersionCommand())
 }
 
 // serve listens until the process is told to stop.
--- /dev/null
+++ b/internal/e2e/gateway_test.go
@@ -0,0 +1,173 @@
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gladegauge/gladegauge/platform"
+	"github.com/gladegauge/gladegauge/platform/standin"
+)
+
+// lockedBuffer is the output of a process, read while it is written.
+type lockedBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
+
+// gatewayProcess is the real gateway on the stand-in of the users' platform.
+type gatewayProcess struct {
+	t        *testing.T
+	d        *standin.Deployment
+	cmd      *exec.Cmd
+	out      lockedBuffer
+	settings string
+	callers  string
+}
+
+// freeAddress is a loopback address that nobody listens on.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func startGateway(t *testing.T) *gatewayProcess {
+	t.Helper()
+	g := &gatewayProcess{t: t, d: standin.NewDeployment(t), callers: freeAddress(t)}
+	readiness := freeAddress(t)
+	g.settings = filepath.Join(t.TempDir(), "settings.conf")
+	if err := os.WriteFile(g.settings, []byte(g.d.Settings(g.callers, readiness)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	g.cmd = exec.Command(filepath.Join(binaries, "gladegauge-gateway"), "run")
+	g.cmd.Env = append(os.Environ(), "GLADEGAUGE_NODE_FILE="+g.settings)
+	g.cmd.Stdout = &g.out
+	g.cmd.Stderr = &g.out
+	if err := g.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if g.cmd.ProcessState == nil {
+			_ = g.cmd.Process.Kill()
+			_ = g.cmd.Wait()
+		}
+		if t.Failed() {
+			t.Log(g.out.String())
+		}
+	})
+	g.await("ready", func() bool {
+		resp, err := http.Get("http://" + readiness + platform.ReadyPath) //nolint:noctx // A test's poll.
+		if err != nil {
+			return false
+		}
+		_ = resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	})
+	return g
+}
+
+func (g *gatewayProcess) await(what string, done func() bool) {
+	g.t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if done() {
+			return
+		}
+	}
+	g.t.Fatalf("never %s", what)
+}
+
+// line returns the fields of the first log line with the message and, if it is
+// not empty, the request.
+func (g *gatewayProcess) line(message, request string) map[string]any {
+	for _, text := range strings.Split(g.out.String(), "\n") {
+		var fields map[string]any
+		if json.Unmarshal([]byte(text), &fields) != nil || fields["message"] != message {
+			continue
+		}
+		if request == "" || fields["request"] == request {
+			return fields
+		}
+	}
+	return nil
+}
+
+func (g *gatewayProcess) call(id, path string) standin.Answer {
+	return standin.NewCaller(g.t, g.callers).Call(context.Background(),
+		standin.Request{ID: id, Host: standin.DemoHost, URI: path, Key: standin.DemoKey, DeadlineMs: 5000, Body: "hello"})
+}
+
+// A request can be followed through the log by its identity, a refused one
+// too, and a planned stop ends the process in order.
+func TestGatewayFromStartToStop(t *testing.T) {
+	is := is.New(t)
+	g := startGateway(t)
+	for _, path := range []string{"/chat/1", "/read/1", "/write/1"} {
+		a := g.call("id"+path, path)
+		is.Equal(a.Status, 200)
+		is.True(a.Whole && a.Sealed())
+		g.await("logged", func() bool { return g.line("ended", "id"+path) != nil })
+		picked := g.line("picked", "id"+path)
+		is.True(picked["upstream"] != "" && picked["version"] == 1.0 && picked["view_age"] != nil)
+		is.Equal(g.line("ended", "id"+path)["result"], "completed")
+	}
+	is.Equal(g.call("refused", "/none/").Status, 404)
+	g.await("logged", func() bool { return g.line("ended", "refused") != nil })
+	is.Equal(g.line("ended", "refused")["reason"], "no_route")
+
+	is.NoErr(g.cmd.Process.Signal(syscall.SIGHUP))
+	g.await("reloaded", func() bool { return g.line("settings: taken", "") != nil })
+	is.NoErr(os.WriteFile(g.settings, []byte("zone=\n"), 0o600))
+	is.NoErr(g.cmd.Process.Signal(syscall.SIGHUP))
+	g.await("refused the settings", func() bool { return g.line("settings: faulty, nothing changed", "") != nil })
+	is.Equal(g.call("after", "/read/1").Status, 200)
+
+	is.NoErr(g.cmd.Process.Signal(syscall.SIGTERM))
+	g.await("stopping", func() bool { return g.line("planned stop: not ready for new callers", "") != nil })
+	is.Equal(g.call("late", "/write/2").Status, 200)
+	is.NoErr(g.cmd.Wait())
+	is.True(g.line("stopped", "") != nil)
+	is.Equal(len(g.d.RanTwice()), 0)
+}
+
+// Faulty settings end the start with every field named.
+func TestGatewayFaultySettings(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "settings.conf")
+	is.NoErr(os.WriteFile(path, []byte("node=x\nzone=a\nip=1\nlisten.frontend=nowhere\n"), 0o600))
+	cmd := exec.Command(filepath.Join(binaries, "gladegauge-gateway"), "run", "-node-file", path)
+	out, err := cmd.CombinedOutput()
+	is.True(err != nil)
+	is.Equal(cmd.ProcessState.ExitCode(), 2)
+	for _, field := range []string{"listen.frontend", "listen.readiness", "platform.address"} {
+		is.True(strings.Contains(string(out), field))
+	}
+}
--- a/scripts/stack.sh
+++ b/scripts/stack.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Starts a small deployment as separate processes on loopback, and ends only
 # what it started.
-#   scripts/stack.sh demo   both deployments in turn, with a checked load
+#   scripts/stack.sh demo   both deployments and a gateway in turn, with a checked load
 #   scripts/stack.sh up     one deployment until interrupted
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -80,6 +80,16 @@
     -entries http://127.0.0.1:8080,http://127.0.0.1:8081 -services http://127.0.0.1:18303
 }
 
+gateway_stack() {
+  start users bin/gladegauge-standin users-platform -node-file "$out/node.conf" -callers 127.0.0.1:8080 -readiness 127.0.0.1:18501
+  for _ in $(seq 1 50); do
+    [ -s "$out/node.conf" ] && break
+    sleep 0.1
+  done
+  start gateway bin/gladegauge-gateway run -node-file "$out/node.conf" -metrics-port 18502
+  wait_ready http://127.0.0.1:18501/api/ready
+}
+
 case $mode in
 demo)
   for deployment in tallowbark salish; do
@@ -91,6 +101,10 @@
     load "$deployment"
     stop_all
   done
+  echo "== gateway on the users' platform"
+  gateway_stack
+  bin/gladegauge-standin users-load -entry 127.0.0.1:8080
+  stop_all
   ;;
 up)
   stack tallowbark activation-model activation-service
