--- /dev/null
+++ b/internal/edge/exchange/exchange_test.go
@@ -0,0 +1,288 @@
+package exchange
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+)
+
+// upstream answers each request of each connection with the next text. An
+// empty text closes the connection.
+type upstream struct {
+	l     net.Listener
+	group errgroup.Group
+	mu    sync.Mutex
+	texts []string
+	conns []net.Conn
+	heads []string
+}
+
+func newUpstream(t *testing.T, texts ...string) *upstream {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	u := &upstream{l: l, texts: texts}
+	u.group.Go(u.accept)
+	t.Cleanup(func() {
+		_ = l.Close()
+		u.mu.Lock()
+		for _, c := range u.conns {
+			_ = c.Close()
+		}
+		u.mu.Unlock()
+		_ = u.group.Wait()
+	})
+	return u
+}
+
+func (u *upstream) accept() error {
+	for {
+		c, err := u.l.Accept()
+		if err != nil {
+			return nil //nolint:nilerr // The listener was closed.
+		}
+		u.mu.Lock()
+		u.conns = append(u.conns, c)
+		u.mu.Unlock()
+		u.group.Go(func() error {
+			u.serve(c)
+			return nil
+		})
+	}
+}
+
+func (u *upstream) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	br := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		text := u.next(req)
+		early := strings.HasPrefix(text, "early ")
+		if !early {
+			if _, err := io.Copy(io.Discard, req.Body); err != nil {
+				return
+			}
+		}
+		if text == "" {
+			return
+		}
+		if _, err := io.WriteString(c, strings.TrimPrefix(text, "early ")); err != nil {
+			return
+		}
+		if early {
+			_, _ = io.Copy(io.Discard, req.Body)
+		}
+	}
+}
+
+func (u *upstream) next(req *http.Request) string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.heads = append(u.heads, req.Method+" "+req.RequestURI+" "+req.Header.Get("User-Agent"))
+	if len(u.texts) == 0 {
+		return ""
+	}
+	text := u.texts[0]
+	u.texts = u.texts[1:]
+	return text
+}
+
+func answer(id, body string) string {
+	return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + string(rune('0'+len(body))) + "\r\n\r\n" + body
+}
+
+type clock struct{ now time.Time }
+
+// client returns a client whose answers carry the identity "mine", and the
+// number of connections it opened.
+func client(c *clock) (*Client, *int) {
+	opened := 0
+	return New(Options{
+		KeepFor: func(http.Header) time.Duration { return 0 },
+		Opened:  func() { opened++ },
+		Clock:   func() time.Time { return c.now },
+	}), &opened
+}
+
+func mine(r *http.Response) bool { return r.Header.Get("Id") == "mine" }
+
+func get(t *testing.T, c *Client, address string, body string) (string, error) {
+	t.Helper()
+	req := &http.Request{Method: http.MethodPost, URL: &url.URL{Opaque: "/a%2Fb?q"}, Host: "h", Header: http.Header{"User-Agent": {""}}}
+	req.Body = io.NopCloser(strings.NewReader(body))
+	req.ContentLength = int64(len(body))
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	a, err := c.Do(ctx, address, req, mine)
+	if err != nil {
+		return "", err
+	}
+	data, err := io.ReadAll(a)
+	a.Close()
+	return string(data), err
+}
+
+func TestConnectionsAreKept(t *testing.T) {
+	is := is.New(t)
+	u := newUpstream(t, answer("mine", "1"), answer("mine", "2"), answer("mine", "3"))
+	now := &clock{now: time.Unix(1000, 0)}
+	c, opened := client(now)
+	for _, want := range []string{"1", "2"} {
+		got, err := get(t, c, u.l.Addr().String(), "")
+		is.NoErr(err)
+		is.Equal(got, want)
+	}
+	is.Equal(*opened, 1)
+	is.Equal(u.heads[0], "POST /a%2Fb?q ") // as written, and no name of ours
+	now.now = now.now.Add(DefaultKeep)
+	_, err := get(t, c, u.l.Addr().String(), "")
+	is.NoErr(err)
+	is.Equal(*opened, 2) // idle for too long
+}
+
+func TestSweep(t *testing.T) {
+	is := is.New(t)
+	u := newUpstream(t, answer("mine", "1"), answer("mine", "2"))
+	c, opened := client(&clock{now: time.Unix(1000, 0)})
+	_, err := get(t, c, u.l.Addr().String(), "")
+	is.NoErr(err)
+	c.Sweep(func(string) bool { return false })
+	_, err = get(t, c, u.l.Addr().String(), "")
+	is.NoErr(err)
+	is.Equal(*opened, 2)
+}
+
+// What an answer may do, and whether its connection goes on.
+func TestAnswers(t *testing.T) {
+	tests := []struct {
+		name string
+		text string
+		body string
+		want string
+		// lost means that there is no answer to use.
+		lost bool
+		kept bool
+	}{
+		{name: "whole", text: answer("mine", "ok"), want: "ok", kept: true},
+		{name: "after one to another request", text: answer("other", "no") + answer("mine", "ok"), want: "ok", kept: true},
+		{name: "followed by another", text: answer("mine", "ok") + answer("mine", "ok"), want: "ok"},
+		{name: "that closes", text: "HTTP/1.1 200 OK\r\nId: mine\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", want: "ok"},
+		{name: "after a hundred", text: "HTTP/1.1 100 Continue\r\n\r\n" + answer("mine", "ok"), want: "ok", kept: true},
+		{name: "only to others", text: strings.Repeat(answer("other", "no"), maxForeign), lost: true},
+		{name: "nonsense", text: "what?\r\n\r\n", lost: true},
+		{name: "none", text: "", lost: true},
+		{name: "before a long body was read", text: "early " + answer("mine", "ok"), body: strings.Repeat("x", 8<<20), want: "ok"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			u := newUpstream(t, tt.text, answer("mine", "2"))
+			c, opened := client(&clock{now: time.Unix(1000, 0)})
+			got, err := get(t, c, u.l.Addr().String(), tt.body)
+			var lost *LostError
+			is.Equal(errors.As(err, &lost), tt.lost)
+			if tt.lost {
+				return
+			}
+			is.NoErr(err)
+			is.Equal(got, tt.want)
+			got, err = get(t, c, u.l.Addr().String(), "")
+			is.NoErr(err)
+			is.Equal(got, "2")
+			is.Equal(*opened == 1, tt.kept)
+		})
+	}
+}
+
+// A body that breaks off is an error, never an end.
+func TestCutBody(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	var group errgroup.Group
+	group.Go(func() error {
+		conn, err := l.Accept()
+		if err != nil {
+			return err
+		}
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+			return err
+		}
+		_, err = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 9\r\n\r\nhalf")
+		_ = conn.Close()
+		return err
+	})
+	c, _ := client(&clock{now: time.Unix(1000, 0)})
+	got, err := get(t, c, l.Addr().String(), "")
+	is.Equal(got, "half")
+	is.True(errors.Is(err, io.ErrUnexpectedEOF))
+	is.NoErr(group.Wait())
+	is.NoErr(l.Close())
+}
+
+// Where nobody listens nothing was sent.
+func TestUnsent(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	is.NoErr(l.Close())
+	c, _ := client(&clock{now: time.Unix(1000, 0)})
+	_, err = get(t, c, l.Addr().String(), "")
+	var unsent *UnsentError
+	is.True(errors.As(err, &unsent))
+}
+
+// The end of the context ends the exchange and its connection.
+func TestCancel(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	var group errgroup.Group
+	got := make(chan struct{})
+	group.Go(func() error {
+		conn, err := l.Accept()
+		if err != nil {
+			return err
+		}
+		br := bufio.NewReader(conn)
+		if _, err := http.ReadRequest(br); err != nil {
+			return err
+		}
+		close(got)
+		_, err = br.ReadByte() // until the other side closes
+		if !errors.Is(err, io.EOF) && !strings.Contains(err.Error(), "reset") {
+			return err
+		}
+		return conn.Close()
+	})
+	c, _ := client(&clock{now: time.Unix(1000, 0)})
+	ctx, cancel := context.WithCancel(context.Background())
+	group.Go(func() error {
+		<-got
+		cancel()
+		return nil
+	})
+	req := &http.Request{Method: http.MethodGet, URL: &url.URL{Opaque: "/"}, Host: "h", Header: http.Header{}}
+	_, err = c.Do(ctx, l.Addr().String(), req, mine)
+	var lost *LostError
+	is.True(errors.As(err, &lost))
+	is.True(errors.Is(err, context.Canceled))
+	is.NoErr(group.Wait())
+	is.NoErr(l.Close())
+}
