Gateway: one WaitUntil instead of two

gatewayd had its own copy of program.WaitUntil. It now calls that one; the gateway's command links the package already. Behaviour is unchanged.

--- a/internal/edge/gatewayd/listen.go
+++ b/internal/edge/gatewayd/listen.go
@@ -12,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/gladegauge/gladegauge/internal/edge/program"
 	"github.com/gladegauge/gladegauge/platform"
 )
 
@@ -140,7 +141,7 @@
 func (s *Server) awaitLimits(ctx context.Context, server *http.Server) {
 	ctx, cancel := context.WithTimeout(ctx, limitsPatience)
 	defer cancel()
-	if err := waitUntil(ctx, func() bool { return s.view.Load().Table != nil }); err != nil {
+	if err := program.WaitUntil(ctx, func() bool { return s.view.Load().Table != nil }); err != nil {
 		s.log.Warn().Dur("waited", limitsPatience).Msg("no configuration yet; callers' connections get the default bounds")
 		return
 	}
@@ -190,7 +191,7 @@
 	limit := max(stop.LeaveAfter, s.o.Settings.Bounds.StopWithin-stopReserve)
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	err := waitUntil(ctx, func() bool {
+	err := program.WaitUntil(ctx, func() bool {
 		took := time.Since(began)
 		quiet := took >= stop.LastCallAfter || time.Since(time.Unix(0, s.lastSeen.Load())) >= stop.QuietFor
 		return took >= stop.LeaveAfter && quiet && s.inFlight.Load() == 0
@@ -199,18 +200,3 @@
 		s.log.Warn().Int64("cut", s.inFlight.Load()).Dur("after", limit).Msg("planned stop: out of time")
 	}
 }
-
-// waitUntil asks again and again until the condition holds.
-func waitUntil(ctx context.Context, done func() bool) error {
-	const every = 20 * time.Millisecond
-	t := time.NewTicker(every)
-	defer t.Stop()
-	for !done() {
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			return errors.WithStack(ctx.Err())
-		}
-	}
-	return nil
-}
--- a/internal/edge/gatewayd/world_test.go
+++ b/internal/edge/gatewayd/world_test.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/gladegauge/gladegauge/internal/edge/program"
 	"github.com/gladegauge/gladegauge/platform"
 	"github.com/gladegauge/gladegauge/platform/standin"
 )
@@ -114,7 +115,7 @@
 	w.t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), patienceOfTests)
 	defer cancel()
-	if err := waitUntil(ctx, done); err != nil {
+	if err := program.WaitUntil(ctx, done); err != nil {
 		w.t.Fatal("the condition did not come true")
 	}
 }
