Metrics: one set of constructors for both kinds of process

The gateway repeated the constructors of package metrics for its own namespace and buckets. metrics.Family holds both and makes the metrics; names, help texts and buckets are as before. Behaviour is unchanged.

--- a/internal/edge/gatewayd/respond.go
+++ b/internal/edge/gatewayd/respond.go
@@ -102,8 +102,8 @@
 	if route := x.admission.Route; route != nil {
 		kind = route.Kind.String()
 		if result == "completed" {
-			x.server.metrics.seconds(x.server.metrics.firstByte, kind, x.firstByte)
-			x.server.metrics.seconds(x.server.metrics.completion, kind, took)
+			observe(x.server.metrics.firstByte, kind, x.firstByte)
+			observe(x.server.metrics.completion, kind, took)
 			if x.firstByte <= route.Target {
 				x.server.metrics.inTime.WithLabelValues(kind).Inc()
 			}
--- /dev/null
+++ b/internal/edge/metrics/family.go
@@ -0,0 +1,44 @@
+package metrics
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// Family makes the metrics of one kind of process.
+type Family struct {
+	// Namespace begins the name of each metric.
+	Namespace string
+	// Buckets are the upper bounds of every histogram, in seconds.
+	Buckets []float64
+}
+
+// Counter returns a counter without labels.
+func (f Family) Counter(name, help string) prometheus.Counter {
+	return prometheus.NewCounter(prometheus.CounterOpts{Namespace: f.Namespace, Name: name, Help: help})
+}
+
+// Counters returns a counter for each set of label values.
+func (f Family) Counters(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: f.Namespace, Name: name, Help: help}, labels)
+}
+
+// CounterOf returns a counter whose value is asked for when it is read.
+func (f Family) CounterOf(name, help string, value func() uint64) prometheus.CounterFunc {
+	return prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: f.Namespace, Name: name, Help: help},
+		func() float64 { return float64(value()) })
+}
+
+// Gauge returns a gauge without labels.
+func (f Family) Gauge(name, help string) prometheus.Gauge {
+	return prometheus.NewGauge(prometheus.GaugeOpts{Namespace: f.Namespace, Name: name, Help: help})
+}
+
+// Gauges returns a gauge for each set of label values.
+func (f Family) Gauges(name, help string, labels ...string) *prometheus.GaugeVec {
+	return prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: f.Namespace, Name: name, Help: help}, labels)
+}
+
+// Histograms returns a histogram for each set of label values.
+func (f Family) Histograms(name, help string, labels ...string) *prometheus.HistogramVec {
+	return prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: f.Namespace, Name: name, Help: help, Buckets: f.Buckets,
+	}, labels)
+}
