--- a/internal/edge/exchange/socket.go
+++ b/internal/edge/exchange/socket.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -10,6 +11,9 @@
 // tcpUserTimeout is Linux's TCP_USER_TIMEOUT, which package syscall lacks.
 const tcpUserTimeout = 0x12
 
+// silentAfter is how long sent bytes may go unacknowledged.
+const silentAfter = 1500 * time.Millisecond
+
 // abandonSilent makes the kernel give up a connection whose peer does not
 // acknowledge what was sent. Otherwise it would hang for minutes.
 func abandonSilent(_, _ string, raw syscall.RawConn) error {
