Gateway: one file a concept on the way of a request

request.go, attempt.go and respond.go mixed the body, the pick, the upstream's request, patience, failures, answers and log lines. Each has its file. An answer travels as one value with its choice and its head instead of three parameters; onFirst is endPatience and first is answerBegan, after what they do; a failure of 0 is gateway.None; results have names. Behaviour is unchanged.

--- a/internal/core/gateway/next.go
+++ b/internal/core/gateway/next.go
@@ -2,13 +2,15 @@
 
 import "time"
 
-// Failure is how an attempt ended without a good answer.
+// Failure is how an attempt ended without a good answer. The zero value is none.
 type Failure int
 
 // Failures of an attempt.
 const (
+	// None means that the attempt did not fail.
+	None Failure = iota
 	// Unsent means that no byte of the request was written.
-	Unsent Failure = iota + 1
+	Unsent
 	// NotRun means that the upstream promised not to have run it.
 	NotRun
 	// Faulty means that the upstream answered with an error of its own.
--- /dev/null
+++ b/internal/edge/gatewayd/event.go
@@ -0,0 +1,53 @@
+package gatewayd
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+)
+
+// maxEventBytes bounds one event.
+const maxEventBytes = 1 << 20
+
+// readers keeps buffers for the next streams.
+var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, 4<<10) }}
+
+// event is one whole event of a stream, as it was written.
+type event struct {
+	raw []byte
+	// id is empty if the event does not say.
+	id string
+}
+
+// readEvent reads up to and with the blank line that ends an event. At the end
+// of the stream it returns io.EOF; a part of an event is an error.
+func readEvent(br *bufio.Reader) (event, error) {
+	var e event
+	for {
+		line, err := br.ReadSlice('\n')
+		e.raw = append(e.raw, line...)
+		switch {
+		case errors.Is(err, bufio.ErrBufferFull):
+			if len(e.raw) > maxEventBytes {
+				return e, errors.New("an event is too large")
+			}
+			continue
+		case errors.Is(err, io.EOF) && len(e.raw) == 0:
+			return e, io.EOF
+		case errors.Is(err, io.EOF):
+			return e, errors.New("the stream ended inside an event")
+		case err != nil:
+			return e, errors.WithStack(err)
+		}
+		text := bytes.TrimRight(line, "\r\n")
+		if id, ok := bytes.CutPrefix(text, []byte("id:")); ok {
+			e.id = string(bytes.TrimSpace(id))
+		}
+		if len(text) == 0 {
+			return e, nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/edge/gatewayd/failure.go
@@ -0,0 +1,44 @@
+package gatewayd
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/gladegauge/gladegauge/internal/core/balance"
+	"github.com/gladegauge/gladegauge/internal/core/gateway"
+	"github.com/gladegauge/gladegauge/internal/edge/exchange"
+)
+
+// failureOf tells what an error of the exchange means.
+func (x *request) failureOf(ctx context.Context, err error) gateway.Failure {
+	var unsent *exchange.UnsentError
+	switch {
+	case x.r.Context().Err() != nil:
+		return gateway.CallerGone
+	case errors.As(err, &unsent):
+		return gateway.Unsent
+	case errors.Is(context.Cause(ctx), errSilent):
+		return gateway.Silent
+	default:
+		return gateway.Lost
+	}
+}
+
+// outcomeOf tells what a failure says about the upstream.
+func outcomeOf(f gateway.Failure) balance.Outcome {
+	switch f {
+	case gateway.Unsent:
+		return balance.Unreachable
+	case gateway.NotRun:
+		return balance.Refused
+	case gateway.Faulty:
+		return balance.Faulty
+	case gateway.Lost, gateway.Silent:
+		return balance.Broken
+	case gateway.CallerGone:
+		return balance.Abandoned
+	default:
+		return balance.Completed
+	}
+}
--- a/internal/edge/gatewayd/request.go
+++ b/internal/edge/gatewayd/request.go
@@ -1,27 +1,18 @@
 package gatewayd
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net"
 	"net/http"
-	"net/url"
-	"strings"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/labstack/echo/v4"
-	"github.com/rs/zerolog"
 
-	"github.com/gladegauge/gladegauge/internal/core/balance"
 	"github.com/gladegauge/gladegauge/internal/core/gateway"
 	"github.com/gladegauge/gladegauge/platform"
 )
 
 const (
-	// keepBodyBytes is the largest body that is kept for another attempt.
-	keepBodyBytes = 64 << 10
 	// answerSlack is how long after its deadline a request is still held, so
 	// that the upstream's own word on the deadline can come.
 	answerSlack = 50 * time.Millisecond
@@ -43,28 +34,18 @@
 	tried []string
 	// lastEvent is the last event of a stream that went to the caller.
 	lastEvent string
-	events    int
+	// events is the number of events that went to the caller.
+	events int
+	// firstByte is the time until the first event, or until the head of another
+	// answer.
 	firstByte time.Duration
-	// onFirst is called when the upstream of the present attempt answers.
-	onFirst func()
+	// endPatience ends the patience with the upstream of the present attempt: it
+	// has begun to answer.
+	endPatience func()
 	// faulty is an upstream's own error that may yet be passed on.
 	faulty *errorAnswer
 }
 
-// body is the caller's body: the part that was kept, and what follows it.
-type body struct {
-	kept   []byte
-	rest   io.Reader
-	length int64
-}
-
-func (b body) reader() io.ReadCloser {
-	if b.rest == nil {
-		return io.NopCloser(bytes.NewReader(b.kept))
-	}
-	return io.NopCloser(io.MultiReader(bytes.NewReader(b.kept), b.rest))
-}
-
 // serve carries one request from its caller to an upstream and back.
 func (s *Server) serve(c echo.Context) error {
 	now := time.Now()
@@ -101,6 +82,7 @@
 	return nil
 }
 
+// admit holds the request against the configuration.
 func (x *request) admit(now time.Time) *gateway.Refusal {
 	host := x.r.Host
 	if h, _, err := net.SplitHostPort(host); err == nil {
@@ -117,38 +99,6 @@
 	return refusal
 }
 
-// readBody keeps a small body, so that it can be sent again.
-func (x *request) readBody() *gateway.Refusal {
-	x.progress.Replayable = true
-	if x.r.Body == nil || x.r.Body == http.NoBody {
-		return nil
-	}
-	limit := x.server.view.Load().Table.Limits.BodyBytes
-	if limit > 0 {
-		x.r.Body = http.MaxBytesReader(x.w, x.r.Body, limit)
-	}
-	if limit > 0 && x.r.ContentLength > limit {
-		return gateway.Body(true)
-	}
-	x.body.length = x.r.ContentLength
-	kept, err := io.ReadAll(io.LimitReader(x.r.Body, keepBodyBytes+1))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return gateway.Body(true)
-	case err != nil:
-		return gateway.Body(false)
-	}
-	x.body.kept = kept
-	if len(kept) <= keepBodyBytes {
-		x.body.length = int64(len(kept))
-		return nil
-	}
-	x.body.rest = x.r.Body
-	x.progress.Replayable = false
-	return nil
-}
-
 // attempts tries upstreams until the request has its answer.
 func (x *request) attempts(ctx context.Context) {
 	for {
@@ -158,8 +108,8 @@
 			return
 		}
 		failure, err := x.attempt(ctx, choice)
-		if failure == 0 {
-			x.completed()
+		if failure == gateway.None {
+			x.logEnd(completed, nil)
 			return
 		}
 		now := time.Now()
@@ -182,73 +132,3 @@
 		}
 	}
 }
-
-// pick asks the control goroutine for an upstream.
-func (x *request) pick() (balance.Choice, bool) {
-	var choice balance.Choice
-	var ok bool
-	route := x.admission.Route
-	x.server.control.Must(func(now time.Time) {
-		if len(x.tried) == 0 {
-			x.server.budget.Success()
-		}
-		choice, ok = x.server.table.Pick(now, balance.Request{
-			Route:   route.Name,
-			Pool:    x.admission.Pool,
-			Pause:   route.PauseTarget,
-			Target:  route.Target,
-			Prompt:  x.call.Prompt,
-			Exclude: x.tried,
-			Hash:    uint64(x.began.UnixNano()),
-		})
-	})
-	if ok {
-		x.tried = append(x.tried, choice.ID)
-		x.logPick(choice)
-	}
-	return choice, ok
-}
-
-// spend takes a retry from the budget.
-func (s *Server) spend() bool {
-	ok := false
-	s.control.Must(func(time.Time) { ok = s.budget.Spend() })
-	return ok
-}
-
-// upstreamRequest is the request as the upstream gets it.
-func (x *request) upstreamRequest(choice balance.Choice, now time.Time) *http.Request {
-	f := platform.Forward{
-		Upstream:  choice.ID,
-		Left:      x.admission.Deadline.Sub(now),
-		Urgency:   x.admission.Urgency,
-		LastEvent: x.lastEvent,
-	}
-	if x.admission.Organisation != nil {
-		f.Organisation = x.admission.Organisation.Name
-	}
-	req := &http.Request{
-		Method: x.r.Method,
-		URL:    targetOf(x.r),
-		Host:   x.r.Host,
-		Header: platform.UpstreamHeader(x.r.Header, f),
-	}
-	if x.r.Body != nil && x.r.Body != http.NoBody {
-		req.Body = x.body.reader()
-		req.ContentLength = x.body.length
-	}
-	return req
-}
-
-// targetOf keeps the caller's path and query as they were written.
-func targetOf(r *http.Request) *url.URL {
-	if strings.HasPrefix(r.RequestURI, "/") && !strings.HasPrefix(r.RequestURI, "//") {
-		return &url.URL{Opaque: r.RequestURI}
-	}
-	return r.URL
-}
-
-// log begins a line about this request.
-func (x *request) log() *zerolog.Event {
-	return x.server.log.Info().Str("request", x.call.ID)
-}
--- /dev/null
+++ b/internal/edge/gatewayd/take.go
@@ -0,0 +1,136 @@
+package gatewayd
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"mime"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/gladegauge/gladegauge/internal/core/balance"
+	"github.com/gladegauge/gladegauge/internal/core/gateway"
+	"github.com/gladegauge/gladegauge/internal/edge/exchange"
+	"github.com/gladegauge/gladegauge/platform"
+)
+
+// holdBytes is the largest answer that is read whole before its head goes to
+// the caller, so that a broken one can still be replaced.
+const holdBytes = 64 << 10
+
+// answer is what one upstream answered.
+type answer struct {
+	*exchange.Answer
+	choice balance.Choice
+	head   platform.Answer
+}
+
+// errorAnswer is an upstream's own error, read whole.
+type errorAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// take passes an answer on, or tells why it cannot be used.
+func (x *request) take(ctx context.Context, a answer) (gateway.Failure, error) {
+	switch {
+	case a.head.NotRun:
+		return gateway.NotRun, errors.Newf("refused with %s", a.Status)
+	case isSuccess(a.StatusCode) && !a.head.Sealed:
+		return gateway.Lost, errors.Newf("%s without a seal", a.Status)
+	case promisesNotRun(a.StatusCode):
+		return gateway.Lost, errors.Newf("%s without the promise that it did not run", a.Status)
+	case isSuccess(a.StatusCode) && isStream(a.Header):
+		return x.relayStream(ctx, a)
+	case x.progress.Answering:
+		return gateway.Lost, errors.Newf("%s instead of the rest of a stream", a.Status)
+	case a.StatusCode >= http.StatusInternalServerError:
+		return x.keepError(ctx, a)
+	default:
+		return x.relayWhole(ctx, a)
+	}
+}
+
+func isSuccess(status int) bool { return status >= 200 && status < 300 }
+
+// promisesNotRun reports whether callers read the status as a promise that the
+// request has not run.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest,
+		http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
+// isStream reports whether the answer consists of events.
+func isStream(h http.Header) bool {
+	kind, _, err := mime.ParseMediaType(h.Get("Content-Type"))
+	return err == nil && kind == "text/event-stream"
+}
+
+// keepError reads an upstream's own error; another attempt may replace it.
+func (x *request) keepError(ctx context.Context, a answer) (gateway.Failure, error) {
+	x.answerBegan(a)
+	data, err := io.ReadAll(io.LimitReader(a, holdBytes+1))
+	if err != nil || len(data) > holdBytes {
+		return x.failureOf(ctx, errors.Newf("%s with a body that could not be kept: %v", a.Status, err)), err
+	}
+	x.faulty = &errorAnswer{status: a.StatusCode, header: a.Header, body: data}
+	return gateway.Faulty, errors.Newf("the upstream answered %s", a.Status)
+}
+
+// relayWhole passes on an answer that is no stream. A small one is read whole
+// first.
+func (x *request) relayWhole(ctx context.Context, a answer) (gateway.Failure, error) {
+	x.answerBegan(a)
+	data, err := io.ReadAll(io.LimitReader(a, holdBytes+1))
+	if err != nil {
+		return x.failureOf(ctx, err), errors.Wrap(err, "body cut short")
+	}
+	x.commit(a.StatusCode, a.Header, a.ContentLength)
+	if _, err := x.w.Write(data); err != nil {
+		return gateway.CallerGone, errors.WithStack(err)
+	}
+	if len(data) <= holdBytes {
+		return gateway.None, nil
+	}
+	if _, err := io.Copy(x.w, a); err != nil {
+		return x.failureOf(ctx, err), errors.Wrap(err, "body cut short")
+	}
+	return gateway.None, nil
+}
+
+// commit sends the head of the answer to the caller.
+func (x *request) commit(status int, upstream http.Header, length int64) {
+	h := x.w.Header()
+	closing := h.Get("Connection")
+	for name, values := range platform.CallerHeader(upstream) {
+		h[name] = values
+	}
+	if closing != "" {
+		h.Set("Connection", closing)
+	}
+	if length < 0 {
+		h.Del("Content-Length")
+	}
+	if _, ok := h["Content-Type"]; !ok {
+		// Keeps the HTTP library from guessing one.
+		h["Content-Type"] = nil
+	}
+	x.progress.Answering = true
+	x.w.WriteHeader(status)
+}
+
+// relayError passes on the upstream's own error.
+func (x *request) relayError() {
+	x.commit(x.faulty.status, x.faulty.header, int64(len(x.faulty.body)))
+	if _, err := io.Copy(x.w, bytes.NewReader(x.faulty.body)); err != nil {
+		x.log().Err(err).Msg("caller left before the upstream's error went out")
+	}
+	x.logEnd(upstreamError, nil)
+}
