--- /dev/null
+++ b/internal/edge/gatewayd/apply.go
@@ -0,0 +1,63 @@
+package gatewayd
+
+import (
+	"time"
+
+	"github.com/gladegauge/gladegauge/internal/core/ingress"
+	"github.com/gladegauge/gladegauge/platform"
+)
+
+// report logs values that could not be read.
+func (s *Server) report(faults []platform.Fault) {
+	for _, f := range faults {
+		s.metrics.faults.Inc()
+		s.log.Error().Str("key", f.Key).Str("faults", f.Faults).Msg("store: value is faulty and changes nothing")
+	}
+}
+
+// applyTable runs in the control goroutine. A nil table means that nothing
+// newer was published; if it could be read, the table in force was the newest
+// when the store was asked.
+func (s *Server) applyTable(t *ingress.Table, sound bool, asked time.Time) {
+	view := *s.view.Load()
+	if t == nil {
+		if sound && view.Table != nil {
+			view = view.WithProof(asked)
+			s.view.Store(&view)
+		}
+		return
+	}
+	next, taken := view.WithTable(t, asked)
+	if !taken {
+		if t.Version == view.Table.Version {
+			view = view.WithProof(asked)
+			s.view.Store(&view)
+			return
+		}
+		s.log.Warn().Int64("version", t.Version).Int64("in_force", view.Table.Version).Msg("configuration: an older version changes nothing")
+		return
+	}
+	s.view.Store(&next)
+	s.table.SetPools(t)
+	s.metrics.version.Set(float64(t.Version))
+	s.log.Info().Int64("version", t.Version).Int("routes", t.Routes()).Msg("configuration: in force")
+}
+
+// applyRoster runs in the control goroutine.
+func (s *Server) applyRoster(now time.Time) {
+	list := s.roster.Current(now)
+	changes := s.table.SetInstances(list)
+	addresses := make(map[string]bool, len(list))
+	for _, in := range list {
+		addresses[in.Address] = !in.Leaving || addresses[in.Address]
+	}
+	s.addresses.Store(&addresses)
+	if v := s.view.Load(); v.Table != nil && len(changes.Came) > 0 {
+		s.table.SetPools(v.Table)
+	}
+	s.metrics.upstreams.Set(float64(len(list)))
+	if changes.Any() {
+		s.log.Info().Strs("came", changes.Came).Strs("went", changes.Went).Strs("leaving", changes.Leaving).
+			Int("upstreams", len(list)).Int("lapsed", s.roster.Lapsed()).Msg("upstreams: list changed")
+	}
+}
--- a/internal/edge/gatewayd/follow.go
+++ b/internal/edge/gatewayd/follow.go
@@ -7,7 +7,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/gladegauge/gladegauge/internal/core/ingress"
 	"github.com/gladegauge/gladegauge/internal/edge/loop"
 	"github.com/gladegauge/gladegauge/platform"
 )
@@ -37,12 +36,15 @@
 
 // follower keeps the state of one gateway's reading of the store.
 type follower struct {
-	server   *Server
-	store    *platform.Store
+	server *Server
+	store  *platform.Store
+	// revision is the one up to which everything is known.
 	revision int64
+	// lostAt is when calls began to fail; zero while they succeed.
 	lostAt   time.Time
 	lastGood time.Time
-	backoff  time.Duration
+	// backoff is the latest pause; 0 after a call that succeeded.
+	backoff time.Duration
 	// consistency is of the next listing. A stale one is cheap and is brought up
 	// to date by the watch that follows; but after the store has forgotten its
 	// history, one that is older than that history would lead nowhere.
@@ -54,10 +56,9 @@
 // follow reads what is published and then every change, until the context ends.
 func (s *Server) follow(ctx context.Context) error {
 	f := &follower{
-		server:   s,
-		store:    platform.NewStore(s.o.Settings.Store, s.metrics.storeCall),
-		lastGood: time.Now(),
-
+		server:      s,
+		store:       platform.NewStore(s.o.Settings.Store, s.metrics.storeCall),
+		lastGood:    time.Now(),
 		consistency: platform.Stale,
 	}
 	for ctx.Err() == nil {
@@ -107,23 +108,27 @@
 			continue
 		}
 		f.succeeded()
-		f.listed = false
-		f.revision = c.Revision
-		f.server.report(c.Faults)
-		proof := provedAt(asked, time.Now(), wait, c)
-		f.server.control.Must(func(now time.Time) {
-			if len(c.Changed)+len(c.Removed) > 0 {
-				f.server.roster.Change(now, c.Changed, c.Removed)
-				f.server.applyRoster(now)
-			}
-			f.server.applyTable(c.Table, len(c.Faults) == 0, proof)
-		})
+		f.take(c, provedAt(asked, time.Now(), wait, c))
 		if c.Any() {
 			loop.Pause(ctx, gatherFor)
 		}
 	}
 }
 
+// take brings changes into force. What is known was the newest at the proof.
+func (f *follower) take(c platform.Changes, proof time.Time) {
+	f.listed = false
+	f.revision = c.Revision
+	f.server.report(c.Faults)
+	f.server.control.Must(func(now time.Time) {
+		if len(c.Changed)+len(c.Removed) > 0 {
+			f.server.roster.Change(now, c.Changed, c.Removed)
+			f.server.applyRoster(now)
+		}
+		f.server.applyTable(c.Table, len(c.Faults) == 0, proof)
+	})
+}
+
 // wait is how long the next watch waits. The first one after a listing or an
 // outage is answered at once: until it is, keys may be refused for the age of
 // the view.
@@ -137,16 +142,6 @@
 	return defaultWatch
 }
 
-// provedAt returns a moment at which what is known was the newest. A watch that
-// brought nothing was answered when its wait was over, and not before. Any
-// other answer may be as old as its question.
-func provedAt(asked, answered time.Time, wait time.Duration, c platform.Changes) time.Time {
-	if c.Any() || answered.Sub(asked) < wait {
-		return asked
-	}
-	return asked.Add(wait)
-}
-
 // failed notes a failure and pauses.
 func (f *follower) failed(ctx context.Context, err error) {
 	if ctx.Err() != nil {
@@ -175,58 +170,3 @@
 	f.lastGood = now
 	f.backoff = 0
 }
-
-// report logs values that could not be read.
-func (s *Server) report(faults []platform.Fault) {
-	for _, f := range faults {
-		s.metrics.faults.Inc()
-		s.log.Error().Str("key", f.Key).Str("faults", f.Faults).Msg("store: value is faulty and changes nothing")
-	}
-}
-
-// applyTable runs in the control goroutine. A nil table means that nothing
-// newer was published; if it could be read, the table in force was the newest
-// when the store was asked.
-func (s *Server) applyTable(t *ingress.Table, sound bool, asked time.Time) {
-	view := *s.view.Load()
-	if t == nil {
-		if sound && view.Table != nil {
-			view = view.WithProof(asked)
-			s.view.Store(&view)
-		}
-		return
-	}
-	next, taken := view.WithTable(t, asked)
-	if !taken {
-		if t.Version == view.Table.Version {
-			view = view.WithProof(asked)
-			s.view.Store(&view)
-			return
-		}
-		s.log.Warn().Int64("version", t.Version).Int64("in_force", view.Table.Version).Msg("configuration: an older version changes nothing")
-		return
-	}
-	s.view.Store(&next)
-	s.table.SetPools(t)
-	s.metrics.version.Set(float64(t.Version))
-	s.log.Info().Int64("version", t.Version).Int("routes", t.Routes()).Msg("configuration: in force")
-}
-
-// applyRoster runs in the control goroutine.
-func (s *Server) applyRoster(now time.Time) {
-	list := s.roster.Current(now)
-	changes := s.table.SetInstances(list)
-	addresses := make(map[string]bool, len(list))
-	for _, in := range list {
-		addresses[in.Address] = !in.Leaving || addresses[in.Address]
-	}
-	s.addresses.Store(&addresses)
-	if v := s.view.Load(); v.Table != nil && len(changes.Came) > 0 {
-		s.table.SetPools(v.Table)
-	}
-	s.metrics.upstreams.Set(float64(len(list)))
-	if changes.Any() {
-		s.log.Info().Strs("came", changes.Came).Strs("went", changes.Went).Strs("leaving", changes.Leaving).
-			Int("upstreams", len(list)).Int("lapsed", s.roster.Lapsed()).Msg("upstreams: list changed")
-	}
-}
