--- a/internal/core/balance/cache.go
+++ b/internal/core/balance/cache.go
@@ -14,6 +14,7 @@
 	cacheKeep = 30 * time.Second
 )
 
+// cachedPart is one part of a prompt in the picture.
 type cachedPart struct {
 	tokens int
 	usedAt time.Time
@@ -21,18 +22,21 @@
 
 // cache is what one engine is believed to keep, by what was sent to it.
 type cache struct {
-	parts  map[uint64]cachedPart
+	parts map[uint64]cachedPart
+	// tokens is the size of all parts; limit bounds it, 0 means no bound.
 	tokens int
 	limit  int
 }
 
 func newCache(memoryTokens int) *cache {
-	return &cache{
-		parts: make(map[uint64]cachedPart),
-		limit: int(cacheShare * float64(memoryTokens)),
-	}
+	c := &cache{parts: make(map[uint64]cachedPart)}
+	c.setMemory(memoryTokens)
+	return c
 }
 
+// setMemory bounds the picture by the engine's memory; 0 means no bound.
+func (c *cache) setMemory(tokens int) { c.limit = int(cacheShare * float64(tokens)) }
+
 // held returns the tokens of the prompt that the engine is believed to keep.
 func (c *cache) held(now time.Time, p Prompt, keys []uint64) int {
 	tokens := 0
--- a/internal/core/balance/health.go
+++ b/internal/core/balance/health.go
@@ -14,6 +14,8 @@
 	// doubles with each ejection that follows at once.
 	ejectBase = time.Second
 	ejectMax  = 8 * time.Second
+	// maxDoublings keeps the doubled time within its type.
+	maxDoublings = 5
 	// ejectForget is the time without an ejection after which the next one is
 	// short again.
 	ejectForget = 20 * time.Second
@@ -54,7 +56,7 @@
 	if !h.ejectedAt.IsZero() && now.Sub(h.ejectedAt) > ejectForget {
 		h.ejections = 0
 	}
-	d := min(ejectBase<<min(h.ejections, 5), ejectMax)
+	d := min(ejectBase<<min(h.ejections, maxDoublings), ejectMax)
 	h.ejections++
 	return d
 }
--- a/internal/core/balance/outcome.go
+++ b/internal/core/balance/outcome.go
@@ -37,7 +37,7 @@
 	if !ok {
 		return
 	}
-	u.heard(now)
+	u.heard()
 	r, ok := u.running[c.run]
 	if !ok || r.begun {
 		return
@@ -51,14 +51,14 @@
 }
 
 // Heard notes that anything came from the upstream.
-func (t *Table) Heard(now time.Time, id string) {
+func (t *Table) Heard(id string) {
 	if u, ok := t.upstreams[id]; ok {
-		u.heard(now)
+		u.heard()
 	}
 }
 
-func (u *upstream) heard(now time.Time) {
-	u.heardAt = now
+// heard notes that the upstream is not silent.
+func (u *upstream) heard() {
 	u.askedAt = time.Time{}
 }
 
@@ -78,12 +78,12 @@
 	}
 	switch o {
 	case Completed:
-		u.heard(now)
+		u.heard()
 		u.health.succeeded()
 		u.pace.learn(now, now.Sub(r.sentAt))
 		t.pool(u.Pool).split.answered(r.route, tokens)
 	case Refused:
-		u.heard(now)
+		u.heard()
 	case Faulty, Broken:
 		u.health.failed()
 		t.judge(now, u)
--- a/internal/core/balance/table.go
+++ b/internal/core/balance/table.go
@@ -31,9 +31,8 @@
 	load    load
 	pace    pace
 	running map[uint64]*run
-	// heardAt is when anything last came from it; askedAt is when the oldest
-	// request was sent that it has not said anything after.
-	heardAt time.Time
+	// askedAt is when the oldest request was sent that it has not said anything
+	// after; zero if there is none.
 	askedAt time.Time
 }
 
@@ -122,6 +121,7 @@
 	t.limitCaches()
 }
 
+// pool returns the pool, which is made if it is not there.
 func (t *Table) pool(name string) *pool {
 	p, ok := t.pools[name]
 	if !ok {
@@ -142,13 +142,14 @@
 	t.limitCaches()
 }
 
+// limitCaches bounds the pictures of caches by the engines' memory.
 func (t *Table) limitCaches() {
 	for _, p := range t.pools {
 		if p.engine == nil {
 			continue
 		}
 		for _, u := range p.members {
-			u.cache.limit = int(cacheShare * float64(p.engine.MemoryTokens))
+			u.cache.setMemory(p.engine.MemoryTokens)
 		}
 	}
 }
