--- a/internal/core/gateway/admit.go
+++ b/internal/core/gateway/admit.go
@@ -36,9 +36,8 @@
 	Pool         string
 	Urgency      int
 	// Deadline is the end of the caller's patience or of the route's timeout,
-	// whichever is first. Timeout is the latter.
+	// whichever is first.
 	Deadline time.Time
-	Timeout  time.Time
 	// Version and Age are of the configuration that decided.
 	Version int64
 	Age     time.Duration
@@ -72,8 +71,7 @@
 	}
 	a.Pool = route.Pool(ingress.HashID(c.ID))
 	a.Urgency = v.Table.Urgency(a.Organisation, route, b.UrgencySteps)
-	a.Timeout = now.Add(route.Timeout)
-	a.Deadline = a.Timeout
+	a.Deadline = now.Add(route.Timeout)
 	if c.Patience > 0 && now.Add(c.Patience).Before(a.Deadline) {
 		a.Deadline = now.Add(c.Patience)
 	}
--- a/internal/core/gateway/refusal.go
+++ b/internal/core/gateway/refusal.go
@@ -35,7 +35,6 @@
 	OutOfTime       Reason = "out_of_time"
 	BodyTooLarge    Reason = "body_too_large"
 	BodyNotRead     Reason = "body_not_read"
-	Overloaded      Reason = "overloaded"
 	StoppingProcess Reason = "stopping"
 )
 
@@ -71,10 +70,6 @@
 	return &Refusal{Kind: kind, Reason: reason}
 }
 
-// Overload refuses a request before it is sent; comeBack is when there is
-// expected to be room.
-func Overload(comeBack time.Duration) *Refusal { return notRun(Overloaded, comeBack) }
-
 // Stopping refuses a request that came too late to a process that stops.
 func Stopping() *Refusal { return notRun(StoppingProcess, comeBackSoon) }
 
