Stand-in command: services without a drain made in one place

Two commands spelled out the same empty drain; atOnce makes it for both. The body of users-platform is a function of its own, and callers, which was both a flag and a number, is loadCallers where it is the number. Behaviour is unchanged.

--- a/cmd/gladegauge-standin/main.go
+++ b/cmd/gladegauge-standin/main.go
@@ -21,6 +21,7 @@
 	"strings"
 	"time"
 
+	"github.com/gladegauge/gladegauge/internal/edge/logging"
 	"github.com/gladegauge/gladegauge/internal/edge/program"
 	"github.com/gladegauge/gladegauge/internal/edge/rpc"
 	"github.com/gladegauge/gladegauge/internal/edge/settings"
@@ -29,8 +30,6 @@
 	"github.com/gladegauge/gladegauge/internal/standin/publish"
 	"github.com/gladegauge/gladegauge/internal/standin/published"
 	"github.com/gladegauge/gladegauge/internal/standin/service"
-
-	"github.com/gladegauge/gladegauge/internal/edge/logging"
 )
 
 func main() {
@@ -45,19 +44,24 @@
 	if err != nil {
 		return program.ExitFailure
 	}
-	return program.Run(ctx, log, program.Service{
-		Run: func(ctx context.Context) error {
-			l, err := program.Listen(log, name, listen)
-			if err != nil {
-				return err
-			}
-			stop := context.AfterFunc(ctx, func() { _ = s.Close() })
-			defer stop()
-			return plain.Serve(s, l)
-		},
+	return program.Run(ctx, log, atOnce(func(ctx context.Context) error {
+		l, err := program.Listen(log, name, listen)
+		if err != nil {
+			return err
+		}
+		stop := context.AfterFunc(ctx, func() { _ = s.Close() })
+		defer stop()
+		return plain.Serve(s, l)
+	}))
+}
+
+// atOnce is a service whose planned stop waits for nothing.
+func atOnce(run func(ctx context.Context) error) program.Service {
+	return program.Service{
+		Run:        run,
 		Drain:      func(context.Context) error { return nil },
 		InProgress: func() int { return 0 },
-	})
+	}
 }
 
 func platformCommand() *program.Command {
--- a/cmd/gladegauge-standin/users.go
+++ b/cmd/gladegauge-standin/users.go
@@ -46,32 +46,32 @@
 			s.String(&callers, "callers", "127.0.0.1:8080", "where the gateway is to listen for callers", settings.AddrPort)
 			s.String(&readiness, "readiness", "127.0.0.1:8081", "where the gateway is to tell its readiness", settings.AddrPort)
 		},
-		Do: func(ctx context.Context, _ []string) int {
-			o := &owner{}
-			defer o.end()
-			d := standin.NewDeployment(o)
-			if err := os.WriteFile(path, []byte(d.Settings(callers, readiness)), 0o600); err != nil {
-				return report(err)
-			}
-			log := logging.New(os.Stderr, "info", "gladegauge-standin", "users-platform")
-			code := program.Run(ctx, log, program.Service{
-				Run: func(ctx context.Context) error {
-					<-ctx.Done()
-					return nil
-				},
-				Drain:      func(context.Context) error { return nil },
-				InProgress: func() int { return 0 },
-			})
-			if twice := d.RanTwice(); len(twice) > 0 {
-				return report(fmt.Errorf("requests that ran twice: %v", twice))
-			}
-			return code
-		},
+		Do: func(ctx context.Context, _ []string) int { return playUsers(ctx, path, callers, readiness) },
+	}
+}
+
+// playUsers writes the gateway's settings and plays the platform until the
+// process is told to stop.
+func playUsers(ctx context.Context, path, callers, readiness string) int {
+	o := &owner{}
+	defer o.end()
+	d := standin.NewDeployment(o)
+	if err := os.WriteFile(path, []byte(d.Settings(callers, readiness)), 0o600); err != nil {
+		return report(err)
+	}
+	log := logging.New(os.Stderr, "info", "gladegauge-standin", "users-platform")
+	code := program.Run(ctx, log, atOnce(func(ctx context.Context) error {
+		<-ctx.Done()
+		return nil
+	}))
+	if twice := d.RanTwice(); len(twice) > 0 {
+		return report(fmt.Errorf("requests that ran twice: %v", twice))
 	}
+	return code
 }
 
-// callers is the number of callers that send at the same time.
-const callers = 8
+// loadCallers is the number of callers that send at the same time.
+const loadCallers = 8
 
 // usersLoadCommand sends a bounded number of requests to a gateway.
 func usersLoadCommand() *program.Command {
@@ -86,18 +86,20 @@
 		},
 		Do: func(ctx context.Context, _ []string) int {
 			var group errgroup.Group
-			for i := range callers {
+			for i := range loadCallers {
 				group.Go(func() error { return callMany(ctx, entry, i, requests) })
 			}
 			if err := group.Wait(); err != nil {
 				return report(err)
 			}
-			fmt.Printf("%d requests, every answer whole and sealed\n", callers*requests) //nolint:forbidigo // The command's output.
+			fmt.Printf("%d requests, every answer whole and sealed\n", loadCallers*requests) //nolint:forbidigo // The command's output.
 			return program.ExitOK
 		},
 	}
 }
 
+// callMany sends the requests of one caller; an answer that is not whole and
+// sealed is an error.
 func callMany(ctx context.Context, entry string, caller, requests int) error {
 	o := &owner{}
 	defer o.end()
