Gateway: bounds in their own file, the last literal named, comments made true

The quarter of the time of revocation that keys are honoured for at least is leastKeyPart, with the value it had. The usage section of package balance showed calls that no longer exist; fields and functions without a comment have one. Behaviour is unchanged.

--- a/cmd/gladegauge-gateway/main.go
+++ b/cmd/gladegauge-gateway/main.go
@@ -37,11 +37,13 @@
 	maxPort = 65535
 )
 
+// options are the settings of the command.
 type options struct {
+	// path is of the platform's settings file; settings is what it says.
 	path        string
+	settings    platform.Settings
 	logLevel    string
 	metricsPort int
-	settings    platform.Settings
 }
 
 func main() {
@@ -64,6 +66,7 @@
 	}
 }
 
+// check reads the settings file and returns the faults of all settings.
 func check(o *options) config.Faults {
 	var f config.Faults
 	if o.metricsPort < 0 || o.metricsPort > maxPort {
@@ -74,6 +77,7 @@
 	return append(f, more...)
 }
 
+// run carries the gateway from start to stop and returns the exit code.
 func run(ctx context.Context, o *options) int {
 	debug.SetGCPercent(collectAt)
 	if limit := o.settings.MemoryBytes; limit > 0 {
@@ -98,6 +102,7 @@
 	return code
 }
 
+// newLogger returns a logger that names this host.
 func newLogger(out *logging.Bounded, o *options) zerolog.Logger {
 	zerolog.TimeFieldFormat = time.RFC3339Nano
 	level, err := zerolog.ParseLevel(o.logLevel)
--- a/internal/core/balance/doc.go
+++ b/internal/core/balance/doc.go
@@ -19,8 +19,8 @@
 // # Usage
 //
 //	t := balance.New(zone)
-//	t.SetInstances(now, instances)
+//	t.SetInstances(instances)
 //	c, ok := t.Pick(now, balance.Request{Pool: "judge", Prompt: prompt})
-//	t.Began(now, c)                      // its first byte came
-//	t.Ended(now, c, balance.Completed)
+//	t.Began(now, c) // the head of its answer or its first event came
+//	t.Ended(now, c, balance.Completed, tokens)
 package balance
--- a/internal/edge/gatewayd/apply.go
+++ b/internal/edge/gatewayd/apply.go
@@ -15,9 +15,10 @@
 	}
 }
 
-// applyTable runs in the control goroutine. A nil table means that nothing
-// newer was published; if it could be read, the table in force was the newest
-// when the store was asked.
+// applyTable brings a published table into force, if it is newer. A nil table
+// means that nothing newer was published or that it could not be read; sound
+// tells them apart. At the moment asked, what was published was the newest. It
+// runs in the control goroutine.
 func (s *Server) applyTable(t *ingress.Table, sound bool, asked time.Time) {
 	view := *s.view.Load()
 	if t == nil {
@@ -43,7 +44,8 @@
 	s.log.Info().Int64("version", t.Version).Int("routes", t.Routes()).Msg("configuration: in force")
 }
 
-// applyRoster runs in the control goroutine.
+// applyRoster brings the list of upstreams into force. It runs in the control
+// goroutine.
 func (s *Server) applyRoster(now time.Time) {
 	list := s.roster.Current(now)
 	changes := s.table.SetInstances(list)
--- /dev/null
+++ b/internal/edge/gatewayd/bounds.go
@@ -0,0 +1,39 @@
+package gatewayd
+
+import (
+	"time"
+
+	"github.com/gladegauge/gladegauge/internal/core/gateway"
+	"github.com/gladegauge/gladegauge/internal/core/retry"
+	"github.com/gladegauge/gladegauge/platform"
+)
+
+const (
+	// assumedGateways is the number of gateways that the retry budget is split
+	// over while nobody tells how many there are.
+	assumedGateways = 6
+	// retryMargin is the part of the budget that is used: requests of the same
+	// window that other gateways refuse are not known here.
+	retryMargin = 0.8
+	// keyMargin is taken off the time within which a revoked key must be
+	// refused: a watch may hear nothing for a second before it is cut off, and
+	// a check needs a moment to take effect.
+	keyMargin = 1200 * time.Millisecond
+	// leastKeyPart divides the time within which a revoked key must be refused:
+	// keys are honoured for at least that part of it, however short it is.
+	leastKeyPart = 4
+)
+
+// boundsOf returns the bounds of admission.
+func boundsOf(b platform.Bounds) gateway.Bounds {
+	g := gateway.Bounds{DenyAge: b.ConfigWithin, UrgencySteps: platform.UrgencySteps}
+	if b.StrictRevocation {
+		g.KeyAge = max(b.RevokeWithin-keyMargin, b.RevokeWithin/leastKeyPart)
+	}
+	return g
+}
+
+// budgetOf returns this gateway's part of the retry budget.
+func budgetOf(b platform.Bounds) *retry.Budget {
+	return retry.NewBudget(retryMargin*b.RetryShare, retryMargin*b.RetryReserve/assumedGateways)
+}
--- a/internal/edge/gatewayd/server.go
+++ b/internal/edge/gatewayd/server.go
@@ -33,20 +33,9 @@
 	"github.com/gladegauge/gladegauge/platform"
 )
 
-const (
-	// assumedGateways is the number of gateways that the retry budget is split
-	// over while nobody tells how many there are.
-	assumedGateways = 6
-	// retryMargin is the part of the budget that is used: requests of the same
-	// window that other gateways refuse are not known here.
-	retryMargin = 0.8
-	// keyMargin is taken off the time within which a revoked key must be
-	// refused: a watch may hear nothing for a second before it is cut off, and
-	// a check needs a moment to take effect.
-	keyMargin = 1200 * time.Millisecond
-	// sweepEvery is how often idle connections are looked through.
-	sweepEvery = time.Second
-)
+// sweepEvery is how often idle connections are looked through, and entries of
+// upstreams whose time is over are forgotten.
+const sweepEvery = time.Second
 
 // Options are the settings of a gateway.
 type Options struct {
@@ -73,8 +62,11 @@
 	client    *exchange.Client
 	metrics   *meters
 	listeners *listeners
-	inFlight  atomic.Int64
-	lastSeen  atomic.Int64
+	// inFlight is the number of requests in progress.
+	inFlight atomic.Int64
+	// lastSeen is when the latest request came, in nanoseconds since 1970; 0
+	// before the first.
+	lastSeen atomic.Int64
 	// stoppingAt is when the planned stop began; nil before.
 	stoppingAt atomic.Pointer[time.Time]
 
@@ -107,18 +99,6 @@
 	return s
 }
 
-func boundsOf(b platform.Bounds) gateway.Bounds {
-	g := gateway.Bounds{DenyAge: b.ConfigWithin, UrgencySteps: platform.UrgencySteps}
-	if b.StrictRevocation {
-		g.KeyAge = max(b.RevokeWithin-keyMargin, b.RevokeWithin/4)
-	}
-	return g
-}
-
-func budgetOf(b platform.Bounds) *retry.Budget {
-	return retry.NewBudget(retryMargin*b.RetryShare, retryMargin*b.RetryReserve/assumedGateways)
-}
-
 // Run serves until the context ends and what was in progress has its answer.
 func (s *Server) Run(ctx context.Context) error {
 	// The work outlives the context: a planned stop cuts nothing.
@@ -146,7 +126,7 @@
 	return group.Wait()
 }
 
-// sweep runs in the control goroutine.
+// sweep forgets what is no longer used. It runs in the control goroutine.
 func (s *Server) sweep(now time.Time) {
 	s.applyRoster(now)
 	wanted := *s.addresses.Load()
--- a/internal/edge/logging/bounded.go
+++ b/internal/edge/logging/bounded.go
@@ -9,18 +9,17 @@
 	"golang.org/x/sync/errgroup"
 )
 
-// Bounds of the buffer between the writers of lines and a slow output.
-const (
-	// boundedBytes is what waits at the most; a few thousand lines.
-	boundedBytes = 256 << 10
-)
+// boundedBytes is what waits for a slow output at the most; a few thousand
+// lines.
+const boundedBytes = 256 << 10
 
 // Bounded is a writer that never blocks: lines that do not fit its buffer are
 // dropped and counted. It is safe for concurrent use.
 type Bounded struct {
-	out     io.Writer
-	mu      sync.Mutex
-	buf     bytes.Buffer
+	out io.Writer
+	mu  sync.Mutex
+	buf bytes.Buffer
+	// wake tells the writer that lines wait; done tells it to end.
 	wake    chan struct{}
 	done    chan struct{}
 	dropped atomic.Uint64
@@ -62,7 +61,7 @@
 	return b.writer.Wait()
 }
 
-// run writes everything that waits in one call.
+// run writes everything that waits in one call, until done is closed.
 func (b *Bounded) run() error {
 	var spare []byte
 	for {
