--- a/cmd/gladegauge-gateway/main.go
+++ b/cmd/gladegauge-gateway/main.go
@@ -116,6 +116,8 @@
 func serve(ctx context.Context, s *gatewayd.Server, log zerolog.Logger) int {
 	stop, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer cancel()
+	// After the first signal the next one ends the process at once.
+	context.AfterFunc(stop, cancel)
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	defer signal.Stop(reload)
--- a/internal/core/balance/cost.go
+++ b/internal/core/balance/cost.go
@@ -64,8 +64,8 @@
 }
 
 // splitCost is the cost of leaving the side of the split that the request
-// belongs to. Requests that are neither tight nor among those with the longest
-// pauses may use both sides.
+// belongs to: the first engines in rank for tight streams, the others for
+// everything else.
 func (p *pool) splitCost(r Request, onTightSide bool) float64 {
 	limit := p.split.limit
 	tight := r.Pause > 0 && r.Pause <= limit
--- a/internal/core/retry/budget.go
+++ b/internal/core/retry/budget.go
@@ -32,6 +32,12 @@
 	return &Budget{share: share, reserve: reserve, left: reserve}
 }
 
+// With returns a budget with other bounds and as many retries left, as far as
+// the reserve allows.
+func (b *Budget) With(share, reserve float64) *Budget {
+	return &Budget{share: share, reserve: reserve, left: min(b.left, reserve)}
+}
+
 // Success earns a share of a retry.
 func (b *Budget) Success() {
 	b.left = min(b.reserve, b.left+b.share)
--- a/internal/edge/gatewayd/apply.go
+++ b/internal/edge/gatewayd/apply.go
@@ -17,12 +17,14 @@
 
 // applyTable brings a published table into force, if it is newer. A nil table
 // means that nothing newer was published or that it could not be read; sound
-// tells them apart. At the moment asked, what was published was the newest. It
-// runs in the control goroutine.
+// tells them apart. At the moment asked, what was published was the newest.
+// While the newest configuration cannot be read, nothing proves that the one in
+// force is the newest. It runs in the control goroutine.
 func (s *Server) applyTable(t *ingress.Table, sound bool, asked time.Time) {
 	view := *s.view.Load()
+	s.configUnread = t == nil && (s.configUnread || !sound)
 	if t == nil {
-		if sound && view.Table != nil {
+		if !s.configUnread && view.Table != nil {
 			view = view.WithProof(asked)
 			s.view.Store(&view)
 		}
--- a/internal/edge/gatewayd/attempt.go
+++ b/internal/edge/gatewayd/attempt.go
@@ -49,7 +49,7 @@
 // settle tells the control goroutine what became of the attempt.
 func (x *request) settle(choice balance.Choice, o balance.Outcome, load *balance.Load) {
 	tokens := 0
-	if p, ok := x.server.view.Load().Table.Pool(x.admission.Pool); ok && p.Engine != nil {
+	if p, ok := x.view.Table.Pool(x.admission.Pool); ok && p.Engine != nil {
 		tokens = x.events * p.Engine.EventTokens
 	}
 	x.server.metrics.attempts.WithLabelValues(o.String()).Inc()
@@ -64,9 +64,6 @@
 // answerBegan notes the first event of a stream, or the head of another answer.
 func (x *request) answerBegan(a answer) {
 	x.endPatience()
-	if x.firstByte == 0 {
-		x.firstByte = time.Since(x.began)
-	}
 	x.server.control.Must(func(now time.Time) {
 		x.server.table.Began(now, a.choice)
 		if a.head.Load != nil {
--- a/internal/edge/gatewayd/body.go
+++ b/internal/edge/gatewayd/body.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -36,7 +37,10 @@
 	if x.r.Body == nil || x.r.Body == http.NoBody {
 		return nil
 	}
-	limit := x.server.view.Load().Table.Limits.BodyBytes
+	// A caller that stops sending is not waited for beyond its request's time.
+	conn := http.NewResponseController(x.w)
+	_ = conn.SetReadDeadline(x.admission.Deadline)
+	limit := x.view.Table.Limits.BodyBytes
 	if limit > 0 {
 		x.r.Body = http.MaxBytesReader(x.w, x.r.Body, limit)
 	}
@@ -52,6 +56,9 @@
 	case err != nil:
 		return gateway.Body(false)
 	}
+	// The deadline is lifted again: it would also end the wait for the caller's
+	// leave, and with it the request.
+	_ = conn.SetReadDeadline(time.Time{})
 	x.body.kept = kept
 	if len(kept) <= keepBodyBytes {
 		x.body.length = int64(len(kept))
--- a/internal/edge/gatewayd/bounds.go
+++ b/internal/edge/gatewayd/bounds.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/gladegauge/gladegauge/internal/core/gateway"
-	"github.com/gladegauge/gladegauge/internal/core/retry"
 	"github.com/gladegauge/gladegauge/platform"
 )
 
@@ -33,7 +32,8 @@
 	return g
 }
 
-// budgetOf returns this gateway's part of the retry budget.
-func budgetOf(b platform.Bounds) *retry.Budget {
-	return retry.NewBudget(retryMargin*b.RetryShare, retryMargin*b.RetryReserve/assumedGateways)
+// budgetBounds returns the share and the reserve of this gateway's part of the
+// retry budget.
+func budgetBounds(b platform.Bounds) (share, reserve float64) {
+	return retryMargin * b.RetryShare, retryMargin * b.RetryReserve / assumedGateways
 }
--- a/internal/edge/gatewayd/event.go
+++ b/internal/edge/gatewayd/event.go
@@ -26,14 +26,16 @@
 // of the stream it returns io.EOF; a part of an event is an error.
 func readEvent(br *bufio.Reader) (event, error) {
 	var e event
+	// begin is where the present line begins; a long one comes in pieces.
+	begin := 0
 	for {
-		line, err := br.ReadSlice('\n')
-		e.raw = append(e.raw, line...)
+		piece, err := br.ReadSlice('\n')
+		e.raw = append(e.raw, piece...)
+		if len(e.raw) > maxEventBytes {
+			return e, errors.New("an event is too large")
+		}
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
-			if len(e.raw) > maxEventBytes {
-				return e, errors.New("an event is too large")
-			}
 			continue
 		case errors.Is(err, io.EOF) && len(e.raw) == 0:
 			return e, io.EOF
@@ -42,11 +44,12 @@
 		case err != nil:
 			return e, errors.WithStack(err)
 		}
-		text := bytes.TrimRight(line, "\r\n")
-		if id, ok := bytes.CutPrefix(text, []byte("id:")); ok {
+		line := bytes.TrimRight(e.raw[begin:], "\r\n")
+		begin = len(e.raw)
+		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			e.id = string(bytes.TrimSpace(id))
 		}
-		if len(text) == 0 {
+		if len(line) == 0 {
 			return e, nil
 		}
 	}
--- /dev/null
+++ b/internal/edge/gatewayd/event_test.go
@@ -0,0 +1,59 @@
+package gatewayd
+
+import (
+	"bufio"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+)
+
+func TestReadEvent(t *testing.T) {
+	const buffer = 64
+	long := strings.Repeat("x", buffer-len("data: "))
+	tests := []struct {
+		name string
+		text string
+		raw  []string
+		ids  []string
+	}{
+		{"two events", "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n", []string{"id: 1\ndata: a\n\n", "id: 2\r\ndata: b\r\n\r\n"}, []string{"1", "2"}},
+		{"without an identity", "data: a\n\n", []string{"data: a\n\n"}, []string{""}},
+		{"a header line first", "x-versions: 3\nid: 4\n\n", []string{"x-versions: 3\nid: 4\n\n"}, []string{"4"}},
+		{"a line that fills the buffer", "id: 1\ndata: " + long + "\ndata: b\n\n", []string{"id: 1\ndata: " + long + "\ndata: b\n\n"}, []string{"1"}},
+		{"a line whose rest looks like an identity", "id: 1\ndata: " + long + "id: 9\n\n", []string{"id: 1\ndata: " + long + "id: 9\n\n"}, []string{"1"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			br := bufio.NewReaderSize(strings.NewReader(tt.text), buffer)
+			for i, want := range tt.raw {
+				e, err := readEvent(br)
+				is.NoErr(err)
+				is.Equal(string(e.raw), want)
+				is.Equal(e.id, tt.ids[i])
+			}
+			_, err := readEvent(br)
+			is.True(errors.Is(err, io.EOF))
+		})
+	}
+}
+
+// A part of an event, and one that never ends, are errors.
+func TestBrokenEvents(t *testing.T) {
+	tests := []struct{ name, text string }{
+		{"a part", "id: 1\ndata: a\n"},
+		{"a part of a line", "id: 1\ndata"},
+		{"one of too many lines", strings.Repeat("data: a\n", maxEventBytes/8+1) + "\n"},
+		{"a line that is too long", strings.Repeat("a", maxEventBytes+1) + "\n\n"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := readEvent(bufio.NewReader(strings.NewReader(tt.text)))
+			is.True(err != nil && !errors.Is(err, io.EOF))
+		})
+	}
+}
--- a/internal/edge/gatewayd/follow.go
+++ b/internal/edge/gatewayd/follow.go
@@ -88,7 +88,7 @@
 	return f.server.control.Must(func(now time.Time) {
 		f.server.roster.Replace(now, l.Instances)
 		f.server.applyRoster(now)
-		f.server.applyTable(l.Table, len(l.Faults) == 0, asked)
+		f.server.applyTable(l.Table, !l.ConfigFaulty(), asked)
 	})
 }
 
@@ -125,7 +125,7 @@
 			f.server.roster.Change(now, c.Changed, c.Removed)
 			f.server.applyRoster(now)
 		}
-		f.server.applyTable(c.Table, len(c.Faults) == 0, proof)
+		f.server.applyTable(c.Table, !c.ConfigFaulty(), proof)
 	})
 }
 
--- a/internal/edge/gatewayd/request.go
+++ b/internal/edge/gatewayd/request.go
@@ -9,6 +9,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/gladegauge/gladegauge/internal/core/gateway"
+	"github.com/gladegauge/gladegauge/internal/core/ingress"
 	"github.com/gladegauge/gladegauge/platform"
 )
 
@@ -22,10 +23,12 @@
 
 // request is one caller's request on its way.
 type request struct {
-	server    *Server
-	w         *echo.Response
-	r         *http.Request
-	call      platform.Call
+	server *Server
+	w      *echo.Response
+	r      *http.Request
+	call   platform.Call
+	// view is the configuration that admitted the request; it holds to the end.
+	view      ingress.View
 	admission gateway.Admission
 	progress  gateway.Progress
 	body      body
@@ -88,7 +91,8 @@
 	if h, _, err := net.SplitHostPort(host); err == nil {
 		host = h
 	}
-	a, refusal := gateway.Admit(now, *x.server.view.Load(), gateway.Call{
+	x.view = *x.server.view.Load()
+	a, refusal := gateway.Admit(now, x.view, gateway.Call{
 		ID:       x.call.ID,
 		Host:     host,
 		Path:     x.r.URL.EscapedPath(),
--- a/internal/edge/gatewayd/server.go
+++ b/internal/edge/gatewayd/server.go
@@ -74,6 +74,8 @@
 	table  *balance.Table
 	roster *roster.Roster
 	budget *retry.Budget
+	// configUnread is true while the newest configuration cannot be read.
+	configUnread bool
 }
 
 // New returns a gateway that does not run yet.
@@ -85,7 +87,7 @@
 		metrics: newMeters(o.LogsDropped),
 		table:   balance.New(o.Settings.Zone),
 		roster:  roster.New(),
-		budget:  budgetOf(o.Settings.Bounds),
+		budget:  retry.NewBudget(budgetBounds(o.Settings.Bounds)),
 	}
 	bounds := boundsOf(o.Settings.Bounds)
 	s.bounds.Store(&bounds)
--- /dev/null
+++ b/internal/edge/gatewayd/slow_test.go
@@ -0,0 +1,94 @@
+package gatewayd
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gladegauge/gladegauge/platform"
+	"github.com/gladegauge/gladegauge/platform/standin"
+)
+
+// A caller that does not send its body gets its answer when the route's time is
+// over, and nothing was run.
+func TestSlowBody(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1, fine)
+	conn, err := net.Dial("tcp", w.server.CallersAddress())
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	is.NoErr(conn.SetDeadline(time.Now().Add(patienceOfTests)))
+	_, err = io.WriteString(conn, standin.RawHead("/short/1", "x.example", "key-a", 10)+"ab")
+	is.NoErr(err)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err)
+	is.NoErr(resp.Body.Close())
+	is.Equal(resp.StatusCode, http.StatusRequestTimeout)
+	is.Equal(len(w.ran()), 0)
+}
+
+// The read deadline of a body does not end a request that runs on.
+func TestBodyDeadlineEnds(t *testing.T) {
+	is := is.New(t)
+	hold := make(chan struct{})
+	w := newWorld(t, 1, func(int, standin.Request) standin.Reply { return standin.Reply{Body: "ok", Hold: hold} })
+	done := make(chan standin.Answer, 1)
+	w.group.Go(func() error {
+		done <- w.caller.Call(context.Background(), standin.Request{ID: "r", Host: "x.example", URI: "/write/1", Key: "key-a", Body: "hello"})
+		return nil
+	})
+	w.await(func() bool { return len(w.ran()) == 1 })
+	close(hold)
+	is.Equal((<-done).Status, 200)
+}
+
+// Settings that are read again do not fill the retry budget.
+func TestReloadKeepsTheBudget(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1, fine)
+	path := filepath.Join(t.TempDir(), "settings.conf")
+	text, err := os.ReadFile("../../../platform/testdata/settings.conf")
+	is.NoErr(err)
+	is.NoErr(os.WriteFile(path, text, 0o600))
+	w.server.o.SettingsPath = path
+	for w.server.spend() {
+	}
+	w.server.reload("test")
+	is.True(!w.server.spend())
+}
+
+// While the newest configuration cannot be read, nothing proves the old one: a
+// key may have been taken away in it.
+func TestFaultyConfigurationProvesNothing(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1, fine)
+	w.store.PutRawConfig([]byte("{"))
+	w.await(func() bool {
+		unread := false
+		w.server.control.Must(func(time.Time) { unread = w.server.configUnread })
+		return unread
+	})
+	before := w.server.view.Load().NewestAt
+	w.server.control.Must(func(now time.Time) { w.server.applyTable(nil, true, now) })
+	is.Equal(w.server.view.Load().NewestAt, before)
+	w.store.PutConfig(configuration(2))
+	w.await(func() bool { return w.server.view.Load().Table.Version == 2 })
+	is.True(w.server.view.Load().NewestAt.After(before))
+}
+
+// The first byte that counts is the one that the caller got.
+func TestFirstByteOfAReplacedError(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 2, fine)
+	x := &request{server: w.server, began: time.Now().Add(-time.Second), endPatience: func() {}}
+	x.answerBegan(answer{head: platform.Answer{}})
+	is.Equal(x.firstByte, time.Duration(0))
+}
--- a/internal/edge/gatewayd/take.go
+++ b/internal/edge/gatewayd/take.go
@@ -6,6 +6,7 @@
 	"io"
 	"mime"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -77,8 +78,11 @@
 func (x *request) keepError(ctx context.Context, a answer) (gateway.Failure, error) {
 	x.answerBegan(a)
 	data, err := io.ReadAll(io.LimitReader(a, holdBytes+1))
-	if err != nil || len(data) > holdBytes {
-		return x.failureOf(ctx, errors.Newf("%s with a body that could not be kept: %v", a.Status, err)), err
+	if err == nil && len(data) > holdBytes {
+		err = errors.Newf("more than %d bytes", holdBytes)
+	}
+	if err != nil {
+		return x.failureOf(ctx, err), errors.Wrapf(err, "%s with a body that could not be kept", a.Status)
 	}
 	x.faulty = &errorAnswer{status: a.StatusCode, header: a.Header, body: data}
 	return gateway.Faulty, errors.Newf("the upstream answered %s", a.Status)
@@ -99,12 +103,30 @@
 	if len(data) <= holdBytes {
 		return gateway.None, nil
 	}
-	if _, err := io.Copy(x.w, a); err != nil {
+	w := &callerWriter{Writer: x.w}
+	_, err = io.Copy(w, a)
+	switch {
+	case w.failed:
+		return gateway.CallerGone, errors.WithStack(err)
+	case err != nil:
 		return x.failureOf(ctx, err), errors.Wrap(err, "body cut short")
 	}
 	return gateway.None, nil
 }
 
+// callerWriter tells the caller's failures from the upstream's.
+type callerWriter struct {
+	io.Writer
+	failed bool
+}
+
+// Write writes to the caller.
+func (w *callerWriter) Write(p []byte) (int, error) {
+	n, err := w.Writer.Write(p)
+	w.failed = w.failed || err != nil
+	return n, err
+}
+
 // commit sends the head of the answer to the caller.
 func (x *request) commit(status int, upstream http.Header, length int64) {
 	h := x.w.Header()
@@ -123,6 +145,7 @@
 		h["Content-Type"] = nil
 	}
 	x.progress.Answering = true
+	x.firstByte = time.Since(x.began)
 	x.w.WriteHeader(status)
 }
 
