--- a/internal/edge/gatewayd/slow_test.go
+++ b/internal/edge/gatewayd/slow_test.go
@@ -8,9 +8,12 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
 	"github.com/gladegauge/gladegauge/platform"
@@ -92,3 +95,47 @@
 	x.answerBegan(answer{head: platform.Answer{}})
 	is.Equal(x.firstByte, time.Duration(0))
 }
+
+// An error that is too large to keep is logged with its cause.
+func TestLargeErrorHasACause(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1, func(int, standin.Request) standin.Reply {
+		return standin.Reply{Status: 500, Body: strings.Repeat("x", holdBytes+1)}
+	})
+	is.Equal(w.call("/write/1").Status, http.StatusBadGateway)
+	w.await(func() bool { return strings.Contains(w.logs.String(), `"message":"ended"`) })
+	is.True(strings.Contains(w.logs.String(), `"cause":"500 Internal Server Error with a body that could not be kept`))
+}
+
+// brokenPipe fails after the first write.
+type brokenPipe struct{ writes int }
+
+func (b *brokenPipe) Write(p []byte) (int, error) {
+	b.writes++
+	if b.writes > 1 {
+		return 0, errors.New("broken pipe")
+	}
+	return len(p), nil
+}
+
+// A failure to write is the caller's, a failure to read is not.
+func TestWhoseFailure(t *testing.T) {
+	tests := []struct {
+		name   string
+		from   io.Reader
+		to     io.Writer
+		failed bool
+	}{
+		{"the caller left", strings.NewReader(strings.Repeat("x", 1<<20)), &brokenPipe{}, true},
+		{"the upstream broke off", iotest.TimeoutReader(strings.NewReader(strings.Repeat("x", 1<<20))), io.Discard, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			w := &callerWriter{Writer: tt.to}
+			_, err := io.Copy(w, struct{ io.Reader }{tt.from})
+			is.True(err != nil)
+			is.Equal(w.failed, tt.failed)
+		})
+	}
+}
--- a/internal/edge/gatewayd/world_test.go
+++ b/internal/edge/gatewayd/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -30,10 +31,31 @@
 	stop     context.CancelFunc
 	group    *errgroup.Group
 
+	logs logBuffer
+
 	mu    sync.Mutex
 	calls int
 }
 
+// logBuffer keeps what the gateway logs.
+type logBuffer struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+// Write takes a line.
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
 // routes of every test, by kind.
 var routes = []standin.Route{
 	{Name: "read", Host: "x.example", Prefix: "/read/", Kind: "idempotent", Pool: "app", TimeoutMs: 2000, TargetMs: 1000, Attempts: 2},
@@ -89,7 +111,7 @@
 			Store: w.store.Address(), Bounds: b,
 		},
 		Stop: StopTimes{LastCallAfter: time.Hour},
-		Log:  zerolog.Nop(),
+		Log:  zerolog.New(&w.logs),
 	})
 	w.is.NoErr(w.server.Listen())
 	ctx, cancel := context.WithCancel(context.Background())
