Balance: the pool's mean is worked out once a pick; the list is not built anew each second

Found on rereading, behaviour unchanged. The mean time of a pool's answers was worked out for each candidate, so a pick grew with the square of a pool of plain services, and of engines that are full. The table of upstreams was sorted anew every second, though without a word from the store only entries that lapsed can go; it is now done only while there are some.

--- a/internal/core/balance/cost.go
+++ b/internal/core/balance/cost.go
@@ -34,13 +34,13 @@
 )
 
 // engineCost is the cost at a model engine.
-func (p *pool) engineCost(now time.Time, u *upstream, r Request, c Choice) float64 {
+func (p *pool) engineCost(now time.Time, u *upstream, r Request, c Choice, usual float64) float64 {
 	perMs := p.speed.tokensPerMs()
 	reading := float64(c.Unread) / perMs
 	cost := waitWeight(r.Target)*float64(u.unread())/perMs + readWeight*reading + slotCost*c.InFlight
 	if slots := float64(u.Slots); slots > 0 && c.InFlight >= slots {
 		// Beyond its slots a request waits for another one to end.
-		cost += u.pace.workMs(now, p.usualWork()) * (c.InFlight + 1 - slots) / slots
+		cost += u.pace.workMs(now, usual) * (c.InFlight + 1 - slots) / slots
 	}
 	if limit := p.split.limit; limit > 0 && r.Pause > limit {
 		cost += harmWeight * reading * float64(u.tight(limit))
@@ -57,9 +57,9 @@
 }
 
 // serviceCost is the cost at a plain service.
-func (p *pool) serviceCost(now time.Time, u *upstream, c Choice) float64 {
+func serviceCost(now time.Time, u *upstream, c Choice, usual float64) float64 {
 	slots := float64(max(u.Slots, 1))
-	work := u.pace.workMs(now, p.usualWork())
+	work := u.pace.workMs(now, usual)
 	return work * (1 + max(0, c.InFlight+1-slots)/slots + sharedWork*c.InFlight/slots)
 }
 
--- a/internal/core/balance/pick.go
+++ b/internal/core/balance/pick.go
@@ -57,12 +57,13 @@
 		return Choice{}, false
 	}
 	keys := r.Prompt.chain()
+	usual := p.usualWork()
 	border := p.split.tightMembers(now, len(candidates))
 	home := homeOf(candidates[border:], r.Prompt, keys)
 	best := Choice{}
 	var chosen *upstream
 	for i, u := range candidates {
-		c := t.consider(now, p, u, r, keys, u == home)
+		c := t.consider(now, p, u, r, keys, usual, u == home)
 		if border > 0 {
 			c.Cost += p.splitCost(r, i < border)
 		}
@@ -98,8 +99,9 @@
 	return good
 }
 
-// consider works out the cost of sending the request to the upstream.
-func (t *Table) consider(now time.Time, p *pool, u *upstream, r Request, keys []uint64, home bool) Choice {
+// consider works out the cost of sending the request to the upstream. Usual is
+// the mean time of the pool's answers in milliseconds.
+func (t *Table) consider(now time.Time, p *pool, u *upstream, r Request, keys []uint64, usual float64, home bool) Choice {
 	c := Choice{
 		Instance: u.Instance,
 		InFlight: u.inFlight(now),
@@ -112,9 +114,9 @@
 	}
 	c.Unread = unreadTokens(now, u, r.Prompt, keys, home)
 	if r.Prompt.Tokens > 0 {
-		c.Cost = p.engineCost(now, u, r, c)
+		c.Cost = p.engineCost(now, u, r, c, usual)
 	} else {
-		c.Cost = p.serviceCost(now, u, c)
+		c.Cost = serviceCost(now, u, c, usual)
 	}
 	if u.Zone != t.zone {
 		c.Cost += zoneCost
--- a/internal/edge/gatewayd/server.go
+++ b/internal/edge/gatewayd/server.go
@@ -130,7 +130,10 @@
 
 // sweep forgets what is no longer used. It runs in the control goroutine.
 func (s *Server) sweep(now time.Time) {
-	s.applyRoster(now)
+	if s.roster.Lapsed() > 0 {
+		// Only entries that lapsed go without a word from the store.
+		s.applyRoster(now)
+	}
 	wanted := *s.addresses.Load()
 	s.client.Sweep(func(address string) bool { return wanted[address] })
 }
