Balance: engines copy shared parts of prompts from the engine that keeps them

Change: a request names the engine believed to keep the most of its prompt where the chosen one is not known to; it copies what it lacks.

--- /dev/null
+++ b/internal/core/balance/fetch_test.go
@@ -0,0 +1,80 @@
+package balance
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/gladegauge/gladegauge/internal/core/ingress"
+)
+
+// fetchPrompt has a shared part of the given size.
+func fetchPrompt(shared int) Prompt {
+	return Prompt{Model: 1, Tokens: shared + 3000, Parts: []Part{{ID: 1, Tokens: shared}, {ID: 2, Tokens: 3000}}}
+}
+
+// A prompt that a busy home is spared is copied from there, if engines copy
+// and the link is faster than reading.
+func TestFetchFromHome(t *testing.T) {
+	tests := []struct {
+		name   string
+		engine ingress.Engine
+		shared int
+		want   bool
+	}{
+		{"fast link", ingress.Engine{Moves: true, LinkMbps: 100_000, TokenBytes: 10_000}, 4000, true},
+		{"no copies", ingress.Engine{LinkMbps: 100_000, TokenBytes: 10_000}, 4000, false},
+		{"unknown link", ingress.Engine{Moves: true, TokenBytes: 10_000}, 4000, false},
+		{"slow link", ingress.Engine{Moves: true, LinkMbps: 100, TokenBytes: 10_000}, 4000, false},
+		{"small part", ingress.Engine{Moves: true, LinkMbps: 100_000, TokenBytes: 10_000}, 50, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			table := enginesWith(t, 4)
+			table.pools["p"].engine = &tt.engine
+			p := fetchPrompt(tt.shared)
+			home, _ := table.Pick(t0, Request{Pool: "p", Route: "long", Prompt: p})
+			is.Equal(home.FetchFrom, "") // it keeps it itself
+			away := 0
+			for i := range 12 {
+				c, _ := table.Pick(t0, Request{Pool: "p", Route: "long", Prompt: p, Hash: uint64(i)})
+				if c.ID == home.ID {
+					is.Equal(c.FetchFrom, "")
+					continue
+				}
+				away++
+				is.Equal(c.FetchFrom == home.Address, tt.want)
+				is.Equal(c.Unread < p.Tokens, tt.want)
+			}
+			is.True(away > 0)
+		})
+	}
+}
+
+// The home of a subject copies what subjects have in common from the home of
+// the common part; an engine that is known to keep more goes before that.
+func TestFetchFromKnown(t *testing.T) {
+	is := is.New(t)
+	table := enginesWith(t, 6)
+	table.pools["p"].engine = &ingress.Engine{Moves: true, LinkMbps: 100_000, TokenBytes: 10_000}
+	common := table.pools["p"].members
+	keys := prompt(1, 1).chain()
+	first := homeOfKey(common, keys[0])
+	hinted := 0
+	for subject := range uint64(20) {
+		fresh := enginesWith(t, 6)
+		fresh.pools["p"].engine = table.pools["p"].engine
+		c, _ := fresh.Pick(t0, Request{Pool: "p", Route: "r", Prompt: prompt(subject, 1)})
+		if c.FetchFrom == first.Address {
+			hinted++
+		}
+		is.True(c.FetchFrom != c.Address)
+		fresh.Began(at(50), c)
+		fresh.Ended(at(60), c, Completed, 10)
+		again, _ := fresh.Pick(at(80), Request{Pool: "p", Route: "r", Prompt: prompt(subject, 2)})
+		is.Equal(again.ID, c.ID)
+		is.Equal(again.FetchFrom, "") // what is shared is known to be there
+	}
+	is.True(hinted > 10)
+}
--- a/internal/core/balance/home.go
+++ b/internal/core/balance/home.go
@@ -16,7 +16,11 @@
 	if shared == 0 {
 		return nil
 	}
-	key := keys[shared-1]
+	return homeOfKey(candidates, keys[shared-1])
+}
+
+// homeOfKey returns the first upstream in rendezvous order of the key.
+func homeOfKey(candidates []*upstream, key uint64) *upstream {
 	var home *upstream
 	var best uint64
 	for _, u := range candidates {
--- a/internal/core/balance/pick.go
+++ b/internal/core/balance/pick.go
@@ -30,6 +30,9 @@
 	Cost float64
 	// Unread is the part of the prompt that the engine is expected to read.
 	Unread int
+	// FetchFrom is the address of the engine that it should copy a part of the
+	// prompt from; empty for none.
+	FetchFrom string
 	// InFlight is the estimate of the requests there.
 	InFlight float64
 	// LoadAge is the age of the upstream's own word; below 0 if there is none.
@@ -71,6 +74,10 @@
 			best, chosen = c, u
 		}
 	}
+	if from := p.sourceFor(now, chosen, candidates, border, r.Prompt, keys); from.tokens > 0 {
+		best.FetchFrom = from.upstream.Address
+		best.Unread = max(0, min(best.Unread, r.Prompt.Tokens-from.tokens))
+	}
 	best.Tight = border
 	best.Candidates = len(candidates)
 	t.send(now, p, chosen, r, &best)
--- a/internal/core/ingress/table.go
+++ b/internal/core/ingress/table.go
@@ -34,6 +34,15 @@
 	MemoryTokens int
 	// EventTokens is the number of tokens in one event.
 	EventTokens int
+	// TokenBytes is the size of one token in the KV cache.
+	TokenBytes int
+	// LinkMbps is the bandwidth between two engines, in megabits a second.
+	LinkMbps float64
+	// Moves tells that engines copy KV cache from one another.
+	Moves bool
+	// Backups tells that an engine keeps a copy of a run's memory on another
+	// one, from which the run can go on.
+	Backups bool
 }
 
 // Limits bound what a caller may send and how long it may take.
--- a/internal/edge/gatewayd/forward.go
+++ b/internal/edge/gatewayd/forward.go
@@ -17,6 +17,7 @@
 		Left:      x.admission.Deadline.Sub(now),
 		Urgency:   x.admission.Urgency,
 		LastEvent: x.lastEvent,
+		FetchFrom: choice.FetchFrom,
 	}
 	if x.admission.Organisation != nil {
 		f.Organisation = x.admission.Organisation.Name
--- a/internal/edge/gatewayd/lines.go
+++ b/internal/edge/gatewayd/lines.go
@@ -32,6 +32,7 @@
 		Float64("cost_ms", c.Cost).
 		Float64("in_flight", c.InFlight).
 		Int("unread", c.Unread).
+		Str("fetch_from", c.FetchFrom).
 		Dur("load_age", c.LoadAge).
 		Int("candidates", c.Candidates).
 		Int("tight", c.Tight).
