--- a/internal/core/balance/table.go
+++ b/internal/core/balance/table.go
@@ -20,6 +20,9 @@
 	// Slots is the number of requests that run at once.
 	Slots   int
 	Leaving bool
+	// Created tells entries apart that lapsed and came back; it is 0 if the
+	// platform does not say.
+	Created int64
 }
 
 // upstream is what the table knows of one instance.
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -3,14 +3,15 @@
 // An upstream that was taken off the list is gone at once. After an outage of
 // the list's keeper that does not hold: entries lapse because nobody could
 // renew them, and come back when the upstream reaches the keeper again. Until
-// then they are kept.
+// then they are kept. A gateway that was cut off by itself finds the list as it
+// was, but for what really came and went; there nothing lapsed.
 //
 // # Usage
 //
 //	r := roster.New()
 //	r.Replace(now, listed)
 //	r.Change(now, changed, removed)
-//	r.Recovered(now) // the keeper answers again after an outage
+//	r.Recovered(lastFailure) // the keeper answers again after an outage
 //	instances := r.Current(now)
 package roster
 
@@ -28,11 +29,19 @@
 // that leaves just then is not kept beyond the time in which it must be left.
 const recovering = 2200 * time.Millisecond
 
+// lapsedPart: entries lapsed if more than one in so many is missing, beyond
+// those that new upstreams may have replaced. It is far more than a planned
+// replacement takes away at once, and far less than an outage.
+const lapsedPart = 4
+
 // Roster is the list of upstreams. It is not safe for concurrent use.
 type Roster struct {
 	listed      map[string]balance.Instance
 	lapsed      map[string]time.Time
 	recoveredAt time.Time
+	// lapse is true once something shows that entries lapsed in the latest
+	// outage.
+	lapse bool
 }
 
 // New returns an empty roster.
@@ -43,25 +52,31 @@
 	}
 }
 
-// Recovered notes that the keeper of the list answers again.
-func (r *Roster) Recovered(now time.Time) { r.recoveredAt = now }
+// Recovered notes that the keeper of the list answers again after an outage. It
+// returned at the given time or later.
+func (r *Roster) Recovered(at time.Time) {
+	r.recoveredAt = at
+	r.lapse = false
+}
 
 // Replace takes a whole list.
 func (r *Roster) Replace(now time.Time, list []balance.Instance) {
 	seen := make(map[string]bool, len(list))
 	for _, in := range list {
 		seen[in.ID] = true
-		r.put(in)
 	}
+	var removed []string
 	for id := range r.listed {
 		if !seen[id] {
-			r.remove(now, id)
+			removed = append(removed, id)
 		}
 	}
+	r.Change(now, list, removed)
 }
 
 // Change takes upstreams that came, changed or went.
 func (r *Roster) Change(now time.Time, changed []balance.Instance, removed []string) {
+	r.lapse = r.lapse || r.showsLapse(changed, removed)
 	for _, in := range changed {
 		r.put(in)
 	}
@@ -70,6 +85,27 @@
 	}
 }
 
+// showsLapse reports whether entries must have lapsed: one came back, or too
+// many are missing for a replacement.
+func (r *Roster) showsLapse(changed []balance.Instance, removed []string) bool {
+	came, missing := 0, 0
+	for _, in := range changed {
+		held, ok := r.listed[in.ID]
+		if !ok {
+			came++
+		}
+		if ok && held.Created != in.Created {
+			return true
+		}
+	}
+	for _, id := range removed {
+		if held, ok := r.listed[id]; ok && !held.Leaving {
+			missing++
+		}
+	}
+	return missing > came+len(r.listed)/lapsedPart
+}
+
 func (r *Roster) put(in balance.Instance) {
 	r.listed[in.ID] = in
 	delete(r.lapsed, in.ID)
@@ -80,7 +116,7 @@
 	if !ok {
 		return
 	}
-	if r.recoveredAt.IsZero() || now.Sub(r.recoveredAt) > recovering || in.Leaving {
+	if r.recoveredAt.IsZero() || now.Sub(r.recoveredAt) > recovering || in.Leaving || !r.lapse {
 		delete(r.listed, id)
 		delete(r.lapsed, id)
 		return
@@ -109,3 +145,15 @@
 
 // Lapsed returns the number of entries that are kept though they lapsed.
 func (r *Roster) Lapsed() int { return len(r.lapsed) }
+
+// NextEnd returns when the first of the lapsed entries is forgotten; false if
+// there is none.
+func (r *Roster) NextEnd() (time.Time, bool) {
+	var first time.Time
+	for _, until := range r.lapsed {
+		if first.IsZero() || until.Before(first) {
+			first = until
+		}
+	}
+	return first, !first.IsZero()
+}
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -55,6 +56,34 @@
 			r.Change(at(20), nil, []string{"a"})
 		}, at(20), "b"},
 	}
+	// Found by a hunt: a gateway that was cut off for 12 s used a replica that
+	// had left in the meantime for three seconds more.
+	eight := make([]balance.Instance, 8)
+	for i := range eight {
+		eight[i] = balance.Instance{ID: string(rune('a' + i)), Created: int64(i + 1)}
+	}
+	cut := func(t *testing.T, list []balance.Instance, want string) {
+		t.Helper()
+		is := is.New(t)
+		r := New()
+		r.Replace(at(0), eight)
+		r.Recovered(at(10))
+		r.Replace(at(20), list)
+		is.Equal(ids(r.Current(at(1000))), want)
+		end, kept := r.NextEnd()
+		is.Equal(kept, r.Lapsed() > 0)
+		if kept {
+			is.Equal(end, at(10).Add(recovering))
+			r.Current(end)
+			is.Equal(r.Lapsed(), 0)
+		}
+	}
+	back := eight[1]
+	back.Created = 40
+	cut(t, append(slices.Clone(eight[2:]), balance.Instance{ID: "x"}, balance.Instance{ID: "y"}), "cdefghxy") // replaced
+	cut(t, eight[1:], "bcdefgh")                                                                              // one has left
+	cut(t, eight[4:], "abcdefgh")                                                                             // half lapsed
+	cut(t, append([]balance.Instance{back}, eight[2:]...), "abcdefgh")                                        // one is back already
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/edge/gatewayd/apply.go
+++ b/internal/edge/gatewayd/apply.go
@@ -59,9 +59,23 @@
 	if v := s.view.Load(); v.Table != nil && len(changes.Came) > 0 {
 		s.table.SetPools(v.Table)
 	}
+	s.forgetLapsed(now)
 	s.metrics.upstreams.Set(float64(len(list)))
 	if changes.Any() {
 		s.log.Info().Strs("came", changes.Came).Strs("went", changes.Went).Strs("leaving", changes.Leaving).
 			Int("upstreams", len(list)).Int("lapsed", s.roster.Lapsed()).Msg("upstreams: list changed")
 	}
 }
+
+// forgetLapsed applies the list again when the first of the lapsed entries is to
+// be forgotten: they go without a word from the store, and not a moment too
+// late. It runs in the control goroutine.
+func (s *Server) forgetLapsed(now time.Time) {
+	if s.lapse != nil {
+		s.lapse.Stop()
+		s.lapse = nil
+	}
+	if end, ok := s.roster.NextEnd(); ok {
+		s.lapse = time.AfterFunc(end.Sub(now), func() { s.control.Must(s.applyRoster) })
+	}
+}
--- a/internal/edge/gatewayd/follow.go
+++ b/internal/edge/gatewayd/follow.go
@@ -43,6 +43,8 @@
 	// lostAt is when calls began to fail; zero while they succeed.
 	lostAt   time.Time
 	lastGood time.Time
+	// failedAt is when the latest call failed.
+	failedAt time.Time
 	// backoff is the latest pause; 0 after a call that succeeded.
 	backoff time.Duration
 	// consistency is of the next listing. A stale one is cheap and is brought up
@@ -151,6 +153,7 @@
 		f.lostAt = time.Now()
 		f.server.log.Warn().Err(err).Int64("revision", f.revision).Msg("store: lost")
 	}
+	f.failedAt = time.Now()
 	f.backoff = min(max(2*f.backoff, backoffFirst), backoffMost)
 	//nolint:gosec // Jitter needs no secret randomness.
 	loop.Pause(ctx, f.backoff/2+rand.N(f.backoff/2))
@@ -163,7 +166,7 @@
 	if !f.lostAt.IsZero() {
 		f.server.log.Info().Dur("after", now.Sub(f.lostAt)).Msg("store: regained")
 		if now.Sub(f.lastGood) > outageAfter {
-			f.server.control.Must(func(now time.Time) { f.server.roster.Recovered(now) })
+			f.server.control.Must(func(time.Time) { f.server.roster.Recovered(f.failedAt) })
 		}
 	}
 	f.lostAt = time.Time{}
--- a/internal/edge/gatewayd/server.go
+++ b/internal/edge/gatewayd/server.go
@@ -33,8 +33,7 @@
 	"github.com/gladegauge/gladegauge/platform"
 )
 
-// sweepEvery is how often idle connections are looked through, and entries of
-// upstreams whose time is over are forgotten.
+// sweepEvery is how often idle connections are looked through.
 const sweepEvery = time.Second
 
 // Options are the settings of a gateway.
@@ -73,6 +72,8 @@
 	// Only the control goroutine touches these.
 	table  *balance.Table
 	roster *roster.Roster
+	// lapse ends the time of the first lapsed entry; nil if there is none.
+	lapse  *time.Timer
 	budget *retry.Budget
 	// configUnread is true while the newest configuration cannot be read.
 	configUnread bool
@@ -129,11 +130,7 @@
 }
 
 // sweep forgets what is no longer used. It runs in the control goroutine.
-func (s *Server) sweep(now time.Time) {
-	if s.roster.Lapsed() > 0 {
-		// Only entries that lapsed go without a word from the store.
-		s.applyRoster(now)
-	}
+func (s *Server) sweep(time.Time) {
 	wanted := *s.addresses.Load()
 	s.client.Sweep(func(address string) bool { return wanted[address] })
 }
