Balance: a stream's load is noted once; memory that does not fit has its cost

The logs show gateways that took it for nearly empty (14 requests where 72 were): the load in the head of a stream was noted again at the stream's end, seconds later, as if it were new. Nothing kept long prompts from an engine whose memory was full either.

Change: the load is noted when its head comes, and a choice counts tokens that would not fit an engine's memory as tokens to be read anew.

--- a/internal/core/balance/cost.go
+++ b/internal/core/balance/cost.go
@@ -42,6 +42,7 @@
 		// Beyond its slots a request waits for another one to end.
 		cost += u.pace.workMs(now, usual) * (c.InFlight + 1 - slots) / slots
 	}
+	cost += readWeight * p.overflow(now, u, r) / perMs
 	if limit := p.split.limit; limit > 0 && r.Pause > limit {
 		cost += harmWeight * reading * float64(u.tight(limit))
 	}
--- /dev/null
+++ b/internal/core/balance/memory.go
@@ -0,0 +1,31 @@
+package balance
+
+import "time"
+
+// memoryShare is the part of an engine's memory that running requests may fill
+// by this gateway's estimate. Beyond it the engine would soon take memory from
+// requests in the middle of their answers, and read them anew.
+const memoryShare = 0.9
+
+// tokensOf is the memory that the request is expected to fill.
+func (p *pool) tokensOf(r Request) int {
+	return r.Prompt.Tokens + int(p.split.expectedOutput(r))
+}
+
+// learnTokens follows the mean memory of a request.
+func (p *pool) learnTokens(tokens int) {
+	if p.tokens == 0 {
+		p.tokens = float64(tokens)
+	}
+	p.tokens += workWeight * (float64(tokens) - p.tokens)
+}
+
+// overflow is the number of tokens that would not fit the engine's memory any
+// more with the request. As many have to be read anew.
+func (p *pool) overflow(now time.Time, u *upstream, r Request) float64 {
+	if p.engine == nil || p.engine.MemoryTokens == 0 {
+		return 0
+	}
+	room := memoryShare * float64(p.engine.MemoryTokens)
+	return max(0, u.memory(now, p.tokens)+float64(p.tokensOf(r))-room)
+}
--- a/internal/core/balance/pick.go
+++ b/internal/core/balance/pick.go
@@ -148,8 +148,11 @@
 	if u.askedAt.IsZero() {
 		u.askedAt = now
 	}
-	u.running[c.run] = &run{route: r.Route, unread: c.Unread, pause: r.Pause, sentAt: now}
+	sent := &run{route: r.Route, unread: c.Unread, pause: r.Pause, sentAt: now}
+	u.running[c.run] = sent
 	if r.Prompt.Tokens > 0 {
+		sent.tokens = p.tokensOf(r)
+		p.learnTokens(sent.tokens)
 		p.split.asked(now, r, float64(c.Unread)/p.speed.tokensPerMs())
 	}
 }
--- a/internal/core/balance/table.go
+++ b/internal/core/balance/table.go
@@ -44,7 +44,9 @@
 	members []*upstream
 	engine  *ingress.Engine
 	speed   speed
-	split   split
+	// tokens is the mean memory of a request, in tokens.
+	tokens float64
+	split  split
 }
 
 // Table is one gateway's view of the upstreams. It is not safe for concurrent
--- a/internal/edge/gatewayd/attempt.go
+++ b/internal/edge/gatewayd/attempt.go
@@ -16,6 +16,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	x.endPatience = func() {}
+	x.loadTold = false
 	x.giveUp = cancel
 	if d, ok := x.patience(); ok {
 		t := time.AfterFunc(d, func() { cancel(errSilent) })
@@ -37,7 +38,12 @@
 	default:
 		a.Abort()
 	}
-	x.settle(choice, outcomeOf(failure), a.head.Load)
+	load := a.head.Load
+	if x.loadTold {
+		// It was reported when the answer began, and is old by now.
+		load = nil
+	}
+	x.settle(choice, outcomeOf(failure), load)
 	return failure, err
 }
 
@@ -66,6 +72,7 @@
 // answerBegan notes the first event of a stream, or the head of another answer.
 func (x *request) answerBegan(a answer) {
 	x.endPatience()
+	x.loadTold = true
 	x.server.control.Must(func(now time.Time) {
 		x.server.table.Began(now, a.choice)
 		if a.head.Load != nil {
--- a/internal/edge/gatewayd/request.go
+++ b/internal/edge/gatewayd/request.go
@@ -50,6 +50,8 @@
 	// endPatience ends the patience with the upstream of the present attempt: it
 	// has begun to answer.
 	endPatience func()
+	// loadTold is true once the load that rode on the present answer was noted.
+	loadTold bool
 	// giveUp ends the present attempt; pause ends it when its stream has been
 	// silent for too long, and is nil if that is not watched.
 	giveUp context.CancelCauseFunc
--- a/internal/edge/gatewayd/state_test.go
+++ b/internal/edge/gatewayd/state_test.go
@@ -7,7 +7,9 @@
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
 
+	"github.com/gladegauge/gladegauge/internal/core/balance"
 	"github.com/gladegauge/gladegauge/platform"
 	"github.com/gladegauge/gladegauge/platform/standin"
 )
@@ -194,3 +196,33 @@
 		})
 	}
 }
+
+// The load in the head of a stream is as old as the head when the stream ends.
+func TestLoadOfStreamIsNotedOnce(t *testing.T) {
+	is := is.New(t)
+	pause := make(chan struct{})
+	w := newWorld(t, 1, func(int, standin.Request) standin.Reply {
+		return standin.Reply{Events: []string{"1", "2"}, Pause: pause}
+	})
+	var group errgroup.Group
+	group.Go(func() error {
+		w.call("/note/1")
+		return nil
+	})
+	loadAge := func() time.Duration {
+		age := time.Duration(-1)
+		w.server.control.Must(func(now time.Time) {
+			c, ok := w.server.table.Pick(now, balance.Request{Pool: "app"})
+			if ok {
+				age = c.LoadAge
+				w.server.table.Ended(now, c, balance.Abandoned, 0)
+			}
+		})
+		return age
+	}
+	const old = 100 * time.Millisecond
+	w.await(func() bool { return loadAge() > old })
+	close(pause)
+	is.NoErr(group.Wait())
+	is.True(loadAge() > old)
+}
