Gateways know each other: one in each zone reads the store, all split alike

Change: gateways swap what they know with one other a second (core/fleet), the first of a zone reads the store and the rest follow it (core/feed), the split and the retry budget follow from all gateways. Ages are counted from the question, so that no delay makes a view look younger; whoever hears nothing reads the store.

--- a/internal/core/balance/split.go
+++ b/internal/core/balance/split.go
@@ -51,6 +51,52 @@
 	// gap is the mean time between two requests.
 	gap     time.Duration
 	askedAt time.Time
+	// others is what the other gateways ask of the pool.
+	others Demand
+}
+
+// Demand is the engine time that requests ask of a pool, in milliseconds a
+// second. Tight is the part of streams that bear only short pauses.
+type Demand struct {
+	Pool  string
+	Tight float64
+	All   float64
+}
+
+// demand is what this gateway's requests ask of the pool.
+func (s *split) demand(now time.Time) Demand {
+	memory := s.memory()
+	var sum Demand
+	for _, d := range s.demands {
+		d.decay(now, memory)
+		sum.All += d.work / memory.Seconds()
+		if d.pause > 0 && d.pause <= s.limit {
+			sum.Tight += d.work / memory.Seconds()
+		}
+	}
+	return sum
+}
+
+// Demands returns what this gateway's requests ask of the pools that are split.
+func (t *Table) Demands(now time.Time) []Demand {
+	var list []Demand
+	for name, p := range t.pools {
+		if p.split.limit == 0 {
+			continue
+		}
+		d := p.split.demand(now)
+		d.Pool = name
+		list = append(list, d)
+	}
+	return list
+}
+
+// OthersAsk takes what the other gateways ask of the pools, so that all gateways
+// split a pool alike.
+func (t *Table) OthersAsk(demands map[string]Demand) {
+	for name, p := range t.pools {
+		p.split.others = demands[name]
+	}
 }
 
 // memory is the time over which demand is averaged.
@@ -111,15 +157,8 @@
 	if s.limit == 0 || n < splitMembers {
 		return 0
 	}
-	tight, all := 0.0, 0.0
-	memory := s.memory()
-	for _, d := range s.demands {
-		d.decay(now, memory)
-		all += d.work
-		if d.pause > 0 && d.pause <= s.limit {
-			tight += d.work
-		}
-	}
+	d := s.demand(now)
+	tight, all := d.Tight+s.others.Tight, d.All+s.others.All
 	if all == 0 {
 		return min(max(s.tight, 1), n-1)
 	}
--- /dev/null
+++ b/internal/core/feed/feed.go
@@ -0,0 +1,133 @@
+// Package feed keeps the entries of the platform's store as they were read, for
+// gateways that follow this one instead of reading the store themselves.
+//
+// # Usage
+//
+//	f := feed.New()
+//	f.Replace(revision, everything)
+//	f.Add(revision, changes)
+//	batch, ok := f.Since(revision)
+package feed
+
+import (
+	"bytes"
+	"cmp"
+	"slices"
+)
+
+// removedMost is the number of removed entries that are remembered. Who missed
+// more than that gets everything anew.
+const removedMost = 1000
+
+// Entry is one entry of the store.
+type Entry struct {
+	Key     string
+	Value   []byte
+	Removed bool
+	// Created is the revision at which the entry was made.
+	Created int64
+}
+
+// same reports whether both say the same.
+func (e Entry) same(other Entry) bool {
+	return e.Removed == other.Removed && e.Created == other.Created && bytes.Equal(e.Value, other.Value)
+}
+
+// kept is an entry and the revision at which this feed learned of it.
+type kept struct {
+	Entry
+	learned int64
+}
+
+// Batch is what somebody has to learn to know as much as the feed.
+type Batch struct {
+	// Revision is the one of the store up to which everything is known.
+	Revision int64
+	Entries  []Entry
+	// Whole is true if the entries are everything that there is.
+	Whole bool
+}
+
+// Feed is a copy of the store's entries. It is not safe for concurrent use.
+type Feed struct {
+	entries  map[string]kept
+	revision int64
+	// floor is the revision from which on changes are known.
+	floor   int64
+	removed int
+}
+
+// New returns a feed that knows nothing.
+func New() *Feed { return &Feed{entries: make(map[string]kept)} }
+
+// Replace takes everything that there is at the revision.
+func (f *Feed) Replace(revision int64, entries []Entry) {
+	if revision < f.revision {
+		return
+	}
+	seen := make(map[string]bool, len(entries))
+	for _, e := range entries {
+		seen[e.Key] = true
+	}
+	all := slices.Clone(entries)
+	for key, held := range f.entries {
+		if !seen[key] && !held.Removed {
+			all = append(all, Entry{Key: key, Removed: true})
+		}
+	}
+	if f.revision == 0 {
+		f.floor = revision
+	}
+	f.Add(revision, all)
+}
+
+// Add takes what changed up to the revision.
+func (f *Feed) Add(revision int64, entries []Entry) {
+	f.revision = max(f.revision, revision)
+	for _, e := range entries {
+		held, ok := f.entries[e.Key]
+		if ok && held.same(e) {
+			continue
+		}
+		if ok && held.Removed {
+			f.removed--
+		}
+		if e.Removed {
+			f.removed++
+		}
+		f.entries[e.Key] = kept{Entry: e, learned: f.revision}
+	}
+	if f.removed > removedMost {
+		f.forget()
+	}
+}
+
+// forget drops the removed entries.
+func (f *Feed) forget() {
+	for key, held := range f.entries {
+		if held.Removed {
+			delete(f.entries, key)
+		}
+	}
+	f.removed = 0
+	f.floor = f.revision
+}
+
+// Revision returns the revision up to which everything is known; 0 for nothing.
+func (f *Feed) Revision() int64 { return f.revision }
+
+// Since returns what was learned after the revision, in order of the keys; false
+// if nothing is known yet.
+func (f *Feed) Since(revision int64) (Batch, bool) {
+	if f.revision == 0 {
+		return Batch{}, false
+	}
+	b := Batch{Revision: f.revision, Whole: revision < f.floor}
+	for _, held := range f.entries {
+		if b.Whole && !held.Removed || !b.Whole && held.learned > revision {
+			b.Entries = append(b.Entries, held.Entry)
+		}
+	}
+	slices.SortFunc(b.Entries, func(a, b Entry) int { return cmp.Compare(a.Key, b.Key) })
+	return b, true
+}
--- /dev/null
+++ b/internal/core/fleet/fleet_test.go
@@ -0,0 +1,153 @@
+package fleet
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gladegauge/gladegauge/internal/core/balance"
+)
+
+var t0 = time.Unix(1000, 0)
+
+// fleetOf returns n gateways in the zones, in turn, that know nobody.
+func fleetOf(n, zones int) []*Fleet {
+	list := make([]*Fleet, n)
+	for i := range list {
+		list[i] = New(Member{Address: fmt.Sprintf("10.0.%d.%d:1", i/250, i%250), Zone: fmt.Sprintf("z%d", i%zones), Start: 1})
+	}
+	return list
+}
+
+// play lets all gateways exchange once a second. The first three are the seeds.
+func play(now time.Time, list []*Fleet, seconds int, reach func(a, b int) bool) time.Time {
+	rng := rand.New(rand.NewPCG(1, 2))
+	index := make(map[string]int)
+	for i, f := range list {
+		index[f.self.Address] = i
+	}
+	seeds := []string{list[0].self.Address, list[1].self.Address, list[2].self.Address}
+	for range seconds {
+		now = now.Add(ExchangeEvery)
+		for i, f := range list {
+			f.Beat([]balance.Demand{{Pool: "p", Tight: 1, All: 3}})
+			address, ok := f.Partner(now, rng.Uint64(), seeds)
+			j := index[address]
+			if !ok || i == j {
+				continue
+			}
+			if !reach(i, j) {
+				f.Down(now, address)
+				continue
+			}
+			told := f.Share(now, rng.Uint64())
+			list[j].Merge(now, told)
+			f.Merge(now, list[j].Share(now, rng.Uint64()))
+		}
+	}
+	return now
+}
+
+func all(int, int) bool { return true }
+
+// Gateways that know three seeds learn of everyone, and agree on one reader of
+// the store in each zone.
+func TestEveryoneIsKnown(t *testing.T) {
+	tests := []struct {
+		n, zones, seconds int
+		whole             float64
+	}{
+		{3, 3, 5, 1},
+		{30, 4, 20, 1},
+		{200, 3, 60, 0.95},
+	}
+	for _, tt := range tests {
+		t.Run(fmt.Sprint(tt.n), func(t *testing.T) {
+			is := is.New(t)
+			list := fleetOf(tt.n, tt.zones)
+			now := play(t0, list, tt.seconds, all)
+			readers := make(map[string]int)
+			for _, f := range list {
+				is.True(float64(f.Size(now)) >= tt.whole*float64(tt.n))
+				is.True(f.OthersAsk(now)["p"].All >= tt.whole*3*float64(tt.n-1))
+				if _, follows := f.Parent(now); !follows {
+					readers[f.self.Zone]++
+				}
+			}
+			is.Equal(len(readers), tt.zones)
+			for _, n := range readers {
+				is.True(n <= 1+tt.n/100) // a picture that is a little behind
+			}
+		})
+	}
+}
+
+// The tree has no circle: every gateway reaches the reader of its zone.
+func TestParentsLeadToTheReader(t *testing.T) {
+	is := is.New(t)
+	list := fleetOf(60, 2)
+	now := play(t0, list, 60, all)
+	byAddress := make(map[string]*Fleet)
+	for _, f := range list {
+		byAddress[f.self.Address] = f
+	}
+	for _, f := range list {
+		steps := 0
+		for at := f; ; steps++ {
+			parent, ok := at.Parent(now)
+			if !ok {
+				break
+			}
+			at = byAddress[parent]
+			is.Equal(at.self.Zone, f.self.Zone)
+		}
+		is.True(steps <= 2) // 30 in a zone, 8 to a parent
+	}
+}
+
+// A part that was cut off goes on by itself and does not take the whole for its
+// own; what comes back is known again.
+func TestCutAndHeal(t *testing.T) {
+	is := is.New(t)
+	list := fleetOf(12, 3)
+	now := play(t0, list, 20, all)
+	now = play(now, list, 20, func(a, b int) bool { return a%3 == b%3 })
+	for _, f := range list {
+		is.Equal(len(f.living(now)), 3) // its own zone
+		is.Equal(f.Size(now), 12)
+	}
+	now = play(now, list, 40, all)
+	for _, f := range list {
+		is.Equal(len(f.living(now)), 11)
+		is.Equal(f.Size(now), 12)
+	}
+}
+
+func TestMember(t *testing.T) {
+	is := is.New(t)
+	f := New(Member{Address: "a:1", Zone: "z", Start: 5})
+	f.Merge(t0, []Member{{Address: "a:1", Start: 9}, {Address: "b:1", Zone: "z", Start: 1, Beat: 7}, {}})
+	is.Equal(f.self.Start, uint64(10)) // a later start than the one that is known
+	is.Equal(len(f.others), 1)         // neither itself nor nobody
+	f.Merge(t0.Add(time.Second), []Member{{Address: "b:1", Zone: "z", Start: 1, Beat: 6}})
+	is.Equal(f.others["b:1"].Beat, uint64(7)) // an older word changes nothing
+	f.Merge(t0.Add(time.Second), []Member{{Address: "b:1", Zone: "z", Start: 2, Beat: 1}})
+	is.Equal(f.others["b:1"].Start, uint64(2)) // a new start counts from the beginning
+	f.Down(t0.Add(time.Second), "b:1")
+	_, ok := f.Other(t0.Add(2*time.Second), 1)
+	is.True(!ok)
+	_, ok = f.Parent(t0.Add(2 * time.Second))
+	is.True(!ok) // nobody to follow
+	f.Merge(t0.Add(4*time.Second), []Member{{Address: "b:1", Zone: "z", Start: 2, Beat: 2, Leaving: true}})
+	_, ok = f.Other(t0.Add(5*time.Second), 1)
+	is.True(!ok)
+	is.Equal(f.Size(t0.Add(5*time.Second)), 2)
+	is.Equal(len(f.living(t0.Add(12*time.Second))), 0)
+	f.Merge(t0.Add(12*time.Second), []Member{{Address: "b:1", Zone: "z", Start: 2, Beat: 2}})
+	is.Equal(len(f.living(t0.Add(12*time.Second))), 0) // an old word does not bring it back
+	f.Merge(t0.Add(time.Hour), nil)
+	is.Equal(len(f.others), 0)
+}
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -29,6 +29,10 @@
 // that leaves just then is not kept beyond the time in which it must be left.
 const recovering = 2200 * time.Millisecond
 
+// sameOutage is the time within which the end of an outage, as two gateways saw
+// it, is the end of the same one. It is longer than two failed calls.
+const sameOutage = 2 * time.Second
+
 // lapsedPart: entries lapsed if more than one in so many is missing, beyond
 // those that new upstreams may have replaced. It is far more than a planned
 // replacement takes away at once, and far less than an outage.
@@ -55,10 +59,16 @@
 // Recovered notes that the keeper of the list answers again after an outage. It
 // returned at the given time or later.
 func (r *Roster) Recovered(at time.Time) {
+	if !at.After(r.recoveredAt.Add(sameOutage)) {
+		return
+	}
 	r.recoveredAt = at
 	r.lapse = false
 }
 
+// RecoveredAt returns the end of the latest outage; zero if there was none.
+func (r *Roster) RecoveredAt() time.Time { return r.recoveredAt }
+
 // Replace takes a whole list.
 func (r *Roster) Replace(now time.Time, list []balance.Instance) {
 	seen := make(map[string]bool, len(list))
--- a/internal/edge/gatewayd/bounds.go
+++ b/internal/edge/gatewayd/bounds.go
@@ -9,7 +9,7 @@
 
 const (
 	// assumedGateways is the number of gateways that the retry budget is split
-	// over while nobody tells how many there are.
+	// over until another one tells how many there are.
 	assumedGateways = 6
 	// retryMargin is the part of the budget that is used: requests of the same
 	// window that other gateways refuse are not known here.
@@ -34,6 +34,6 @@
 
 // budgetBounds returns the share and the reserve of this gateway's part of the
 // retry budget.
-func budgetBounds(b platform.Bounds) (share, reserve float64) {
-	return retryMargin * b.RetryShare, retryMargin * b.RetryReserve / assumedGateways
+func budgetBounds(b platform.Bounds, gateways int) (share, reserve float64) {
+	return retryMargin * b.RetryShare, retryMargin * b.RetryReserve / float64(gateways)
 }
--- /dev/null
+++ b/internal/edge/gatewayd/feed.go
@@ -0,0 +1,99 @@
+package gatewayd
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+
+	"github.com/gladegauge/gladegauge/internal/core/feed"
+	gladegaugev1 "github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1"
+)
+
+const (
+	// followWait is how long a poll of the parent waits for news; each answer
+	// proves the age of the view anew.
+	followWait = 500 * time.Millisecond
+	// followWaitMost bounds what another gateway may ask for.
+	followWaitMost = 2 * time.Second
+	// followSlack is what an answer may take beyond its wait.
+	followSlack = 400 * time.Millisecond
+)
+
+var errNothingKnown = errors.New("nothing is known of the store yet")
+
+// Follow answers another gateway as soon as there is news for it.
+func (s *Server) Follow(ctx context.Context, req *connect.Request[gladegaugev1.FollowRequest]) (*connect.Response[gladegaugev1.FollowResponse], error) {
+	began := time.Now()
+	wait := min(time.Duration(req.Msg.GetWaitMs())*time.Millisecond, followWaitMost)
+	timeout := time.NewTimer(wait)
+	defer timeout.Stop()
+	for {
+		var resp *gladegaugev1.FollowResponse
+		var changed <-chan struct{}
+		if !s.control.Must(func(now time.Time) { resp, changed = s.news(now, began, req.Msg.GetRevision()) }) || resp == nil {
+			return nil, connect.NewError(connect.CodeUnavailable, errNothingKnown)
+		}
+		if len(resp.GetEntries()) > 0 {
+			return connect.NewResponse(resp), nil
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			// The proof of the age is as new as it can be.
+			s.control.Must(func(now time.Time) { resp, _ = s.news(now, began, req.Msg.GetRevision()) })
+			return connect.NewResponse(resp), nil
+		case <-ctx.Done():
+			return nil, connect.NewError(connect.CodeCanceled, ctx.Err())
+		}
+	}
+}
+
+// news returns what a follower at the revision does not know; nil if nothing is
+// known here. The channel is closed by the next change. It runs in the control
+// goroutine.
+func (s *Server) news(now, began time.Time, revision int64) (*gladegaugev1.FollowResponse, <-chan struct{}) {
+	batch, ok := s.feed.Since(revision)
+	view := s.view.Load()
+	if !ok {
+		return nil, s.feedChanged
+	}
+	resp := &gladegaugev1.FollowResponse{
+		Revision: batch.Revision,
+		Whole:    batch.Whole,
+		HeldMs:   milliseconds(now.Sub(began)),
+	}
+	if view.Table != nil && !view.NewestAt.IsZero() {
+		resp.Version = view.Table.Version
+		// Rounded up: an age may be overstated, never understated.
+		resp.AgeMs = milliseconds(view.Age(now)) + 1
+	}
+	if at := s.roster.RecoveredAt(); !at.IsZero() {
+		resp.Outage = true
+		resp.OutageAgeMs = milliseconds(now.Sub(at))
+	}
+	for _, e := range batch.Entries {
+		resp.Entries = append(resp.Entries, &gladegaugev1.StoreEntry{Key: e.Key, Value: e.Value, Created: e.Created, Removed: e.Removed})
+	}
+	return resp, s.feedChanged
+}
+
+func milliseconds(d time.Duration) uint32 {
+	return uint32(max(0, d.Milliseconds()))
+}
+
+// fed wakes the followers. It runs in the control goroutine.
+func (s *Server) fed() {
+	close(s.feedChanged)
+	s.feedChanged = make(chan struct{})
+}
+
+// entriesOf returns the entries of an answer.
+func entriesOf(resp *gladegaugev1.FollowResponse) []feed.Entry {
+	list := make([]feed.Entry, len(resp.GetEntries()))
+	for i, e := range resp.GetEntries() {
+		list[i] = feed.Entry{Key: e.GetKey(), Value: e.GetValue(), Created: e.GetCreated(), Removed: e.GetRemoved()}
+	}
+	return list
+}
--- a/internal/edge/gatewayd/follow.go
+++ b/internal/edge/gatewayd/follow.go
@@ -53,9 +53,15 @@
 	consistency platform.Consistency
 	// listed is true until the first watch after a listing.
 	listed bool
+	// compacted is true once the store has forgotten what followed the revision.
+	compacted bool
+	// tryPeer is true after a call to the store failed: another gateway may still
+	// reach it.
+	tryPeer bool
 }
 
-// follow reads what is published and then every change, until the context ends.
+// follow learns what is published and then every change, from its parent or from
+// the store, until the context ends.
 func (s *Server) follow(ctx context.Context) error {
 	f := &follower{
 		server:      s,
@@ -64,15 +70,29 @@
 		consistency: platform.Stale,
 	}
 	for ctx.Err() == nil {
-		if f.list(ctx) {
-			f.watch(ctx)
-		}
+		f.step(ctx)
 	}
 	return nil
 }
 
-// list reads everything; it reports false after a failure and a pause.
-func (f *follower) list(ctx context.Context) bool {
+// step asks once.
+func (f *follower) step(ctx context.Context) {
+	wait := followWait
+	if f.tryPeer {
+		wait = 0
+	}
+	if address, ok := f.source(); ok && f.askPeer(ctx, address, wait) {
+		return
+	}
+	if f.revision == 0 || f.compacted {
+		f.list(ctx)
+		return
+	}
+	f.watch(ctx)
+}
+
+// list reads everything.
+func (f *follower) list(ctx context.Context) {
 	asked := time.Now()
 	if f.consistency == platform.Stale {
 		// A stale listing proves nothing about its age.
@@ -81,39 +101,40 @@
 	l, err := f.store.List(ctx, f.consistency)
 	if err != nil {
 		f.failed(ctx, err)
-		return false
+		return
 	}
 	f.succeeded()
 	f.revision = l.Revision
+	f.compacted = false
 	f.listed = true
 	f.server.report(l.Faults)
-	return f.server.control.Must(func(now time.Time) {
+	f.server.control.Must(func(now time.Time) {
+		f.server.feedFrom(l.Revision, platform.Changes{Entries: l.Entries}, true)
 		f.server.roster.Replace(now, l.Instances)
 		f.server.applyRoster(now)
 		f.server.applyTable(l.Table, !l.ConfigFaulty(), asked)
 	})
 }
 
-// watch takes changes until the history is gone.
+// watch waits for changes once.
 func (f *follower) watch(ctx context.Context) {
-	for ctx.Err() == nil {
-		wait := f.wait()
-		asked := time.Now()
-		c, err := f.store.Watch(ctx, f.revision, wait)
-		if errors.Is(err, platform.ErrCompacted) {
-			f.consistency = platform.Newest
-			f.server.log.Info().Int64("revision", f.revision).Msg("store: history is gone, reading everything anew")
-			return
-		}
-		if err != nil {
-			f.failed(ctx, err)
-			continue
-		}
-		f.succeeded()
-		f.take(c, provedAt(asked, time.Now(), wait, c))
-		if c.Any() {
-			loop.Pause(ctx, gatherFor)
-		}
+	wait := f.wait()
+	asked := time.Now()
+	c, err := f.store.Watch(ctx, f.revision, wait)
+	if errors.Is(err, platform.ErrCompacted) {
+		f.consistency = platform.Newest
+		f.compacted = true
+		f.server.log.Info().Int64("revision", f.revision).Msg("store: history is gone, reading everything anew")
+		return
+	}
+	if err != nil {
+		f.failed(ctx, err)
+		return
+	}
+	f.succeeded()
+	f.take(c, provedAt(asked, time.Now(), wait, c))
+	if c.Any() {
+		loop.Pause(ctx, gatherFor)
 	}
 }
 
@@ -123,6 +144,9 @@
 	f.revision = c.Revision
 	f.server.report(c.Faults)
 	f.server.control.Must(func(now time.Time) {
+		if len(c.Entries) > 0 {
+			f.server.feedFrom(c.Revision, c, false)
+		}
 		if len(c.Changed)+len(c.Removed) > 0 {
 			f.server.roster.Change(now, c.Changed, c.Removed)
 			f.server.applyRoster(now)
@@ -135,7 +159,7 @@
 // outage is answered at once: until it is, keys may be refused for the age of
 // the view.
 func (f *follower) wait() time.Duration {
-	if f.listed || !f.lostAt.IsZero() {
+	if f.listed || !f.lostAt.IsZero() || f.late(time.Now()) {
 		return returnWatch
 	}
 	if age := f.server.bounds.Load().KeyAge; age > 0 {
@@ -154,6 +178,7 @@
 		f.server.log.Warn().Err(err).Int64("revision", f.revision).Msg("store: lost")
 	}
 	f.failedAt = time.Now()
+	f.tryPeer = true
 	f.backoff = min(max(2*f.backoff, backoffFirst), backoffMost)
 	//nolint:gosec // Jitter needs no secret randomness.
 	loop.Pause(ctx, f.backoff/2+rand.N(f.backoff/2))
--- a/internal/edge/gatewayd/listen.go
+++ b/internal/edge/gatewayd/listen.go
@@ -12,6 +12,9 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/gladegauge/gladegauge/internal/core/fleet"
+	"github.com/gladegauge/gladegauge/internal/edge/rpc"
+	"github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1/gladegaugev1connect"
 	"github.com/gladegauge/gladegauge/platform"
 )
 
@@ -26,8 +29,9 @@
 type listeners struct {
 	callers   net.Listener
 	readiness net.Listener
-	// metrics is nil if nobody is to read them.
+	// metrics is nil if nobody is to read them, peers if no other gateway calls.
 	metrics net.Listener
+	peers   net.Listener
 	servers []*http.Server
 }
 
@@ -47,6 +51,16 @@
 			return err
 		}
 	}
+	if s.o.Settings.Peers != "" {
+		if l.peers, err = s.open("peers", s.o.Settings.Peers); err != nil {
+			return err
+		}
+		s.fleet = fleet.New(fleet.Member{
+			Address: l.peers.Addr().String(),
+			Zone:    s.o.Settings.Zone,
+			Start:   uint64(time.Now().UnixNano()),
+		})
+	}
 	s.listeners = l
 	return nil
 }
@@ -57,6 +71,9 @@
 // ReadinessAddress returns where readiness is told.
 func (s *Server) ReadinessAddress() string { return s.listeners.readiness.Addr().String() }
 
+// PeersAddress returns where other gateways are served.
+func (s *Server) PeersAddress() string { return s.listeners.peers.Addr().String() }
+
 // open opens one port and logs where.
 func (s *Server) open(name, address string) (net.Listener, error) {
 	l, err := net.Listen("tcp", address)
@@ -80,6 +97,12 @@
 		metrics := l.server(m)
 		group.Go(func() error { return l.run(metrics, l.metrics) })
 	}
+	if l.peers != nil {
+		m := http.NewServeMux()
+		m.Handle(gladegaugev1connect.NewGatewayServiceHandler(s, rpc.SmallMessages))
+		peers := l.server(m)
+		group.Go(func() error { return l.run(peers, l.peers) })
+	}
 	callers := l.server(s.handler())
 	group.Go(func() error {
 		s.awaitLimits(ctx, callers)
--- a/internal/edge/gatewayd/meters.go
+++ b/internal/edge/gatewayd/meters.go
@@ -32,6 +32,8 @@
 	faults      prometheus.Counter
 	version     prometheus.Gauge
 	upstreams   prometheus.Gauge
+	peerCalls   *prometheus.CounterVec
+	gateways    prometheus.Gauge
 }
 
 func newMeters(logsDropped func() uint64) *meters {
@@ -50,9 +52,11 @@
 		faults:      family.Counter("store_faults_total", "Published values that could not be read."),
 		version:     family.Gauge("configuration_version", "Version of the configuration in force."),
 		upstreams:   family.Gauge("upstreams", "Upstreams on the list."),
+		peerCalls:   family.Counters("peer_calls_total", "Calls to other gateways by kind and result.", "call", "result"),
+		gateways:    family.Gauge("gateways", "Gateways that the retry budget is split over."),
 	}
 	m.registry.MustRegister(m.requests, m.refusals, m.attempts, m.storeCalls, m.inTime, m.firstByte,
-		m.completion, m.connections, m.resumes, m.continues, m.faults, m.version, m.upstreams)
+		m.completion, m.connections, m.resumes, m.continues, m.faults, m.version, m.upstreams, m.peerCalls, m.gateways)
 	if logsDropped != nil {
 		m.registry.MustRegister(family.CounterOf("log_lines_dropped_total", "Log lines that did not fit the buffer.", logsDropped))
 	}
@@ -67,3 +71,11 @@
 func observe(h *prometheus.HistogramVec, kind string, d time.Duration) {
 	h.WithLabelValues(kind).Observe(d.Seconds())
 }
+
+func (m *meters) peerCall(call string, err error) {
+	result := "ok"
+	if err != nil {
+		result = "error"
+	}
+	m.peerCalls.WithLabelValues(call, result).Inc()
+}
--- /dev/null
+++ b/internal/edge/gatewayd/peers.go
@@ -0,0 +1,140 @@
+package gatewayd
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/gladegauge/gladegauge/internal/core/balance"
+	"github.com/gladegauge/gladegauge/internal/core/fleet"
+	"github.com/gladegauge/gladegauge/internal/edge/loop"
+	gladegaugev1 "github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1"
+	"github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1/gladegaugev1connect"
+)
+
+// Times of calls between gateways.
+const (
+	// peerDial and exchangeTimeout bound a call to another gateway; gateways of a
+	// region are a few milliseconds apart.
+	peerDial        = 300 * time.Millisecond
+	exchangeTimeout = 700 * time.Millisecond
+	// peerIdle is how long a connection to another gateway is kept.
+	peerIdle = 30 * time.Second
+)
+
+// newPeerClient returns the client of calls to other gateways.
+func newPeerClient() *http.Client {
+	dialer := &net.Dialer{Timeout: peerDial}
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         dialer.DialContext,
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: 1,
+		IdleConnTimeout:     peerIdle,
+	}}
+}
+
+// peer returns the gateway at the address.
+func (s *Server) peer(address string) gladegaugev1connect.GatewayServiceClient {
+	return gladegaugev1connect.NewGatewayServiceClient(s.peers, "http://"+address)
+}
+
+// exchangeLoop swaps what is known with one other gateway after the other. At the
+// start it asks all seeds.
+func (s *Server) exchangeLoop(ctx context.Context) error {
+	for _, address := range s.o.Settings.Seeds {
+		if address != s.PeersAddress() {
+			s.exchange(ctx, address)
+		}
+	}
+	for {
+		//nolint:gosec // Jitter needs no secret randomness.
+		if !loop.Pause(ctx, fleet.ExchangeEvery/2+rand.N(fleet.ExchangeEvery)) {
+			return nil
+		}
+		var address string
+		var ok bool
+		s.control.Must(func(now time.Time) {
+			address, ok = s.fleet.Partner(now, rand.Uint64(), s.o.Settings.Seeds) //nolint:gosec // As above.
+		})
+		if ok {
+			s.exchange(ctx, address)
+		}
+	}
+}
+
+// exchange swaps what is known with the gateway at the address.
+func (s *Server) exchange(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	req := &gladegaugev1.GatewayExchangeRequest{}
+	s.control.Must(func(now time.Time) {
+		s.fleet.Beat(s.table.Demands(now))
+		req.Members = s.share(now)
+	})
+	resp, err := s.peer(address).Exchange(ctx, connect.NewRequest(req))
+	s.metrics.peerCall("exchange", err)
+	s.control.Must(func(now time.Time) {
+		if err != nil {
+			s.fleet.Down(now, address)
+			return
+		}
+		s.merge(now, resp.Msg.GetMembers())
+	})
+}
+
+// share returns what the next message tells. It runs in the control goroutine.
+func (s *Server) share(now time.Time) []*gladegaugev1.GatewayMember {
+	members := s.fleet.Share(now, rand.Uint64()) //nolint:gosec // A sample needs no secret randomness.
+	list := make([]*gladegaugev1.GatewayMember, len(members))
+	for i, m := range members {
+		list[i] = encodeMember(m)
+	}
+	return list
+}
+
+// merge takes what another gateway knows: the retry budget and the split of pools
+// follow from it. It runs in the control goroutine.
+func (s *Server) merge(now time.Time, list []*gladegaugev1.GatewayMember) {
+	members := make([]fleet.Member, len(list))
+	for i, m := range list {
+		members[i] = decodeMember(m)
+	}
+	s.fleet.Merge(now, members)
+	s.table.OthersAsk(s.fleet.OthersAsk(now))
+	if n := s.fleet.Size(now); n != s.gateways {
+		s.log.Info().Int("gateways", n).Int("before", s.gateways).Msg("fleet: size changed")
+		s.gateways = n
+		s.metrics.gateways.Set(float64(n))
+		s.budget = s.budget.With(budgetBounds(s.o.Settings.Bounds, n))
+	}
+}
+
+// Exchange answers another gateway's swap.
+func (s *Server) Exchange(_ context.Context, req *connect.Request[gladegaugev1.GatewayExchangeRequest]) (*connect.Response[gladegaugev1.GatewayExchangeResponse], error) {
+	resp := &gladegaugev1.GatewayExchangeResponse{}
+	s.control.Must(func(now time.Time) {
+		s.merge(now, req.Msg.GetMembers())
+		resp.Members = s.share(now)
+	})
+	return connect.NewResponse(resp), nil
+}
+
+func encodeMember(m fleet.Member) *gladegaugev1.GatewayMember {
+	g := &gladegaugev1.GatewayMember{Address: m.Address, Zone: m.Zone, Start: m.Start, Beat: m.Beat, Leaving: m.Leaving}
+	for _, d := range m.Demands {
+		g.Demands = append(g.Demands, &gladegaugev1.PoolDemand{Pool: d.Pool, Tight: float32(d.Tight), All: float32(d.All)})
+	}
+	return g
+}
+
+func decodeMember(g *gladegaugev1.GatewayMember) fleet.Member {
+	m := fleet.Member{Address: g.GetAddress(), Zone: g.GetZone(), Start: g.GetStart(), Beat: g.GetBeat(), Leaving: g.GetLeaving()}
+	for _, d := range g.GetDemands() {
+		m.Demands = append(m.Demands, balance.Demand{Pool: d.GetPool(), Tight: float64(d.GetTight()), All: float64(d.GetAll())})
+	}
+	return m
+}
--- /dev/null
+++ b/internal/edge/gatewayd/peers_test.go
@@ -0,0 +1,164 @@
+package gatewayd
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/gladegauge/gladegauge/internal/core/feed"
+	gladegaugev1 "github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1"
+	"github.com/gladegauge/gladegauge/platform"
+	"github.com/gladegauge/gladegauge/platform/standin"
+)
+
+// testPeer is one of several that share a store.
+type testPeer struct {
+	*Server
+	stop func()
+}
+
+// startPeer starts a gateway that knows the seeds.
+func startPeer(t *testing.T, store *standin.Store, seeds ...string) *testPeer {
+	t.Helper()
+	is := is.New(t)
+	s := New(&Options{
+		Settings: platform.Settings{
+			Host: "h", Zone: "a", IP: "127.0.0.1",
+			Callers: "127.0.0.1:0", Readiness: "127.0.0.1:0", Peers: "127.0.0.1:0",
+			Seeds: seeds, Store: store.Address(), Bounds: boundsOfTests(),
+		},
+		Stop: StopTimes{LastCallAfter: time.Hour},
+		Log:  zerolog.Nop(),
+	})
+	is.NoErr(s.Listen())
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error { return s.Run(ctx) })
+	g := &testPeer{Server: s, stop: func() {
+		cancel()
+		is.NoErr(group.Wait())
+	}}
+	t.Cleanup(g.stop)
+	return g
+}
+
+// known returns the number of gateways, and whether this one follows another.
+func (g *testPeer) known() (n int, follows bool) {
+	g.control.Must(func(now time.Time) {
+		n = g.gateways
+		_, follows = g.fleet.Parent(now)
+	})
+	return n, follows
+}
+
+func (g *testPeer) version() int64 {
+	if t := g.view.Load().Table; t != nil {
+		return t.Version
+	}
+	return 0
+}
+
+func (g *testPeer) provedAfter(at time.Time) bool { return g.view.Load().NewestAt.After(at) }
+
+// Three gateways of a zone agree on one that reads the store. What is published
+// reaches all of them, and so does the proof of its age. When the reader goes,
+// the others go on.
+func TestOneReadsForAll(t *testing.T) {
+	w := &world{t: t, is: is.New(t)}
+	store := standin.NewStore(t)
+	store.PutConfig(configuration(1))
+	first := startPeer(t, store)
+	all := []*testPeer{first, startPeer(t, store, first.PeersAddress()), startPeer(t, store, first.PeersAddress())}
+	settled := func(want int) bool {
+		readers := 0
+		for _, g := range all {
+			n, follows := g.known()
+			if n < want || g.version() == 0 {
+				return false
+			}
+			if !follows {
+				readers++
+			}
+		}
+		return readers == 1
+	}
+	w.await(func() bool { return settled(3) })
+	store.PutConfig(configuration(2))
+	w.await(func() bool { return all[0].version() == 2 && all[1].version() == 2 && all[2].version() == 2 })
+	// All ages are proved anew by one reader's calls.
+	before := store.Calls()
+	later := time.Now().Add(1500 * time.Millisecond)
+	w.await(func() bool {
+		return all[0].provedAfter(later) && all[1].provedAfter(later) && all[2].provedAfter(later)
+	})
+	w.is.True(store.Calls()-before <= 4)
+	for i, g := range all {
+		if _, follows := g.known(); !follows {
+			g.stop()
+			all = append(all[:i], all[i+1:]...)
+			break
+		}
+	}
+	store.PutConfig(configuration(3))
+	w.await(func() bool { return all[0].version() == 3 && all[1].version() == 3 })
+	w.await(func() bool { return settled(3) }) // the budget is still split over three
+}
+
+// No delay on the way makes an answer's proof look younger than it is.
+func TestProofOfAnotherGateway(t *testing.T) {
+	tests := []struct {
+		name string
+		resp *gladegaugev1.FollowResponse
+		// want is the age of the view, some 5 s after the question.
+		want time.Duration
+	}{
+		{"at once", &gladegaugev1.FollowResponse{Version: 1, AgeMs: 100}, 5100 * time.Millisecond},
+		{"held", &gladegaugev1.FollowResponse{Version: 1, HeldMs: 2000, AgeMs: 100}, 3100 * time.Millisecond},
+		{"old there", &gladegaugev1.FollowResponse{Version: 1, HeldMs: 2000, AgeMs: 60_000}, 50 * time.Second},
+		{"of another version", &gladegaugev1.FollowResponse{Version: 2, HeldMs: 2000, AgeMs: 100}, 50 * time.Second},
+		{"of none", &gladegaugev1.FollowResponse{HeldMs: 2000}, 50 * time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t, 1, nil)
+			w.store.SetTrouble(standin.Silent)
+			asked := time.Now().Add(-5 * time.Second)
+			w.server.control.Must(func(now time.Time) {
+				view := *w.server.view.Load()
+				view.NewestAt = now.Add(-50 * time.Second)
+				w.server.view.Store(&view)
+			})
+			f := &follower{server: w.server}
+			f.takeFrom(asked, tt.resp)
+			age := w.server.view.Load().Age(time.Now())
+			is.True(age >= tt.want)
+			is.True(age < tt.want+3*time.Second)
+		})
+	}
+}
+
+// An outage of the store that another gateway saw keeps lapsed upstreams here.
+func TestOutageIsToldOn(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 3, nil)
+	var batch feed.Batch
+	w.server.control.Must(func(time.Time) { batch, _ = w.server.feed.Since(0) })
+	resp := &gladegaugev1.FollowResponse{Revision: batch.Revision + 9, Version: 1, Outage: true}
+	for _, e := range batch.Entries {
+		if strings.Contains(e.Key, "i-a") || strings.Contains(e.Key, "i-b") {
+			resp.Entries = append(resp.Entries, &gladegaugev1.StoreEntry{Key: e.Key, Removed: true})
+		}
+	}
+	is.Equal(len(resp.GetEntries()), 2)
+	w.store.SetTrouble(standin.Silent)
+	f := &follower{server: w.server}
+	f.takeFrom(time.Now(), resp)
+	is.Equal(w.upstreams(), 3)
+	w.await(func() bool { return w.upstreams() == 1 })
+}
--- a/internal/edge/gatewayd/reload.go
+++ b/internal/edge/gatewayd/reload.go
@@ -52,6 +52,6 @@
 	}
 	bounds := boundsOf(next.Bounds)
 	s.bounds.Store(&bounds)
-	s.control.Must(func(time.Time) { s.budget = s.budget.With(budgetBounds(next.Bounds)) })
+	s.control.Must(func(time.Time) { s.budget = s.budget.With(budgetBounds(next.Bounds, s.gateways)) })
 	s.log.Info().Str("cause", cause).Msg("settings: taken")
 }
--- a/internal/edge/gatewayd/server.go
+++ b/internal/edge/gatewayd/server.go
@@ -2,9 +2,9 @@
 //
 // It is for deployments where upstreams order their own queues and no process
 // of the project stands before them. The decisions are those of the core
-// packages gateway, ingress, balance and retry; this package carries requests
-// and answers, follows the platform's store, and stops without cutting a
-// request off.
+// packages gateway, ingress, balance, fleet and retry; this package carries
+// requests and answers, follows the platform's store or a gateway that reads it,
+// and stops without cutting a request off.
 //
 // # Usage
 //
@@ -24,6 +24,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/gladegauge/gladegauge/internal/core/balance"
+	"github.com/gladegauge/gladegauge/internal/core/feed"
+	"github.com/gladegauge/gladegauge/internal/core/fleet"
 	"github.com/gladegauge/gladegauge/internal/core/gateway"
 	"github.com/gladegauge/gladegauge/internal/core/ingress"
 	"github.com/gladegauge/gladegauge/internal/core/retry"
@@ -60,6 +62,8 @@
 	bounds    atomic.Pointer[gateway.Bounds]
 	client    *exchange.Client
 	metrics   *meters
+	// peers calls other gateways.
+	peers     *http.Client
 	listeners *listeners
 	// inFlight is the number of requests in progress.
 	inFlight atomic.Int64
@@ -75,6 +79,12 @@
 	// lapse ends the time of the first lapsed entry; nil if there is none.
 	lapse  *time.Timer
 	budget *retry.Budget
+	fleet  *fleet.Fleet
+	// gateways is the number that the retry budget is split over.
+	gateways int
+	feed     *feed.Feed
+	// feedChanged is closed when there is news for followers.
+	feedChanged chan struct{}
 	// configUnread is true while the newest configuration cannot be read.
 	configUnread bool
 }
@@ -82,13 +92,18 @@
 // New returns a gateway that does not run yet.
 func New(o *Options) *Server {
 	s := &Server{
-		o:       o,
-		log:     o.Log,
-		control: loop.New(time.Now),
-		metrics: newMeters(o.LogsDropped),
-		table:   balance.New(o.Settings.Zone),
-		roster:  roster.New(),
-		budget:  retry.NewBudget(budgetBounds(o.Settings.Bounds)),
+		o:           o,
+		log:         o.Log,
+		control:     loop.New(time.Now),
+		metrics:     newMeters(o.LogsDropped),
+		table:       balance.New(o.Settings.Zone),
+		roster:      roster.New(),
+		budget:      retry.NewBudget(budgetBounds(o.Settings.Bounds, assumedGateways)),
+		peers:       newPeerClient(),
+		fleet:       fleet.New(fleet.Member{Zone: o.Settings.Zone}),
+		gateways:    assumedGateways,
+		feed:        feed.New(),
+		feedChanged: make(chan struct{}),
 	}
 	bounds := boundsOf(o.Settings.Bounds)
 	s.bounds.Store(&bounds)
@@ -114,6 +129,9 @@
 	group, work := errgroup.WithContext(work)
 	group.Go(func() error { return s.control.Run(work) })
 	group.Go(func() error { return s.follow(work) })
+	if s.o.Settings.Peers != "" {
+		group.Go(func() error { return s.exchangeLoop(work) })
+	}
 	group.Go(func() error { return s.control.Every(work, sweepEvery, s.sweep) })
 	listeners.serve(work, group, s)
 	group.Go(func() error {
--- /dev/null
+++ b/internal/edge/gatewayd/source.go
@@ -0,0 +1,106 @@
+package gatewayd
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"connectrpc.com/connect"
+
+	gladegaugev1 "github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1"
+	"github.com/gladegauge/gladegauge/platform"
+)
+
+// directShare is the part of the age up to which keys are honoured at which a
+// gateway no longer waits for its parent to prove the age, and asks the store.
+const directShare = 0.75
+
+// source returns the gateway to ask next; false if it is the store's turn. After
+// a call to the store has failed, any other gateway may know more.
+func (f *follower) source() (string, bool) {
+	var address string
+	var ok bool
+	f.server.control.Must(func(now time.Time) {
+		switch {
+		case f.tryPeer:
+			address, ok = f.server.fleet.Other(now, rand.Uint64()) //nolint:gosec // Any one will do.
+		case !f.late(now):
+			address, ok = f.server.fleet.Parent(now)
+		}
+	})
+	f.tryPeer = false
+	return address, ok
+}
+
+// late reports whether the view is too old to wait for a parent.
+func (f *follower) late(now time.Time) bool {
+	age := f.server.bounds.Load().KeyAge
+	view := f.server.view.Load()
+	return view.Table != nil && age > 0 && view.Age(now) > time.Duration(directShare*float64(age))
+}
+
+// askPeer asks the gateway at the address for what it knows. It reports false if
+// there was no answer.
+func (f *follower) askPeer(ctx context.Context, address string, wait time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, wait+followSlack)
+	defer cancel()
+	asked := time.Now()
+	resp, err := f.server.peer(address).Follow(ctx, connect.NewRequest(&gladegaugev1.FollowRequest{
+		Revision: f.revision,
+		WaitMs:   milliseconds(wait),
+	}))
+	f.server.metrics.peerCall("follow", err)
+	if err != nil {
+		f.server.control.Must(func(now time.Time) { f.server.fleet.Down(now, address) })
+		return false
+	}
+	if f.lostAt.IsZero() {
+		f.lastGood = time.Now()
+	}
+	f.takeFrom(asked, resp.Msg)
+	return true
+}
+
+// takeFrom brings another gateway's news into force. The answer was made at the
+// moment of the question and the time that it was held, or later: no delay on the
+// way makes what it proves look younger.
+func (f *follower) takeFrom(asked time.Time, resp *gladegaugev1.FollowResponse) {
+	made := asked.Add(time.Duration(resp.GetHeldMs()) * time.Millisecond)
+	proof := made.Add(-time.Duration(resp.GetAgeMs()) * time.Millisecond)
+	c := platform.DecodeEntries(entriesOf(resp))
+	f.server.report(c.Faults)
+	f.revision = max(f.revision, resp.GetRevision())
+	f.listed = false
+	s := f.server
+	s.control.Must(func(now time.Time) {
+		if resp.GetOutage() {
+			s.roster.Recovered(made.Add(-time.Duration(resp.GetOutageAgeMs()) * time.Millisecond))
+		}
+		if len(c.Entries) > 0 {
+			s.feedFrom(resp.GetRevision(), c, resp.GetWhole())
+			if resp.GetWhole() {
+				s.roster.Replace(now, c.Changed)
+			} else {
+				s.roster.Change(now, c.Changed, c.Removed)
+			}
+			s.applyRoster(now)
+		}
+		s.applyTable(c.Table, !c.ConfigFaulty(), time.Time{})
+		// What the other gateway proves is the age of its own version.
+		if view := *s.view.Load(); view.Table != nil && view.Table.Version == resp.GetVersion() && !s.configUnread {
+			view = view.WithProof(proof)
+			s.view.Store(&view)
+		}
+	})
+}
+
+// feedFrom passes what was read on to the followers. It runs in the control
+// goroutine.
+func (s *Server) feedFrom(revision int64, c platform.Changes, whole bool) {
+	if whole {
+		s.feed.Replace(revision, c.Entries)
+	} else {
+		s.feed.Add(revision, c.Entries)
+	}
+	s.fed()
+}
--- a/internal/edge/gatewayd/stop.go
+++ b/internal/edge/gatewayd/stop.go
@@ -37,6 +37,7 @@
 	stop := s.o.Stop
 	began := time.Now()
 	s.stoppingAt.Store(&began)
+	s.control.Must(func(time.Time) { s.fleet.Leave() })
 	s.log.Info().Int64("in_progress", s.inFlight.Load()).Msg("planned stop: not ready for new callers")
 	limit := max(stop.LeaveAfter, s.o.Settings.Bounds.StopWithin-stopReserve)
 	ctx, cancel := context.WithTimeout(ctx, limit)
