Soak: real gateways under random faults from outside, with the promises checked

Four gateways in two zones as processes, the store and replicas as stand-ins, a proxy on each link that delays, resets, cuts one way or falls silent, signals that kill, freeze, stop and reload; configurations, revocations, replacements and lost history in series that overlap. Nine checks by what callers and replicas saw; a test shows that each one finds what it is there to find.

Spans are noted when they are over now.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 LINT := $(TOOLS)/golangci-lint-$(GOLANGCI_VERSION)
 BUF := $(TOOLS)/buf-$(BUF_VERSION)
 
-.PHONY: all build test lint golden demo up bench measure slopes generate clean
+.PHONY: all build test lint golden demo up bench measure slopes soak generate clean
 
 all: build
 
@@ -47,6 +47,12 @@
 slopes:
 	go run ./internal/slopes
 
+# Fresh seeds, beside those that ever broke a promise: make soak SEEDS=50 FIRST=1000
+SEEDS ?= 20
+FIRST ?= $(shell date +%s)
+soak:
+	go test -count=1 -timeout 60m -v -run TestSoak ./internal/soak -args -seeds=$(SEEDS) -first=$(FIRST) -length=8s -plays=4
+
 generate: $(BUF)
 	$(BUF) generate
 
--- /dev/null
+++ b/internal/soak/check_test.go
@@ -0,0 +1,90 @@
+package soak
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var t0 = time.Unix(1000, 0)
+
+func at(s float64) time.Time { return t0.Add(time.Duration(s * float64(time.Second))) }
+
+// sound is a record in which every promise was kept.
+func sound() *Record {
+	r := newRecord()
+	r.Versions[1] = at(0)
+	r.Revoked["old"] = at(1)
+	r.Left["i-9"] = at(1)
+	add := func(id, kind string, sent float64) {
+		r.Calls = append(r.Calls, Call{
+			ID: id, Kind: kind, Key: lastingKey, Life: 1, Sent: at(sent), Done: at(sent + 0.1),
+			Status: http.StatusOK, Whole: true, Sealed: true, Body: body(kind, id),
+		})
+		r.Runs = append(r.Runs, Run{ID: id, Replica: "i-1", At: at(sent + 0.05), Organisation: organisationPrefix + "1"})
+	}
+	add("w", kindWrite, 10)
+	add("c", kindChat, 11)
+	add("r", kindRead, 40)
+	r.Events = []Event{{At: at(20), What: whatStop, Gateway: 0, Until: at(28)}}
+	return r
+}
+
+// Each check finds what it is there to find, and nothing in a sound record.
+func TestChecksCanFail(t *testing.T) {
+	tests := []struct {
+		name  string
+		spoil func(r *Record)
+	}{
+		{"", func(*Record) {}},
+		{"at most once", func(r *Record) { r.Runs = append(r.Runs, r.Runs[0]) }},
+		{"at most once", func(r *Record) { r.Runs = append(r.Runs, r.Runs[1]) }},
+		{"", func(r *Record) {
+			again := r.Runs[1]
+			again.Continues = true
+			r.Runs = append(r.Runs, again)
+		}},
+		{"refusals are true", func(r *Record) { r.Calls[0].Status = http.StatusServiceUnavailable }},
+		{"refusals are true", func(r *Record) { r.Calls[0].Status = http.StatusTooManyRequests }},
+		{"answers are whole and the caller's own", func(r *Record) { r.Calls[0].Body = body(kindWrite, "x") }},
+		{"answers are whole and the caller's own", func(r *Record) { r.Calls[1].Body = r.Calls[1].Body[:30] }},
+		{"answers are whole and the caller's own", func(r *Record) { r.Calls[1].Body, r.Calls[1].Whole = "id: 2", false }},
+		{"answers are whole and the caller's own", func(r *Record) { r.Calls[0].Sealed = false }},
+		{"", func(r *Record) { r.Calls[1].Body, r.Calls[1].Whole = r.Calls[1].Body[:30], false }},
+		{"nothing allowed is denied", func(r *Record) { r.Calls[0].Status, r.Runs = http.StatusUnauthorized, r.Runs[1:] }},
+		{"revoked keys are refused", func(r *Record) { r.Calls[0].Key = "old" }},
+		{"", func(r *Record) { r.Calls[0].Key, r.Calls[0].Sent = "old", at(3) }},
+		{"configuration never goes back", func(r *Record) { r.Runs[0].Organisation = organisationPrefix + "2" }},
+		{"configuration never goes back", func(r *Record) { r.Versions[2] = at(1) }},
+		{"", func(r *Record) { r.Runs[0].Organisation, r.Calls[0].Life = organisationPrefix+"2", 0 }},
+		{"leaving replicas get nothing new", func(r *Record) { r.Runs[0].Replica = "i-9" }},
+		{"planned stops cut nothing", func(r *Record) {
+			r.Calls = append(r.Calls, Call{ID: "x", Kind: kindWrite, Sent: at(19.9), Done: at(20.5)})
+		}},
+		{"", func(r *Record) {
+			r.Calls = append(r.Calls, Call{ID: "x", Kind: kindWrite, Sent: at(19.9), Done: at(20.5)})
+			r.Events = append(r.Events, Event{At: at(19), What: "freeze", Gateway: 0, Until: at(21)})
+		}},
+		{"full service is back", func(r *Record) { r.Calls[2].Status = http.StatusBadGateway }},
+		{"full service is back", func(r *Record) { r.Calls = r.Calls[:2] }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			r := sound()
+			tt.spoil(r)
+			broken := Check(r)
+			if tt.name == "" {
+				is.Equal(len(broken), 0)
+				return
+			}
+			is.True(len(broken) > 0)
+			for _, text := range broken {
+				is.True(strings.HasPrefix(text, tt.name))
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/soak/faults.go
@@ -0,0 +1,207 @@
+package soak
+
+import (
+	"context"
+	"math/rand/v2"
+	"syscall"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/gladegauge/gladegauge/platform/standin"
+)
+
+// everyGateway stands for all gateways in an event.
+const everyGateway = -1
+
+// noGateway stands in the event of a replica's link.
+const noGateway = -2
+
+// whatStop names a planned stop in an event.
+const whatStop = "planned stop"
+
+// Times of faults.
+const (
+	faultGap   = 450 * time.Millisecond
+	faultLeast = 300 * time.Millisecond
+	faultMost  = 3500 * time.Millisecond
+	// restartAfter is how long the platform takes to start a process again.
+	restartAfter = 200 * time.Millisecond
+)
+
+// fault does one thing and returns when its effect is over.
+type fault struct {
+	weight int
+	do     func(w *World, rng *rand.Rand, d time.Duration)
+}
+
+// faults are what may happen.
+var faults = []fault{
+	{3, (*World).ailStoreLink},
+	{2, (*World).ailStore},
+	{3, (*World).ailReplicaLink},
+	{2, (*World).killGateway},
+	{2, (*World).freezeGateway},
+	{2, (*World).stopGateway},
+	{1, (*World).reloadGateway},
+	{2, (*World).changeConfiguration},
+	{2, (*World).revokeKey},
+	{2, (*World).replaceReplica},
+	{1, (*World).compactStore},
+}
+
+// Faults lets things fail, overlapping, until the context ends, and waits until
+// all is well again.
+func (w *World) Faults(ctx context.Context, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 77)) //nolint:gosec // Seeded on purpose.
+	var group errgroup.Group
+	for ctx.Err() == nil {
+		f := chooseFault(rng)
+		d := faultLeast + upTo(rng, faultMost-faultLeast)
+		own := rand.New(rand.NewPCG(seed, rng.Uint64())) //nolint:gosec // Seeded on purpose.
+		group.Go(func() error {
+			f.do(w, own, d)
+			return nil
+		})
+		time.Sleep(upTo(rng, 2*faultGap))
+	}
+	_ = group.Wait()
+	w.calm.Store(true)
+}
+
+func chooseFault(rng *rand.Rand) fault {
+	sum := 0
+	for _, f := range faults {
+		sum += f.weight
+	}
+	dice := rng.IntN(sum)
+	for _, f := range faults {
+		if dice -= f.weight; dice < 0 {
+			return f
+		}
+	}
+	return faults[0]
+}
+
+// during notes an event that lasts while do runs.
+func (w *World) during(what string, gateway int, do func()) {
+	at := time.Now()
+	do()
+	w.record.event(Event{At: at, What: what, Gateway: gateway, Until: time.Now()})
+}
+
+func ail(link *Proxy, rng *rand.Rand, d time.Duration) {
+	link.Set(Ailment(1 + rng.IntN(int(Silent))))
+	time.Sleep(d)
+	link.Set(Sound)
+}
+
+func (w *World) ailStoreLink(rng *rand.Rand, d time.Duration) {
+	p := w.procs[rng.IntN(len(w.procs))]
+	w.during("link to the store", p.n, func() { ail(p.link, rng, d) })
+}
+
+func (w *World) ailStore(rng *rand.Rand, d time.Duration) {
+	troubles := []standin.Trouble{standin.Busy, standin.Limited, standin.Silent, standin.Cut, standin.Nonsense}
+	w.during("store", everyGateway, func() {
+		w.store.SetTrouble(troubles[rng.IntN(len(troubles))])
+		time.Sleep(d)
+		w.store.SetTrouble(standin.Well)
+	})
+}
+
+func (w *World) ailReplicaLink(rng *rand.Rand, d time.Duration) {
+	w.mu.Lock()
+	r := w.replicas[rng.IntN(len(w.replicas))]
+	w.mu.Unlock()
+	w.during("link to a replica", noGateway, func() { ail(r.link, rng, d) })
+}
+
+// lock gives one fault the process at a time; false if another one has it.
+func (p *process) lock(do func()) {
+	if !p.busy.CompareAndSwap(false, true) {
+		return
+	}
+	defer p.busy.Store(false)
+	do()
+}
+
+func (w *World) killGateway(rng *rand.Rand, _ time.Duration) {
+	p := w.procs[rng.IntN(len(w.procs))]
+	p.lock(func() {
+		w.during("kill", p.n, func() {
+			p.kill()
+			time.Sleep(restartAfter)
+			p.start()
+		})
+	})
+}
+
+func (w *World) freezeGateway(rng *rand.Rand, d time.Duration) {
+	p := w.procs[rng.IntN(len(w.procs))]
+	p.lock(func() {
+		w.during("freeze", p.n, func() {
+			p.signal(syscall.SIGSTOP)
+			time.Sleep(d)
+			p.signal(syscall.SIGCONT)
+		})
+	})
+}
+
+func (w *World) stopGateway(rng *rand.Rand, _ time.Duration) {
+	p := w.procs[rng.IntN(len(w.procs))]
+	p.lock(func() {
+		w.during(whatStop, p.n, func() {
+			p.signal(syscall.SIGTERM)
+			p.wait()
+			time.Sleep(restartAfter)
+			p.start()
+		})
+	})
+}
+
+func (w *World) reloadGateway(rng *rand.Rand, _ time.Duration) {
+	w.procs[rng.IntN(len(w.procs))].signal(syscall.SIGHUP)
+}
+
+func (w *World) changeConfiguration(*rand.Rand, time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.publish()
+}
+
+func (w *World) revokeKey(*rand.Rand, time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	old := w.spareKey
+	w.oldKeys = append(w.oldKeys, old)
+	w.spareKey = old + "x"
+	w.publish()
+	w.record.mu.Lock()
+	w.record.Revoked[old] = time.Now()
+	w.record.mu.Unlock()
+}
+
+// replaceReplica starts a replica, lets another one leave, and takes it off the
+// list.
+func (w *World) replaceReplica(rng *rand.Rand, d time.Duration) {
+	w.mu.Lock()
+	w.addReplica()
+	at := rng.IntN(len(w.replicas))
+	r := w.replicas[at]
+	w.replicas = append(w.replicas[:at], w.replicas[at+1:]...)
+	w.store.PutReplica(r.Replica.At(r.link.Address()), pool, true)
+	w.mu.Unlock()
+	w.record.mu.Lock()
+	w.record.Left[r.ID] = time.Now()
+	w.record.mu.Unlock()
+	time.Sleep(d)
+	w.store.RemoveReplica(r.ID)
+}
+
+func (w *World) compactStore(*rand.Rand, time.Duration) { w.store.Compact() }
+
+// upTo is a random time below the limit.
+func upTo(rng *rand.Rand, limit time.Duration) time.Duration {
+	return time.Duration(rng.Int64N(int64(limit)))
+}
--- /dev/null
+++ b/internal/soak/record.go
@@ -0,0 +1,83 @@
+package soak
+
+import (
+	"sync"
+	"time"
+)
+
+// Call is one request as its caller saw it.
+type Call struct {
+	ID   string
+	Kind string
+	Key  string
+	// Gateway and Life say which process took it; Life counts its starts.
+	Gateway int
+	Life    int
+	Sent    time.Time
+	Done    time.Time
+	// Status is 0 if there was no answer.
+	Status int
+	Whole  bool
+	Sealed bool
+	Body   string
+}
+
+// Run is one request as a replica saw it.
+type Run struct {
+	ID      string
+	Replica string
+	At      time.Time
+	// Organisation tells the version of the configuration that was in force.
+	Organisation string
+	// Continues is true if the replica went on from the copy of a run.
+	Continues bool
+}
+
+// Event is something that the soak did.
+type Event struct {
+	At   time.Time
+	What string
+	// Gateway is -1 if the event concerns none.
+	Gateway int
+	// Until is when its effect on that gateway or link ended.
+	Until time.Time
+}
+
+// Record is everything that was seen.
+type Record struct {
+	mu     sync.Mutex
+	Calls  []Call
+	Runs   []Run
+	Events []Event
+	// Revoked maps a key to when it was taken away; Versions a version to when
+	// it was published; Left a replica to when it was listed as leaving.
+	Revoked  map[string]time.Time
+	Versions map[int64]time.Time
+	Left     map[string]time.Time
+}
+
+func newRecord() *Record {
+	return &Record{
+		Revoked:  make(map[string]time.Time),
+		Versions: make(map[int64]time.Time),
+		Left:     make(map[string]time.Time),
+	}
+}
+
+func (r *Record) call(c Call) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Calls = append(r.Calls, c)
+}
+
+func (r *Record) run(n Run) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Runs = append(r.Runs, n)
+}
+
+func (r *Record) event(e Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Events = append(r.Events, e)
+}
