--- a/internal/edge/exchange/exchange.go
+++ b/internal/edge/exchange/exchange.go
@@ -59,6 +59,7 @@
 	dialer net.Dialer
 	mu     sync.Mutex
 	idle   map[string][]*conn
+	limit  idleLimit
 }
 
 // New returns a client without connections.
@@ -84,7 +85,10 @@
 		stop()
 		_ = cn.Close()
 		if ctx.Err() != nil && errors.Is(err, net.ErrClosed) {
-			err = &LostError{Cause: errors.WithStack(context.Cause(ctx))}
+			return nil, &LostError{Cause: errors.WithStack(context.Cause(ctx))}
+		}
+		if ctx.Err() == nil {
+			c.limit.forgotten(c.o.Clock(), cn.idle)
 		}
 		return nil, err
 	}
--- a/internal/edge/exchange/exchange_test.go
+++ b/internal/edge/exchange/exchange_test.go
@@ -286,3 +286,39 @@
 	is.NoErr(group.Wait())
 	is.NoErr(l.Close())
 }
+
+// A connection that an upstream forgot sooner than it said teaches how long
+// others are used after a pause. It holds for a while.
+func TestForgottenConnections(t *testing.T) {
+	is := is.New(t)
+	ok := answer("r-1", "a")
+	u := newUpstream(t, ok, "", ok, ok, ok, ok)
+	cl := &clock{now: time.Unix(1000, 0)}
+	opened := 0
+	c := New(Options{
+		KeepFor: func(http.Header) time.Duration { return time.Minute },
+		Opened:  func() { opened++ },
+		Clock:   func() time.Time { return cl.now },
+	})
+	call := func(pause time.Duration) error {
+		cl.now = cl.now.Add(pause)
+		req := &http.Request{Method: http.MethodGet, URL: &url.URL{Path: "/"}, Host: "h", Header: http.Header{}}
+		a, err := c.Do(context.Background(), u.l.Addr().String(), req, func(*http.Response) bool { return true })
+		if err != nil {
+			return err
+		}
+		_, err = io.ReadAll(a)
+		a.Close()
+		return err
+	}
+	is.NoErr(call(0))
+	is.True(call(600*time.Millisecond) != nil) // forgotten
+	is.NoErr(call(0))
+	is.Equal(opened, 2)
+	is.NoErr(call(250 * time.Millisecond)) // within half of that time
+	is.Equal(opened, 2)
+	is.NoErr(call(400 * time.Millisecond)) // beyond it
+	is.Equal(opened, 3)
+	is.NoErr(call(idleMemory + time.Second)) // long ago
+	is.Equal(opened, 3)
+}
--- a/internal/edge/exchange/pool.go
+++ b/internal/edge/exchange/pool.go
@@ -25,6 +25,10 @@
 	br      *bufio.Reader
 	// until is when an idle connection is given up.
 	until time.Time
+	// idleSince is when it became idle, idle how long it had been when it was
+	// taken; 0 for a new one.
+	idleSince time.Time
+	idle      time.Duration
 }
 
 // connect takes a kept connection or opens a new one.
@@ -47,7 +51,9 @@
 		if cn == nil {
 			return nil
 		}
-		if c.o.Clock().Before(cn.until) && cn.br.Buffered() == 0 && quiet(cn.Conn) {
+		now := c.o.Clock()
+		cn.idle = now.Sub(cn.idleSince)
+		if now.Before(cn.until) && c.limit.allows(now, cn.idle) && cn.br.Buffered() == 0 && quiet(cn.Conn) {
 			return cn
 		}
 		_ = cn.Close()
@@ -76,7 +82,8 @@
 	} else {
 		d -= min(keepMargin, d/2)
 	}
-	cn.until = c.o.Clock().Add(d)
+	cn.idleSince = c.o.Clock()
+	cn.until = cn.idleSince.Add(d)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.idle[cn.address] = append(c.idle[cn.address], cn)
