Fleet: whom to ask is a file of its own, and names say who lives

The file held the picture of the fleet and the choice of whom to ask, one comment was left over from before beats were remembered, and living and live read alike though the second leaves out who leaves or does not answer.

Now member.go holds a gateway, ask.go the choice; living is alive and live is askable; each constant says its reason. Behaviour is the same.

--- /dev/null
+++ b/internal/core/fleet/ask.go
@@ -0,0 +1,87 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+
+	"github.com/gladegauge/gladegauge/internal/core/rendezvous"
+)
+
+// Down notes that a call to the gateway failed.
+func (f *Fleet) Down(now time.Time, address string) {
+	if h, ok := f.others[address]; ok {
+		h.downUntil = now.Add(downFor)
+	}
+}
+
+// askable returns the addresses of the other gateways that may be asked, in
+// order; of all availability zones if none is named.
+func (f *Fleet) askable(now time.Time, zone string) []string {
+	var addresses []string
+	for _, h := range f.alive(now) {
+		if !h.Leaving && !now.Before(h.downUntil) && (zone == "" || h.Zone == zone) {
+			addresses = append(addresses, h.Address)
+		}
+	}
+	return addresses
+}
+
+// Other returns a gateway to ask, chosen by the roll of a dice; false if none is
+// known.
+func (f *Fleet) Other(now time.Time, roll uint64) (string, bool) {
+	list := f.askable(now, "")
+	if len(list) == 0 {
+		return "", false
+	}
+	return list[roll%uint64(len(list))], true
+}
+
+// Partner returns the gateway to swap with next, chosen by the roll of a dice;
+// false if none is known. Now and then it is one that was not heard of lately, or
+// a seed: that is how the parts of a fleet that was cut find each other again.
+func (f *Fleet) Partner(now time.Time, roll uint64, seeds []string) (string, bool) {
+	list := f.askable(now, "")
+	if len(list) == 0 || roll%rejoinEvery == 0 {
+		list = f.strangers(now, seeds)
+	}
+	if len(list) == 0 {
+		return f.Other(now, roll)
+	}
+	return list[(roll/rejoinEvery)%uint64(len(list))], true
+}
+
+// strangers returns the addresses that may be gateways, but are not known to be
+// alive.
+func (f *Fleet) strangers(now time.Time, seeds []string) []string {
+	known := map[string]bool{f.self.Address: true}
+	for _, h := range f.alive(now) {
+		known[h.Address] = true
+	}
+	var list []string
+	add := func(address string) {
+		if !known[address] {
+			known[address] = true
+			list = append(list, address)
+		}
+	}
+	for address := range f.others {
+		add(address)
+	}
+	slices.Sort(list)
+	for _, address := range seeds {
+		add(address)
+	}
+	return list
+}
+
+// Parent returns the gateway that this one follows; false if it is the first of
+// its availability zone, and reads the store itself.
+func (f *Fleet) Parent(now time.Time) (string, bool) {
+	zone := append(f.askable(now, f.self.Zone), f.self.Address)
+	ranked := rendezvous.Rank("follow/"+f.self.Zone, zone)
+	at := slices.Index(ranked, f.self.Address)
+	if at == 0 {
+		return "", false
+	}
+	return ranked[(at-1)/FanOut], true
+}
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -34,57 +34,33 @@
 
 // Sizes and times of a fleet.
 const (
-	// ExchangeEvery is the time between two exchanges that a gateway begins.
+	// ExchangeEvery is the mean time between two exchanges that a gateway begins.
 	ExchangeEvery = time.Second
 	// ShareMost is the number of gateways that one message tells of. Each is
-	// about 60 bytes, so that two exchanges a second stay within 4 KB/s.
+	// about 60 bytes, so that two exchanges a second stay within the 4 KB/s that
+	// control may cost a gateway.
 	ShareMost = 16
 	// FanOut is the number of gateways that follow the same parent: their polls
-	// stay within 4 KB/s, and three levels reach 500 gateways.
+	// stay within 4 KB/s, and three levels below the first reach over 500
+	// gateways.
 	FanOut = 8
 	// keepFor is how long a gateway is believed to live without a new beat,
 	// while one message tells of all gateways. It is several exchanges.
 	keepFor = 5 * time.Second
-	// rememberFactor is how many times as long a gateway's last beat is remembered.
+	// rememberFactor is how many times as long as a gateway is believed to live
+	// its last beat is remembered, so that an old word does not bring it back.
 	rememberFactor = 10
-	// rejoinEvery: one exchange in so many goes to a gateway that is not known to
-	// live.
+	// rejoinEvery is the number of exchanges of which one goes to a gateway that
+	// is not known to live.
 	rejoinEvery = 4
-	// downFor is how long a gateway is not asked after a call to it failed.
+	// downFor is how long a gateway is not asked after a call to it failed. It is
+	// shorter than keepFor: one call may be lost though the gateway lives.
 	downFor = 3 * time.Second
 	// sizeMemory is how long the largest size of the fleet is remembered: the
 	// parts of a fleet that was cut must not count themselves as the whole.
 	sizeMemory = time.Minute
 )
 
-// Member is one gateway.
-type Member struct {
-	Address string
-	Zone    string
-	// Start tells the starts of a gateway apart; Beat rises while it lives.
-	Start   uint64
-	Beat    uint64
-	Demands []balance.Demand
-	Leaving bool
-}
-
-// newer reports whether m says more of its gateway than other does.
-func (m Member) newer(other Member) bool {
-	if m.Start != other.Start {
-		return m.Start > other.Start
-	}
-	return m.Beat > other.Beat
-}
-
-// heard is a member and when its beat last rose.
-type heard struct {
-	Member
-	at   time.Time
-	hash uint64
-	// downUntil is until when it is not asked.
-	downUntil time.Time
-}
-
 // Fleet is one gateway's picture of all gateways. It is not safe for concurrent
 // use.
 type Fleet struct {
@@ -153,8 +129,8 @@
 	}
 }
 
-// living returns the other gateways that are believed to live, in order.
-func (f *Fleet) living(now time.Time) []*heard {
+// alive returns the other gateways that are believed to live, in order.
+func (f *Fleet) alive(now time.Time) []*heard {
 	keep := f.keep()
 	var list []*heard
 	for _, h := range f.others {
@@ -169,7 +145,7 @@
 // Share returns what the next message tells: the gateway itself and some others,
 // chosen by the roll of a dice.
 func (f *Fleet) Share(now time.Time, roll uint64) []Member {
-	list := f.living(now)
+	list := f.alive(now)
 	slices.SortFunc(list, func(a, b *heard) int {
 		return cmp.Compare(rendezvous.Mix(roll, a.hash), rendezvous.Mix(roll, b.hash))
 	})
@@ -180,88 +156,10 @@
 	return members
 }
 
-// Down notes that a call to the gateway failed.
-func (f *Fleet) Down(now time.Time, address string) {
-	if h, ok := f.others[address]; ok {
-		h.downUntil = now.Add(downFor)
-	}
-}
-
-// live returns the addresses of the other gateways that may be asked, in order.
-func (f *Fleet) live(now time.Time, zone string) []string {
-	var addresses []string
-	for _, h := range f.living(now) {
-		if !h.Leaving && !now.Before(h.downUntil) && (zone == "" || h.Zone == zone) {
-			addresses = append(addresses, h.Address)
-		}
-	}
-	return addresses
-}
-
-// Other returns a gateway to ask, chosen by the roll of a dice; false if none is
-// known.
-func (f *Fleet) Other(now time.Time, roll uint64) (string, bool) {
-	list := f.live(now, "")
-	if len(list) == 0 {
-		return "", false
-	}
-	return list[roll%uint64(len(list))], true
-}
-
-// Partner returns the gateway to swap with next, chosen by the roll of a dice;
-// false if none is known. Now and then it is one that was not heard of lately, or
-// a seed: that is how the parts of a fleet that was cut find each other again.
-func (f *Fleet) Partner(now time.Time, roll uint64, seeds []string) (string, bool) {
-	list := f.live(now, "")
-	if len(list) == 0 || roll%rejoinEvery == 0 {
-		list = f.strangers(now, seeds)
-	}
-	if len(list) == 0 {
-		return f.Other(now, roll)
-	}
-	return list[(roll/rejoinEvery)%uint64(len(list))], true
-}
-
-// strangers returns the addresses that may be gateways, but are not known to be
-// alive.
-func (f *Fleet) strangers(now time.Time, seeds []string) []string {
-	known := map[string]bool{f.self.Address: true}
-	for _, h := range f.living(now) {
-		known[h.Address] = true
-	}
-	var list []string
-	add := func(address string) {
-		if !known[address] {
-			known[address] = true
-			list = append(list, address)
-		}
-	}
-	for address := range f.others {
-		add(address)
-	}
-	slices.Sort(list)
-	for _, address := range seeds {
-		add(address)
-	}
-	return list
-}
-
-// Parent returns the gateway that this one follows; false if it is the first of
-// its availability zone, and reads the store itself.
-func (f *Fleet) Parent(now time.Time) (string, bool) {
-	zone := append(f.live(now, f.self.Zone), f.self.Address)
-	ranked := rendezvous.Rank("follow/"+f.self.Zone, zone)
-	at := slices.Index(ranked, f.self.Address)
-	if at == 0 {
-		return "", false
-	}
-	return ranked[(at-1)/FanOut], true
-}
-
 // Size returns the number of gateways that share what is counted over all of
 // them: the largest one of the last minute.
 func (f *Fleet) Size(now time.Time) int {
-	n := 1 + len(f.living(now))
+	n := 1 + len(f.alive(now))
 	if n >= f.peak || now.Sub(f.peakAt) > sizeMemory {
 		f.peak, f.peakAt = n, now
 	}
@@ -271,7 +169,7 @@
 // OthersAsk returns what all other gateways ask of each pool.
 func (f *Fleet) OthersAsk(now time.Time) map[string]balance.Demand {
 	sums := make(map[string]balance.Demand)
-	for _, h := range f.living(now) {
+	for _, h := range f.alive(now) {
 		for _, d := range h.Demands {
 			sum := sums[d.Pool]
 			sum.Pool = d.Pool
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -116,12 +116,12 @@
 	now := play(t0, list, 20, all)
 	now = play(now, list, 20, func(a, b int) bool { return a%3 == b%3 })
 	for _, f := range list {
-		is.Equal(len(f.living(now)), 3) // its own zone
+		is.Equal(len(f.alive(now)), 3) // its own zone
 		is.Equal(f.Size(now), 12)
 	}
 	now = play(now, list, 40, all)
 	for _, f := range list {
-		is.Equal(len(f.living(now)), 11)
+		is.Equal(len(f.alive(now)), 11)
 		is.Equal(f.Size(now), 12)
 	}
 }
@@ -145,9 +145,9 @@
 	_, ok = f.Other(t0.Add(5*time.Second), 1)
 	is.True(!ok)
 	is.Equal(f.Size(t0.Add(5*time.Second)), 2)
-	is.Equal(len(f.living(t0.Add(12*time.Second))), 0)
+	is.Equal(len(f.alive(t0.Add(12*time.Second))), 0)
 	f.Merge(t0.Add(12*time.Second), []Member{{Address: "b:1", Zone: "z", Start: 2, Beat: 2}})
-	is.Equal(len(f.living(t0.Add(12*time.Second))), 0) // an old word does not bring it back
+	is.Equal(len(f.alive(t0.Add(12*time.Second))), 0) // an old word does not bring it back
 	f.Merge(t0.Add(time.Hour), nil)
 	is.Equal(len(f.others), 0)
 }
--- /dev/null
+++ b/internal/core/fleet/member.go
@@ -0,0 +1,40 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/gladegauge/gladegauge/internal/core/balance"
+)
+
+// Member is one gateway.
+type Member struct {
+	Address string
+	Zone    string
+	// Start tells the starts of a gateway apart and is higher for a later one;
+	// Beat rises while it lives.
+	Start uint64
+	Beat  uint64
+	// Demands are what its requests ask of each pool that is split.
+	Demands []balance.Demand
+	// Leaving is true once it takes nobody new.
+	Leaving bool
+}
+
+// newer reports whether m says more of its gateway than other does.
+func (m Member) newer(other Member) bool {
+	if m.Start != other.Start {
+		return m.Start > other.Start
+	}
+	return m.Beat > other.Beat
+}
+
+// heard is another gateway as it was last heard of.
+type heard struct {
+	Member
+	// at is when its beat last rose.
+	at time.Time
+	// hash is of its address, to draw a sample without hashing anew.
+	hash uint64
+	// downUntil is until when it is not asked.
+	downUntil time.Time
+}
