Soak: processes, replicas, callers and configurations are files of their own

One file held all of them, a replica's failures were numbers in a switch, a record was locked from outside, and comments were left over: the event without a gateway, the directory that kept logs, the lock that told whether it was had.

Now each is a file, kinds of request say themselves whether they stream and run once, replicas' failures are a table with parts of a hundred, and the record notes by methods.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 )
@@ -27,17 +26,6 @@
 	servedShare = 0.95
 )
 
-// Kinds of request.
-const (
-	kindRead  = "read"
-	kindWrite = "write"
-	kindChat  = "chat"
-	kindNote  = "note"
-)
-
-// events is the number of events of a whole stream.
-const events = 5
-
 // check is one promise; it returns what broke it.
 type check struct {
 	Name  string
@@ -82,7 +70,7 @@
 	var broken []string
 	runs := r.runsOf()
 	for _, c := range r.Calls {
-		if c.Kind != kindWrite && c.Kind != kindChat {
+		if !runsOnce(c.Kind) {
 			continue
 		}
 		n := 0
@@ -112,18 +100,6 @@
 	return broken
 }
 
-// body is what a replica answers to the request.
-func body(kind, id string) string {
-	if kind == kindRead || kind == kindWrite {
-		return kind + " " + id
-	}
-	var b strings.Builder
-	for i := range events {
-		fmt.Fprintf(&b, "id: %d\ndata: %s-%d\n\n", i+1, id, i+1)
-	}
-	return b.String()
-}
-
 func answersAreWhole(r *Record) []string {
 	var broken []string
 	for _, c := range r.Calls {
@@ -160,12 +136,6 @@
 	return broken
 }
 
-// versionOf is the version that named the organisation.
-func versionOf(organisation string) int64 {
-	v, _ := strconv.ParseInt(strings.TrimPrefix(organisation, organisationPrefix), 10, 64)
-	return v
-}
-
 // neverBack: a request that was sent after another one's end is not handled by
 // an older version; and what was published long ago is in force where it is calm.
 func neverBack(r *Record) []string {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -11,28 +11,23 @@
 	"github.com/gladegauge/gladegauge/platform/standin"
 )
 
-// everyGateway stands for all gateways in an event.
-const everyGateway = -1
-
-// noGateway stands in the event of a replica's link.
-const noGateway = -2
-
-// whatStop names a planned stop in an event.
-const whatStop = "planned stop"
-
 // Times of faults.
 const (
-	faultGap   = 450 * time.Millisecond
+	// faultGap is the mean time between the beginnings of two faults.
+	faultGap = 450 * time.Millisecond
+	// faultLeast and faultMost bound how long a fault lasts.
 	faultLeast = 300 * time.Millisecond
 	faultMost  = 3500 * time.Millisecond
 	// restartAfter is how long the platform takes to start a process again.
 	restartAfter = 200 * time.Millisecond
 )
 
-// fault does one thing and returns when its effect is over.
+// fault is one way in which things fail.
 type fault struct {
+	// weight is how often it is chosen, beside the weights of the others.
 	weight int
-	do     func(w *World, rng *rand.Rand, d time.Duration)
+	// do injects the fault for the time, and returns when its effect is over.
+	do func(w *World, rng *rand.Rand, d time.Duration)
 }
 
 // faults are what may happen.
@@ -69,6 +64,7 @@
 	w.calm.Store(true)
 }
 
+// chooseFault draws one of the faults by their weights.
 func chooseFault(rng *rand.Rand) fault {
 	sum := 0
 	for _, f := range faults {
@@ -90,6 +86,7 @@
 	w.record.event(Event{At: at, What: what, Gateway: gateway, Until: time.Now()})
 }
 
+// ail lets the link fail in one of its ways for the time.
 func ail(link *Proxy, rng *rand.Rand, d time.Duration) {
 	link.Set(Ailment(1 + rng.IntN(int(Silent))))
 	time.Sleep(d)
@@ -117,8 +114,9 @@
 	w.during("link to a replica", noGateway, func() { ail(r.link, rng, d) })
 }
 
-// lock gives one fault the process at a time; false if another one has it.
-func (p *process) lock(do func()) {
+// alone lets one fault have the process at a time; it does nothing if another
+// one has it.
+func (p *process) alone(do func()) {
 	if !p.busy.CompareAndSwap(false, true) {
 		return
 	}
@@ -128,7 +126,7 @@
 
 func (w *World) killGateway(rng *rand.Rand, _ time.Duration) {
 	p := w.procs[rng.IntN(len(w.procs))]
-	p.lock(func() {
+	p.alone(func() {
 		w.during("kill", p.n, func() {
 			p.kill()
 			time.Sleep(restartAfter)
@@ -139,7 +137,7 @@
 
 func (w *World) freezeGateway(rng *rand.Rand, d time.Duration) {
 	p := w.procs[rng.IntN(len(w.procs))]
-	p.lock(func() {
+	p.alone(func() {
 		w.during("freeze", p.n, func() {
 			p.signal(syscall.SIGSTOP)
 			time.Sleep(d)
@@ -150,7 +148,7 @@
 
 func (w *World) stopGateway(rng *rand.Rand, _ time.Duration) {
 	p := w.procs[rng.IntN(len(w.procs))]
-	p.lock(func() {
+	p.alone(func() {
 		w.during(whatStop, p.n, func() {
 			p.signal(syscall.SIGTERM)
 			p.wait()
@@ -177,9 +175,7 @@
 	w.oldKeys = append(w.oldKeys, old)
 	w.spareKey = old + "x"
 	w.publish()
-	w.record.mu.Lock()
-	w.record.Revoked[old] = time.Now()
-	w.record.mu.Unlock()
+	w.record.revoked(old, time.Now())
 }
 
 // replaceReplica starts a replica, lets another one leave, and takes it off the
@@ -192,9 +188,7 @@
 	w.replicas = append(w.replicas[:at], w.replicas[at+1:]...)
 	w.store.PutReplica(r.Replica.At(r.link.Address()), pool, true)
 	w.mu.Unlock()
-	w.record.mu.Lock()
-	w.record.Left[r.ID] = time.Now()
-	w.record.mu.Unlock()
+	w.record.left(r.ID, time.Now())
 	time.Sleep(d)
 	w.store.RemoveReplica(r.ID)
 }
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -17,6 +17,8 @@
 	Done    time.Time
 	// Status is 0 if there was no answer.
 	Status int
+	// Whole is true if the answer came to its end, Sealed if it bears a replica's
+	// signature.
 	Whole  bool
 	Sealed bool
 	Body   string
@@ -37,12 +39,24 @@
 type Event struct {
 	At   time.Time
 	What string
-	// Gateway is -1 if the event concerns none.
+	// Gateway is the number of the gateway that it ails, everyGateway or
+	// noGateway.
 	Gateway int
 	// Until is when its effect on that gateway or link ended.
 	Until time.Time
 }
 
+// Gateways of an event beside those with a number.
+const (
+	// everyGateway stands for all gateways.
+	everyGateway = -1
+	// noGateway stands in the event of a replica's link.
+	noGateway = -2
+)
+
+// whatStop names a planned stop in an event.
+const whatStop = "planned stop"
+
 // Record is everything that was seen.
 type Record struct {
 	mu     sync.Mutex
@@ -81,3 +95,24 @@
 	defer r.mu.Unlock()
 	r.Events = append(r.Events, e)
 }
+
+// published notes when a version was published.
+func (r *Record) published(version int64, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Versions[version] = at
+}
+
+// revoked notes when a key was taken away.
+func (r *Record) revoked(key string, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Revoked[key] = at
+}
+
+// left notes when a replica was listed as leaving.
+func (r *Record) left(replica string, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Left[replica] = at
+}
