Gateway: the patience with an attempt is one type

Three fields of a request and a closure ended an attempt whose upstream says nothing: endPatience, giveUp and pause, set in attempt.go and stream.go.

Now a patience is made with the attempt, learns of the answer and of events, and is stopped with it. The limits are the same, and so is when they begin; a test that builds a request by hand names the new field.

--- a/internal/edge/gatewayd/attempt.go
+++ b/internal/edge/gatewayd/attempt.go
@@ -15,15 +15,9 @@
 func (x *request) attempt(ctx context.Context, choice balance.Choice) (gateway.Failure, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	x.endPatience = func() {}
 	x.loadTold = false
-	x.giveUp = cancel
-	if d, ok := x.patience(); ok {
-		t := time.AfterFunc(d, func() { cancel(errSilent) })
-		defer t.Stop()
-		x.endPatience = func() { t.Stop() }
-	}
-	defer x.endPauses()
+	x.patience = x.newPatience(cancel)
+	defer x.patience.stop()
 	got, err := x.server.client.Do(ctx, choice.Address, x.upstreamRequest(choice, time.Now()), x.owns)
 	if err != nil {
 		failure := x.failureOf(ctx, err)
@@ -71,7 +65,7 @@
 
 // answerBegan notes the first event of a stream, or the head of another answer.
 func (x *request) answerBegan(a answer) {
-	x.endPatience()
+	x.patience.answerBegan()
 	x.loadTold = true
 	x.server.control.Must(func(now time.Time) {
 		x.server.table.Began(now, a.choice)
--- a/internal/edge/gatewayd/patience.go
+++ b/internal/edge/gatewayd/patience.go
@@ -1,6 +1,7 @@
 package gatewayd
 
 import (
+	"context"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -23,9 +24,34 @@
 // errSilent ends an attempt at an upstream that says nothing.
 var errSilent = errors.New("the upstream says nothing")
 
-// patience is how long the upstream may say nothing before another one gets
-// the request.
-func (x *request) patience() (time.Duration, bool) {
+// patience ends an attempt whose upstream says nothing for too long.
+type patience struct {
+	giveUp func()
+	// answer runs until the answer begins; nil if the request goes to no other
+	// upstream.
+	answer *time.Timer
+	// pauseLimit is how long a stream may say nothing after an event; 0 for any
+	// time.
+	pauseLimit time.Duration
+	// pause runs after each event; nil before the first one.
+	pause *time.Timer
+}
+
+// newPatience begins to wait for the answer of an attempt.
+func (x *request) newPatience(end context.CancelCauseFunc) *patience {
+	p := &patience{
+		giveUp:     func() { end(errSilent) },
+		pauseLimit: x.pauseLimit(),
+	}
+	if d, ok := x.answerLimit(); ok {
+		p.answer = time.AfterFunc(d, p.giveUp)
+	}
+	return p
+}
+
+// answerLimit is how long the upstream may say nothing before another one gets
+// the request; false if none may.
+func (x *request) answerLimit() (time.Duration, bool) {
 	route := x.admission.Route
 	if !route.MayRepeat() || !x.progress.Replayable || x.progress.Sent+1 >= route.MaxAttempts || route.Target == 0 {
 		return 0, false
@@ -37,29 +63,37 @@
 	return d, true
 }
 
-// watchPauses begins to watch the pauses of a stream that could go on from a
-// copy of its run.
-func (x *request) watchPauses() {
-	target := x.admission.Route.PauseTarget
-	if !x.progress.Backed || target == 0 {
-		return
+// pauseLimit is how long a stream may say nothing after an event before it goes
+// on from the copy of its run; 0 if there is no copy, or any pause will do.
+func (x *request) pauseLimit() time.Duration {
+	if !x.progress.Backed {
+		return 0
+	}
+	return pauseFactor * x.admission.Route.PauseTarget
+}
+
+// answerBegan notes the first event of a stream, or the head of another answer.
+func (p *patience) answerBegan() {
+	if p.answer != nil {
+		p.answer.Stop()
 	}
-	giveUp := x.giveUp
-	x.pause = time.AfterFunc(target, func() { giveUp(errSilent) })
-	x.pause.Stop()
 }
 
-// pauseEnded notes an event.
-func (x *request) pauseEnded() {
-	if x.pause != nil {
-		x.pause.Reset(pauseFactor * x.admission.Route.PauseTarget)
+// eventCame notes an event of a stream.
+func (p *patience) eventCame() {
+	switch {
+	case p.pauseLimit == 0:
+	case p.pause == nil:
+		p.pause = time.AfterFunc(p.pauseLimit, p.giveUp)
+	default:
+		p.pause.Reset(p.pauseLimit)
 	}
 }
 
-// endPauses ends the watch.
-func (x *request) endPauses() {
-	if x.pause != nil {
-		x.pause.Stop()
-		x.pause = nil
+// stop ends the waiting.
+func (p *patience) stop() {
+	p.answerBegan()
+	if p.pause != nil {
+		p.pause.Stop()
 	}
 }
--- a/internal/edge/gatewayd/request.go
+++ b/internal/edge/gatewayd/request.go
@@ -47,15 +47,10 @@
 	// firstByte is the time until the first event, or until the head of another
 	// answer.
 	firstByte time.Duration
-	// endPatience ends the patience with the upstream of the present attempt: it
-	// has begun to answer.
-	endPatience func()
+	// patience is with the upstream of the present attempt.
+	patience *patience
 	// loadTold is true once the load that rode on the present answer was noted.
 	loadTold bool
-	// giveUp ends the present attempt; pause ends it when its stream has been
-	// silent for too long, and is nil if that is not watched.
-	giveUp context.CancelCauseFunc
-	pause  *time.Timer
 	// faulty is an upstream's own error that may yet be passed on.
 	faulty *errorAnswer
 }
--- a/internal/edge/gatewayd/slow_test.go
+++ b/internal/edge/gatewayd/slow_test.go
@@ -91,7 +91,7 @@
 func TestFirstByteOfAReplacedError(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, 2, fine)
-	x := &request{server: w.server, began: time.Now().Add(-time.Second), endPatience: func() {}}
+	x := &request{server: w.server, began: time.Now().Add(-time.Second), patience: &patience{}}
 	x.answerBegan(answer{head: platform.Answer{}})
 	is.Equal(x.firstByte, time.Duration(0))
 }
--- a/internal/edge/gatewayd/stream.go
+++ b/internal/edge/gatewayd/stream.go
@@ -24,7 +24,6 @@
 	out := http.NewResponseController(x.w)
 	began := false
 	heard := time.Now()
-	x.watchPauses()
 	for {
 		e, err := readEvent(br)
 		if errors.Is(err, io.EOF) {
@@ -35,7 +34,7 @@
 			return x.failureOf(ctx, err), errors.Wrapf(err, "stream broken after %d events", x.events)
 		}
 		now := time.Now()
-		x.pauseEnded()
+		x.patience.eventCame()
 		if !began {
 			began = true
 			x.answerBegan(a)
