Gateway: contact with the store is a type, and another gateway's news is taken in steps

The follower's fields mixed where it reads next with how its calls have gone, lapse meant a timer in one place and evidence in another, and one function took the outage, the entries and the proof of an answer.

Now contact.go says what counts as lost and as an outage, takeEntries and takeProof each take one thing, lapseTimer and lapseSeen say what they are, and wholeMilliseconds says why it rounds down. Behaviour is the same.

--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -43,9 +43,9 @@
 	listed      map[string]balance.Instance
 	lapsed      map[string]time.Time
 	recoveredAt time.Time
-	// lapse is true once something shows that entries lapsed in the latest
+	// lapseSeen is true once something shows that entries lapsed in the latest
 	// outage.
-	lapse bool
+	lapseSeen bool
 }
 
 // New returns an empty roster.
@@ -63,7 +63,7 @@
 		return
 	}
 	r.recoveredAt = at
-	r.lapse = false
+	r.lapseSeen = false
 }
 
 // RecoveredAt returns the end of the latest outage; zero if there was none.
@@ -86,7 +86,7 @@
 
 // Change takes upstreams that came, changed or went.
 func (r *Roster) Change(now time.Time, changed []balance.Instance, removed []string) {
-	r.lapse = r.lapse || r.showsLapse(changed, removed)
+	r.lapseSeen = r.lapseSeen || r.showsLapse(changed, removed)
 	for _, in := range changed {
 		r.put(in)
 	}
@@ -126,7 +126,7 @@
 	if !ok {
 		return
 	}
-	if r.recoveredAt.IsZero() || now.Sub(r.recoveredAt) > recovering || in.Leaving || !r.lapse {
+	if r.recoveredAt.IsZero() || now.Sub(r.recoveredAt) > recovering || in.Leaving || !r.lapseSeen {
 		delete(r.listed, id)
 		delete(r.lapsed, id)
 		return
--- a/internal/edge/gatewayd/apply.go
+++ b/internal/edge/gatewayd/apply.go
@@ -71,11 +71,11 @@
 // be forgotten: they go without a word from the store, and not a moment too
 // late. It runs in the control goroutine.
 func (s *Server) forgetLapsed(now time.Time) {
-	if s.lapse != nil {
-		s.lapse.Stop()
-		s.lapse = nil
+	if s.lapseTimer != nil {
+		s.lapseTimer.Stop()
+		s.lapseTimer = nil
 	}
 	if end, ok := s.roster.NextEnd(); ok {
-		s.lapse = time.AfterFunc(end.Sub(now), func() { s.control.Must(s.applyRoster) })
+		s.lapseTimer = time.AfterFunc(end.Sub(now), func() { s.control.Must(s.applyRoster) })
 	}
 }
--- a/internal/edge/gatewayd/feed.go
+++ b/internal/edge/gatewayd/feed.go
@@ -11,6 +11,7 @@
 	gladegaugev1 "github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1"
 )
 
+// Times of a poll by which one gateway follows another.
 const (
 	// followWait is how long a poll of the parent waits for news; each answer
 	// proves the age of the view anew.
@@ -62,33 +63,39 @@
 	resp := &gladegaugev1.FollowResponse{
 		Revision: batch.Revision,
 		Whole:    batch.Whole,
-		HeldMs:   milliseconds(now.Sub(began)),
+		HeldMs:   wholeMilliseconds(now.Sub(began)),
 	}
 	if view.Table != nil && !view.NewestAt.IsZero() {
 		resp.Version = view.Table.Version
 		// Rounded up: an age may be overstated, never understated.
-		resp.AgeMs = milliseconds(view.Age(now)) + 1
+		resp.AgeMs = wholeMilliseconds(view.Age(now)) + 1
 	}
 	if at := s.roster.RecoveredAt(); !at.IsZero() {
 		resp.Outage = true
-		resp.OutageAgeMs = milliseconds(now.Sub(at))
+		resp.OutageAgeMs = wholeMilliseconds(now.Sub(at))
 	}
 	for _, e := range batch.Entries {
-		resp.Entries = append(resp.Entries, &gladegaugev1.StoreEntry{Key: e.Key, Value: e.Value, Created: e.Created, Removed: e.Removed})
+		resp.Entries = append(resp.Entries, encodeEntry(e))
 	}
 	return resp, s.feedChanged
 }
 
-func milliseconds(d time.Duration) uint32 {
+// wholeMilliseconds rounds down: the time that a call was held may be understated,
+// never overstated.
+func wholeMilliseconds(d time.Duration) uint32 {
 	return uint32(max(0, d.Milliseconds()))
 }
 
-// fed wakes the followers. It runs in the control goroutine.
-func (s *Server) fed() {
+// wakeFollowers tells the followers that there is news. It runs in the control goroutine.
+func (s *Server) wakeFollowers() {
 	close(s.feedChanged)
 	s.feedChanged = make(chan struct{})
 }
 
+func encodeEntry(e feed.Entry) *gladegaugev1.StoreEntry {
+	return &gladegaugev1.StoreEntry{Key: e.Key, Value: e.Value, Created: e.Created, Removed: e.Removed}
+}
+
 // entriesOf returns the entries of an answer.
 func entriesOf(resp *gladegaugev1.FollowResponse) []feed.Entry {
 	list := make([]feed.Entry, len(resp.GetEntries()))
--- a/internal/edge/gatewayd/follow.go
+++ b/internal/edge/gatewayd/follow.go
@@ -25,13 +25,6 @@
 	// gatherFor is the pause after a watch that brought changes. Changes come
 	// in groups, and every call is paid for.
 	gatherFor = 150 * time.Millisecond
-	// backoffFirst and backoffMost bound the pause after a call that failed.
-	// Every call is paid for, but a revoked key must be learned of in time.
-	backoffFirst = 50 * time.Millisecond
-	backoffMost  = 700 * time.Millisecond
-	// outageAfter is how long calls must have failed to count as an outage, in
-	// which upstreams could not renew their entries.
-	outageAfter = time.Second
 )
 
 // follower keeps the state of one gateway's reading of the store.
@@ -40,13 +33,7 @@
 	store  *platform.Store
 	// revision is the one up to which everything is known.
 	revision int64
-	// lostAt is when calls began to fail; zero while they succeed.
-	lostAt   time.Time
-	lastGood time.Time
-	// failedAt is when the latest call failed.
-	failedAt time.Time
-	// backoff is the latest pause; 0 after a call that succeeded.
-	backoff time.Duration
+	contact  contact
 	// consistency is of the next listing. A stale one is cheap and is brought up
 	// to date by the watch that follows; but after the store has forgotten its
 	// history, one that is older than that history would lead nowhere.
@@ -66,7 +53,7 @@
 	f := &follower{
 		server:      s,
 		store:       platform.NewStore(s.o.Settings.Store, s.metrics.storeCall),
-		lastGood:    time.Now(),
+		contact:     contact{goodAt: time.Now()},
 		consistency: platform.Stale,
 	}
 	for ctx.Err() == nil {
@@ -159,7 +146,7 @@
 // outage is answered at once: until it is, keys may be refused for the age of
 // the view.
 func (f *follower) wait() time.Duration {
-	if f.listed || !f.lostAt.IsZero() || f.late(time.Now()) {
+	if f.listed || f.contact.lost() || f.late(time.Now()) {
 		return returnWatch
 	}
 	if age := f.server.bounds.Load().KeyAge; age > 0 {
@@ -173,28 +160,24 @@
 	if ctx.Err() != nil {
 		return
 	}
-	if f.lostAt.IsZero() {
-		f.lostAt = time.Now()
+	if !f.contact.lost() {
 		f.server.log.Warn().Err(err).Int64("revision", f.revision).Msg("store: lost")
 	}
-	f.failedAt = time.Now()
 	f.tryPeer = true
-	f.backoff = min(max(2*f.backoff, backoffFirst), backoffMost)
+	backoff := f.contact.failed(time.Now())
 	//nolint:gosec // Jitter needs no secret randomness.
-	loop.Pause(ctx, f.backoff/2+rand.N(f.backoff/2))
+	loop.Pause(ctx, backoff/2+rand.N(backoff/2))
 }
 
 // succeeded notes an answer. After an outage upstreams need a moment to renew
 // their entries.
 func (f *follower) succeeded() {
 	now := time.Now()
-	if !f.lostAt.IsZero() {
-		f.server.log.Info().Dur("after", now.Sub(f.lostAt)).Msg("store: regained")
-		if now.Sub(f.lastGood) > outageAfter {
-			f.server.control.Must(func(time.Time) { f.server.roster.Recovered(f.failedAt) })
+	if f.contact.lost() {
+		f.server.log.Info().Dur("after", now.Sub(f.contact.lostAt)).Msg("store: regained")
+		if f.contact.outage(now) {
+			f.server.control.Must(func(time.Time) { f.server.roster.Recovered(f.contact.failedAt) })
 		}
 	}
-	f.lostAt = time.Time{}
-	f.lastGood = now
-	f.backoff = 0
+	f.contact.succeeded(now)
 }
--- a/internal/edge/gatewayd/server.go
+++ b/internal/edge/gatewayd/server.go
@@ -76,11 +76,11 @@
 	// Only the control goroutine touches these.
 	table  *balance.Table
 	roster *roster.Roster
-	// lapse ends the time of the first lapsed entry; nil if there is none.
-	lapse  *time.Timer
-	budget *retry.Budget
-	fleet  *fleet.Fleet
-	// gateways is the number that the retry budget is split over.
+	// lapseTimer ends the time of the first lapsed entry; nil if there is none.
+	lapseTimer *time.Timer
+	budget     *retry.Budget
+	fleet      *fleet.Fleet
+	// gateways is the number of gateways that the retry budget is split over.
 	gateways int
 	feed     *feed.Feed
 	// feedChanged is closed when there is news for followers.
--- a/internal/edge/gatewayd/source.go
+++ b/internal/edge/gatewayd/source.go
@@ -47,16 +47,14 @@
 	asked := time.Now()
 	resp, err := f.server.peer(address).Follow(ctx, connect.NewRequest(&gladegaugev1.FollowRequest{
 		Revision: f.revision,
-		WaitMs:   milliseconds(wait),
+		WaitMs:   wholeMilliseconds(wait),
 	}))
 	f.server.metrics.peerCall("follow", err)
 	if err != nil {
 		f.server.control.Must(func(now time.Time) { f.server.fleet.Down(now, address) })
 		return false
 	}
-	if f.lostAt.IsZero() {
-		f.lastGood = time.Now()
-	}
+	f.contact.answeredByPeer(time.Now())
 	f.takeFrom(asked, resp.Msg)
 	return true
 }
@@ -66,7 +64,6 @@
 // way makes what it proves look younger.
 func (f *follower) takeFrom(asked time.Time, resp *gladegaugev1.FollowResponse) {
 	made := asked.Add(time.Duration(resp.GetHeldMs()) * time.Millisecond)
-	proof := made.Add(-time.Duration(resp.GetAgeMs()) * time.Millisecond)
 	c := platform.DecodeEntries(entriesOf(resp))
 	f.server.report(c.Faults)
 	f.revision = max(f.revision, resp.GetRevision())
@@ -76,24 +73,38 @@
 		if resp.GetOutage() {
 			s.roster.Recovered(made.Add(-time.Duration(resp.GetOutageAgeMs()) * time.Millisecond))
 		}
-		if len(c.Entries) > 0 {
-			s.feedFrom(resp.GetRevision(), c, resp.GetWhole())
-			if resp.GetWhole() {
-				s.roster.Replace(now, c.Changed)
-			} else {
-				s.roster.Change(now, c.Changed, c.Removed)
-			}
-			s.applyRoster(now)
-		}
+		s.takeEntries(now, resp, c)
 		s.applyTable(c.Table, !c.ConfigFaulty(), time.Time{})
-		// What the other gateway proves is the age of its own version.
-		if view := *s.view.Load(); view.Table != nil && view.Table.Version == resp.GetVersion() && !s.configUnread {
-			view = view.WithProof(proof)
-			s.view.Store(&view)
-		}
+		s.takeProof(resp.GetVersion(), made.Add(-time.Duration(resp.GetAgeMs())*time.Millisecond))
 	})
 }
 
+// takeEntries takes the entries of another gateway's answer, and passes them on.
+// It runs in the control goroutine.
+func (s *Server) takeEntries(now time.Time, resp *gladegaugev1.FollowResponse, c platform.Changes) {
+	if len(c.Entries) == 0 {
+		return
+	}
+	s.feedFrom(resp.GetRevision(), c, resp.GetWhole())
+	if resp.GetWhole() {
+		s.roster.Replace(now, c.Changed)
+	} else {
+		s.roster.Change(now, c.Changed, c.Removed)
+	}
+	s.applyRoster(now)
+}
+
+// takeProof takes what another gateway proves: that its version was the newest
+// then. It says nothing of another version. It runs in the control goroutine.
+func (s *Server) takeProof(version int64, proof time.Time) {
+	view := *s.view.Load()
+	if view.Table == nil || view.Table.Version != version || s.configUnread {
+		return
+	}
+	view = view.WithProof(proof)
+	s.view.Store(&view)
+}
+
 // feedFrom passes what was read on to the followers. It runs in the control
 // goroutine.
 func (s *Server) feedFrom(revision int64, c platform.Changes, whole bool) {
@@ -102,5 +113,5 @@
 	} else {
 		s.feed.Add(revision, c.Entries)
 	}
-	s.fed()
+	s.wakeFollowers()
 }
