--- a/internal/core/balance/backup.go
+++ b/internal/core/balance/backup.go
@@ -8,8 +8,10 @@
 // much and is exposed for moments only.
 const backupShare = 0.35
 
-// Backup is an engine that keeps a copy of a run's memory.
+// Backup is an engine that keeps a copy of a run's memory. The zero value is
+// none.
 type Backup struct {
+	// ID is of the instance.
 	ID      string
 	Address string
 }
@@ -26,8 +28,8 @@
 	return output >= backupShare*(output+float64(r.Prompt.Tokens))
 }
 
-// backupFor returns the engine with the least to do beside the chosen one, on
-// the side of the split that the request belongs to if it has another one.
+// backupFor returns the engine with the least to do beside the chosen one; on
+// the side of the split for tight streams if that has two or more.
 func backupFor(now time.Time, chosen *upstream, candidates []*upstream, border int, r Request) Backup {
 	side := candidates[:border]
 	if len(side) < 2 {
@@ -36,10 +38,10 @@
 	var best *upstream
 	var load float64
 	for _, u := range side {
-		n := u.inFlight(now)
 		if u == chosen {
 			continue
 		}
+		n := u.inFlight(now)
 		if best == nil || n < load || (n == load && tie(r, u) > tie(r, best)) {
 			best, load = u, n
 		}
@@ -50,7 +52,8 @@
 	return Backup{ID: best.ID, Address: best.Address}
 }
 
-// Continue counts the request at the engine that keeps its backup. It reports
+// Continue counts the request at the engine that keeps its backup, which reads
+// nothing anew. It reports
 // false if that engine has gone, leaves, or is ejected.
 func (t *Table) Continue(now time.Time, r Request, b Backup) (Choice, bool) {
 	u, ok := t.upstreams[b.ID]
@@ -58,8 +61,7 @@
 		return Choice{}, false
 	}
 	p := t.pool(u.Pool)
-	keys := r.Prompt.chain()
-	c := t.consider(now, p, u, r, keys, p.usualWork(), false)
+	c := t.consider(now, p, u, r, r.Prompt.chain(), p.usualWork(), false)
 	c.Unread = 0
 	t.send(now, p, u, r, &c)
 	return c, true
--- a/internal/core/balance/doc.go
+++ b/internal/core/balance/doc.go
@@ -13,6 +13,10 @@
 // Streams with tight pauses are kept apart from long prompts in the same way,
 // by ranking the upstreams and giving the first few of them to the former.
 //
+// Engines that can, copy the beginning of a prompt from the engine that is
+// believed to keep the most of it, and keep a copy of a run that may not be
+// repeated on another engine, from which it goes on if its own breaks.
+//
 // Upstreams that fail more often than the rest of their pool are ejected for
 // a time. Ejection never covers more than half of a pool.
 //
@@ -21,6 +25,7 @@
 //	t := balance.New(zone)
 //	t.SetInstances(instances)
 //	c, ok := t.Pick(now, balance.Request{Pool: "judge", Prompt: prompt})
+//	// c.FetchFrom and c.Backup name the engines of its copies
 //	t.Began(now, c) // the head of its answer or its first event came
 //	t.Ended(now, c, balance.Completed, tokens)
 package balance
--- a/internal/core/balance/fetch.go
+++ b/internal/core/balance/fetch.go
@@ -7,10 +7,11 @@
 	// fetchLeast is the least number of tokens that are worth a copy: to set one
 	// up takes an engine a few milliseconds, in which it reads about as many.
 	fetchLeast = 128
-	// bitsPerByte and bitsPerMs turn the size of a token and a megabit a second
-	// into time on a link.
+	// bitsPerByte turns the size of a token into bits.
 	bitsPerByte = 8
-	bitsPerMs   = 1000
+	// mbpsBits is what a link of a megabit a second carries in a millisecond, in
+	// bits.
+	mbpsBits = 1000
 )
 
 // source is an engine that keeps a beginning of a prompt.
@@ -24,33 +25,47 @@
 // no tokens if a copy is not worth it. The engine copies only what it lacks, so
 // that naming one costs nothing if this gateway's picture is behind.
 func (p *pool) sourceFor(now time.Time, chosen *upstream, candidates []*upstream, border int, prompt Prompt, keys []uint64) source {
-	shared := len(prompt.shared())
-	if shared == 0 || p.engine == nil || !p.engine.Moves || p.engine.LinkMbps <= 0 {
+	if len(prompt.shared()) == 0 || !p.copies() {
 		return source{}
 	}
+	best := mostKept(now, chosen, candidates, border, prompt, keys)
+	more := best.tokens - chosen.cache.held(now, prompt, keys)
+	if more < fetchLeast || p.moveMs(more) > float64(more)/p.speed.tokensPerMs() {
+		return source{}
+	}
+	return best
+}
+
+// copies reports whether the pool's engines copy KV cache from one another, over
+// a link of known speed.
+func (p *pool) copies() bool {
+	return p.engine != nil && p.engine.Moves && p.engine.LinkMbps > 0
+}
+
+// mostKept returns the engine beside the chosen one that is believed to keep the
+// most of the shared parts: one that this gateway used, or the home of a
+// beginning.
+func mostKept(now time.Time, chosen *upstream, candidates []*upstream, border int, prompt Prompt, keys []uint64) source {
 	var best source
 	consider := func(u *upstream, tokens int) {
 		if u != chosen && tokens > best.tokens {
 			best = source{upstream: u, tokens: tokens}
 		}
 	}
+	shared := prompt.shared()
 	for _, u := range candidates {
-		consider(u, u.cache.held(now, prompt, keys[:shared]))
+		consider(u, u.cache.held(now, prompt, keys[:len(shared)]))
 	}
 	tokens := 0
-	for i, part := range prompt.shared() {
+	for i, part := range shared {
 		tokens += part.Tokens
 		consider(homeOfKey(candidates[border:], keys[i]), int(homeCredit*float64(tokens)))
 	}
-	more := best.tokens - chosen.cache.held(now, prompt, keys)
-	if more < fetchLeast || p.moveMs(more) > float64(more)/p.speed.tokensPerMs() {
-		return source{}
-	}
 	return best
 }
 
 // moveMs is the time that a copy of the tokens takes on the link between two
 // engines, in milliseconds.
 func (p *pool) moveMs(tokens int) float64 {
-	return float64(tokens*p.engine.TokenBytes*bitsPerByte) / (p.engine.LinkMbps * bitsPerMs)
+	return float64(tokens*p.engine.TokenBytes*bitsPerByte) / (p.engine.LinkMbps * mbpsBits)
 }
--- a/internal/core/balance/load.go
+++ b/internal/core/balance/load.go
@@ -27,8 +27,8 @@
 	// unread is the part of the prompt that the engine has to read, in tokens;
 	// 0 once its first event came.
 	unread int
-	// tokens is the memory that it fills at an engine: its prompt and what its
-	// answer is expected to have.
+	// tokens is the memory that it fills at an engine: its prompt and its
+	// expected answer.
 	tokens int
 	// pause is the longest pause that its caller bears; 0 for any.
 	pause  time.Duration
@@ -62,9 +62,9 @@
 	return tokens
 }
 
-// memory estimates the tokens of the requests that are at the engine. Mean is
-// that of the pool's requests, which those of other gateways are taken to have.
-func (u *upstream) memory(now time.Time, mean float64) float64 {
+// memoryTokens estimates the memory that the requests at the engine fill, in
+// tokens. Those of other gateways are taken to have the mean.
+func (u *upstream) memoryTokens(now time.Time, mean float64) float64 {
 	tokens := mean * u.others(now)
 	for _, r := range u.running {
 		tokens += float64(r.tokens)
--- a/internal/core/balance/memory.go
+++ b/internal/core/balance/memory.go
@@ -7,17 +7,17 @@
 // requests in the middle of their answers, and read them anew.
 const memoryShare = 0.9
 
-// tokensOf is the memory that the request is expected to fill.
+// tokensOf is the memory that the request is expected to fill, in tokens.
 func (p *pool) tokensOf(r Request) int {
 	return r.Prompt.Tokens + int(p.split.expectedOutput(r))
 }
 
 // learnTokens follows the mean memory of a request.
 func (p *pool) learnTokens(tokens int) {
-	if p.tokens == 0 {
-		p.tokens = float64(tokens)
+	if p.meanTokens == 0 {
+		p.meanTokens = float64(tokens)
 	}
-	p.tokens += workWeight * (float64(tokens) - p.tokens)
+	p.meanTokens += workWeight * (float64(tokens) - p.meanTokens)
 }
 
 // overflow is the number of tokens that would not fit the engine's memory any
@@ -27,5 +27,5 @@
 		return 0
 	}
 	room := memoryShare * float64(p.engine.MemoryTokens)
-	return max(0, u.memory(now, p.tokens)+float64(p.tokensOf(r))-room)
+	return max(0, u.memoryTokens(now, p.meanTokens)+float64(p.tokensOf(r))-room)
 }
--- a/internal/core/balance/table.go
+++ b/internal/core/balance/table.go
@@ -20,8 +20,8 @@
 	// Slots is the number of requests that run at once.
 	Slots   int
 	Leaving bool
-	// Created tells entries apart that lapsed and came back; it is 0 if the
-	// platform does not say.
+	// Created is the platform's revision at which the entry was made. It tells
+	// entries apart that lapsed and came back; 0 if the platform does not say.
 	Created int64
 }
 
@@ -44,9 +44,9 @@
 	members []*upstream
 	engine  *ingress.Engine
 	speed   speed
-	// tokens is the mean memory of a request, in tokens.
-	tokens float64
-	split  split
+	// meanTokens is the mean memory of a request, in tokens; 0 before the first.
+	meanTokens float64
+	split      split
 }
 
 // Table is one gateway's view of the upstreams. It is not safe for concurrent
