Feed and gateways: headers say how it works, messages are a file of their own

The package feed did not say how a follower gets only what is new to it, and messages between gateways were made and read in two files, one of them under a name that the core's package has too.

Now the header says it, missing and setGateways are functions of their own, and messages.go turns values into messages and back. Behaviour is the same.

--- a/internal/core/feed/feed.go
+++ b/internal/core/feed/feed.go
@@ -1,12 +1,19 @@
 // Package feed keeps the entries of the platform's store as they were read, for
 // gateways that follow this one instead of reading the store themselves.
 //
+// Each entry is kept with the revision at which this feed learned of it, so that
+// a follower that tells how far it knows the store gets what is new to it, and
+// nothing else. Removed entries are remembered for a while; a follower that is
+// further behind gets everything.
+//
 // # Usage
 //
 //	f := feed.New()
 //	f.Replace(revision, everything)
 //	f.Add(revision, changes)
-//	batch, ok := f.Since(revision)
+//	if batch, ok := f.Since(revision); ok {
+//		send(batch)
+//	}
 package feed
 
 import (
@@ -15,13 +22,15 @@
 	"slices"
 )
 
-// removedMost is the number of removed entries that are remembered. Who missed
-// more than that gets everything anew.
+// removedMost is the number of removed entries that are remembered. When there
+// are more they are forgotten, and a follower that may have missed one gets
+// everything anew.
 const removedMost = 1000
 
 // Entry is one entry of the store.
 type Entry struct {
-	Key     string
+	Key string
+	// Value is as it was read; it is not decoded here.
 	Value   []byte
 	Removed bool
 	// Created is the revision at which the entry was made.
@@ -53,32 +62,40 @@
 	entries  map[string]kept
 	revision int64
 	// floor is the revision from which on changes are known.
-	floor   int64
+	floor int64
+	// removed is the number of removed entries that are remembered.
 	removed int
 }
 
 // New returns a feed that knows nothing.
 func New() *Feed { return &Feed{entries: make(map[string]kept)} }
 
-// Replace takes everything that there is at the revision.
+// Replace takes everything that there is at the revision. It changes nothing if
+// more is known already.
 func (f *Feed) Replace(revision int64, entries []Entry) {
 	if revision < f.revision {
 		return
 	}
+	if f.revision == 0 {
+		f.floor = revision
+	}
+	f.Add(revision, append(slices.Clone(entries), f.missing(entries)...))
+}
+
+// missing returns the removals of the entries that are kept and not among the
+// given ones.
+func (f *Feed) missing(entries []Entry) []Entry {
 	seen := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		seen[e.Key] = true
 	}
-	all := slices.Clone(entries)
+	var removals []Entry
 	for key, held := range f.entries {
 		if !seen[key] && !held.Removed {
-			all = append(all, Entry{Key: key, Removed: true})
+			removals = append(removals, Entry{Key: key, Removed: true})
 		}
 	}
-	if f.revision == 0 {
-		f.floor = revision
-	}
-	f.Add(revision, all)
+	return removals
 }
 
 // Add takes what changed up to the revision.
@@ -124,7 +141,11 @@
 	}
 	b := Batch{Revision: f.revision, Whole: revision < f.floor}
 	for _, held := range f.entries {
-		if b.Whole && !held.Removed || !b.Whole && held.learned > revision {
+		news := held.learned > revision
+		if b.Whole {
+			news = !held.Removed
+		}
+		if news {
 			b.Entries = append(b.Entries, held.Entry)
 		}
 	}
--- a/internal/edge/gatewayd/feed.go
+++ b/internal/edge/gatewayd/feed.go
@@ -7,7 +7,6 @@
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
 
-	"github.com/gladegauge/gladegauge/internal/core/feed"
 	gladegaugev1 "github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1"
 )
 
@@ -80,27 +79,9 @@
 	return resp, s.feedChanged
 }
 
-// wholeMilliseconds rounds down: the time that a call was held may be understated,
-// never overstated.
-func wholeMilliseconds(d time.Duration) uint32 {
-	return uint32(max(0, d.Milliseconds()))
-}
-
-// wakeFollowers tells the followers that there is news. It runs in the control goroutine.
+// wakeFollowers tells the followers that there is news. It runs in the control
+// goroutine.
 func (s *Server) wakeFollowers() {
 	close(s.feedChanged)
 	s.feedChanged = make(chan struct{})
 }
-
-func encodeEntry(e feed.Entry) *gladegaugev1.StoreEntry {
-	return &gladegaugev1.StoreEntry{Key: e.Key, Value: e.Value, Created: e.Created, Removed: e.Removed}
-}
-
-// entriesOf returns the entries of an answer.
-func entriesOf(resp *gladegaugev1.FollowResponse) []feed.Entry {
-	list := make([]feed.Entry, len(resp.GetEntries()))
-	for i, e := range resp.GetEntries() {
-		list[i] = feed.Entry{Key: e.GetKey(), Value: e.GetValue(), Created: e.GetCreated(), Removed: e.GetRemoved()}
-	}
-	return list
-}
--- /dev/null
+++ b/internal/edge/gatewayd/messages.go
@@ -0,0 +1,48 @@
+package gatewayd
+
+import (
+	"time"
+
+	"github.com/gladegauge/gladegauge/internal/core/balance"
+	"github.com/gladegauge/gladegauge/internal/core/feed"
+	"github.com/gladegauge/gladegauge/internal/core/fleet"
+	gladegaugev1 "github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1"
+)
+
+// wholeMilliseconds rounds down: the time that a call was held may be understated,
+// never overstated.
+func wholeMilliseconds(d time.Duration) uint32 {
+	return uint32(max(0, d.Milliseconds()))
+}
+
+// encodeMember returns the message of a gateway.
+func encodeMember(m fleet.Member) *gladegaugev1.GatewayMember {
+	g := &gladegaugev1.GatewayMember{Address: m.Address, Zone: m.Zone, Start: m.Start, Beat: m.Beat, Leaving: m.Leaving}
+	for _, d := range m.Demands {
+		g.Demands = append(g.Demands, &gladegaugev1.PoolDemand{Pool: d.Pool, Tight: float32(d.Tight), All: float32(d.All)})
+	}
+	return g
+}
+
+// decodeMember returns the gateway in a message.
+func decodeMember(g *gladegaugev1.GatewayMember) fleet.Member {
+	m := fleet.Member{Address: g.GetAddress(), Zone: g.GetZone(), Start: g.GetStart(), Beat: g.GetBeat(), Leaving: g.GetLeaving()}
+	for _, d := range g.GetDemands() {
+		m.Demands = append(m.Demands, balance.Demand{Pool: d.GetPool(), Tight: float64(d.GetTight()), All: float64(d.GetAll())})
+	}
+	return m
+}
+
+// encodeEntry returns the message of an entry of the store.
+func encodeEntry(e feed.Entry) *gladegaugev1.StoreEntry {
+	return &gladegaugev1.StoreEntry{Key: e.Key, Value: e.Value, Created: e.Created, Removed: e.Removed}
+}
+
+// entriesOf returns the entries of an answer.
+func entriesOf(resp *gladegaugev1.FollowResponse) []feed.Entry {
+	list := make([]feed.Entry, len(resp.GetEntries()))
+	for i, e := range resp.GetEntries() {
+		list[i] = feed.Entry{Key: e.GetKey(), Value: e.GetValue(), Created: e.GetCreated(), Removed: e.GetRemoved()}
+	}
+	return list
+}
--- a/internal/edge/gatewayd/peers.go
+++ b/internal/edge/gatewayd/peers.go
@@ -9,7 +9,6 @@
 
 	"connectrpc.com/connect"
 
-	"github.com/gladegauge/gladegauge/internal/core/balance"
 	"github.com/gladegauge/gladegauge/internal/core/fleet"
 	"github.com/gladegauge/gladegauge/internal/edge/loop"
 	gladegaugev1 "github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1"
@@ -55,17 +54,22 @@
 		if !loop.Pause(ctx, fleet.ExchangeEvery/2+rand.N(fleet.ExchangeEvery)) {
 			return nil
 		}
-		var address string
-		var ok bool
-		s.control.Must(func(now time.Time) {
-			address, ok = s.fleet.Partner(now, rand.Uint64(), s.o.Settings.Seeds) //nolint:gosec // As above.
-		})
-		if ok {
+		if address, ok := s.partner(); ok {
 			s.exchange(ctx, address)
 		}
 	}
 }
 
+// partner returns the gateway to swap with next; false if none is known.
+func (s *Server) partner() (string, bool) {
+	var address string
+	var ok bool
+	s.control.Must(func(now time.Time) {
+		address, ok = s.fleet.Partner(now, rand.Uint64(), s.o.Settings.Seeds) //nolint:gosec // Any one will do.
+	})
+	return address, ok
+}
+
 // exchange swaps what is known with the gateway at the address.
 func (s *Server) exchange(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
@@ -105,12 +109,19 @@
 	}
 	s.fleet.Merge(now, members)
 	s.table.OthersAsk(s.fleet.OthersAsk(now))
-	if n := s.fleet.Size(now); n != s.gateways {
-		s.log.Info().Int("gateways", n).Int("before", s.gateways).Msg("fleet: size changed")
-		s.gateways = n
-		s.metrics.gateways.Set(float64(n))
-		s.budget = s.budget.With(budgetBounds(s.o.Settings.Bounds, n))
+	s.setGateways(s.fleet.Size(now))
+}
+
+// setGateways splits the retry budget over n gateways. It runs in the control
+// goroutine.
+func (s *Server) setGateways(n int) {
+	if n == s.gateways {
+		return
 	}
+	s.log.Info().Int("gateways", n).Int("before", s.gateways).Msg("fleet: size changed")
+	s.gateways = n
+	s.metrics.gateways.Set(float64(n))
+	s.budget = s.budget.With(budgetBounds(s.o.Settings.Bounds, n))
 }
 
 // Exchange answers another gateway's swap.
@@ -122,19 +133,3 @@
 	})
 	return connect.NewResponse(resp), nil
 }
-
-func encodeMember(m fleet.Member) *gladegaugev1.GatewayMember {
-	g := &gladegaugev1.GatewayMember{Address: m.Address, Zone: m.Zone, Start: m.Start, Beat: m.Beat, Leaving: m.Leaving}
-	for _, d := range m.Demands {
-		g.Demands = append(g.Demands, &gladegaugev1.PoolDemand{Pool: d.Pool, Tight: float32(d.Tight), All: float32(d.All)})
-	}
-	return g
-}
-
-func decodeMember(g *gladegaugev1.GatewayMember) fleet.Member {
-	m := fleet.Member{Address: g.GetAddress(), Zone: g.GetZone(), Start: g.GetStart(), Beat: g.GetBeat(), Leaving: g.GetLeaving()}
-	for _, d := range g.GetDemands() {
-		m.Demands = append(m.Demands, balance.Demand{Pool: d.GetPool(), Tight: float64(d.GetTight()), All: float64(d.GetAll())})
-	}
-	return m
-}
