--- a/internal/edge/gatewayd/listen.go
+++ b/internal/edge/gatewayd/listen.go
@@ -29,7 +29,8 @@
 type listeners struct {
 	callers   net.Listener
 	readiness net.Listener
-	// metrics is nil if nobody is to read them, peers if no other gateway calls.
+	// metrics is nil if nobody is to read them, peers if the settings name no
+	// address for other gateways.
 	metrics net.Listener
 	peers   net.Listener
 	servers []*http.Server
@@ -55,23 +56,29 @@
 		if l.peers, err = s.open("peers", s.o.Settings.Peers); err != nil {
 			return err
 		}
-		s.fleet = fleet.New(fleet.Member{
-			Address: l.peers.Addr().String(),
-			Zone:    s.o.Settings.Zone,
-			Start:   uint64(time.Now().UnixNano()),
-		})
+		s.fleet = fleet.New(s.member(l.peers.Addr().String()))
 	}
 	s.listeners = l
 	return nil
 }
 
+// member is this gateway as the others know it.
+func (s *Server) member(address string) fleet.Member {
+	return fleet.Member{
+		Address: address,
+		Zone:    s.o.Settings.Zone,
+		Start:   uint64(time.Now().UnixNano()),
+	}
+}
+
 // CallersAddress returns where callers are served.
 func (s *Server) CallersAddress() string { return s.listeners.callers.Addr().String() }
 
 // ReadinessAddress returns where readiness is told.
 func (s *Server) ReadinessAddress() string { return s.listeners.readiness.Addr().String() }
 
-// PeersAddress returns where other gateways are served.
+// PeersAddress returns where other gateways are served; the settings must name an
+// address for it.
 func (s *Server) PeersAddress() string { return s.listeners.peers.Addr().String() }
 
 // open opens one port and logs where.
--- a/internal/edge/gatewayd/peers.go
+++ b/internal/edge/gatewayd/peers.go
@@ -38,7 +38,7 @@
 
 // peer returns the gateway at the address.
 func (s *Server) peer(address string) gladegaugev1connect.GatewayServiceClient {
-	return gladegaugev1connect.NewGatewayServiceClient(s.peers, "http://"+address)
+	return gladegaugev1connect.NewGatewayServiceClient(s.peerClient, "http://"+address)
 }
 
 // exchangeLoop swaps what is known with one other gateway after the other. At the
--- a/internal/edge/gatewayd/server.go
+++ b/internal/edge/gatewayd/server.go
@@ -62,9 +62,9 @@
 	bounds    atomic.Pointer[gateway.Bounds]
 	client    *exchange.Client
 	metrics   *meters
-	// peers calls other gateways.
-	peers     *http.Client
-	listeners *listeners
+	// peerClient calls other gateways.
+	peerClient *http.Client
+	listeners  *listeners
 	// inFlight is the number of requests in progress.
 	inFlight atomic.Int64
 	// lastSeen is when the latest request came, in nanoseconds since 1970; 0
@@ -99,7 +99,7 @@
 		table:       balance.New(o.Settings.Zone),
 		roster:      roster.New(),
 		budget:      retry.NewBudget(budgetBounds(o.Settings.Bounds, assumedGateways)),
-		peers:       newPeerClient(),
+		peerClient:  newPeerClient(),
 		fleet:       fleet.New(fleet.Member{Zone: o.Settings.Zone}),
 		gateways:    assumedGateways,
 		feed:        feed.New(),
