--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -186,7 +186,7 @@
 	at := rng.IntN(len(w.replicas))
 	r := w.replicas[at]
 	w.replicas = append(w.replicas[:at], w.replicas[at+1:]...)
-	w.store.PutReplica(r.Replica.At(r.link.Address()), pool, true)
+	w.store.PutReplica(r.At(r.link.Address()), pool, true)
 	w.mu.Unlock()
 	w.record.left(r.ID, time.Now())
 	time.Sleep(d)
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -146,7 +146,7 @@
 		n, err := src.Read(buf)
 		if n > 0 && !p.loses(lost) {
 			if _, werr := dst.Write(buf[:n]); werr != nil {
-				return nil //nolint:nilerr // The other side is gone.
+				return nil // The other side is gone.
 			}
 		}
 		if err != nil {
--- a/internal/soak/replicas.go
+++ b/internal/soak/replicas.go
@@ -23,7 +23,7 @@
 	r.Replica = standin.NewReplica(w.t, id, func(_ int, req standin.Request) standin.Reply { return w.reply(id, req) })
 	r.link = w.link(r.Address())
 	w.replicas = append(w.replicas, r)
-	w.store.PutReplica(r.Replica.At(r.link.Address()), pool, false)
+	w.store.PutReplica(r.At(r.link.Address()), pool, false)
 }
 
 // streamPause is the pause of a replica after its first event.
