Soak and fleet: faults of links and gateways not heard of have plain names

A link ailed or was sound, a fault named itself though nothing wrote the name, and a gateway that was not heard of was a stranger. Now a link has a LinkFault or NoFault, the unused name is gone, unheard returns the gateways not heard of, and two tests of the fleet say what they test. Draws and checks are the same.

--- a/internal/core/fleet/ask.go
+++ b/internal/core/fleet/ask.go
@@ -42,7 +42,7 @@
 func (f *Fleet) Partner(now time.Time, roll uint64, seeds []string) (string, bool) {
 	list := f.askable(now, "")
 	if len(list) == 0 || roll%rejoinEvery == 0 {
-		list = f.strangers(now, seeds)
+		list = f.unheard(now, seeds)
 	}
 	if len(list) == 0 {
 		return f.Other(now, roll)
@@ -50,9 +50,9 @@
 	return list[(roll/rejoinEvery)%uint64(len(list))], true
 }
 
-// strangers returns the addresses that may be gateways, but are not known to be
-// alive.
-func (f *Fleet) strangers(now time.Time, seeds []string) []string {
+// unheard returns the addresses that may be gateways, but were not heard of
+// lately.
+func (f *Fleet) unheard(now time.Time, seeds []string) []string {
 	known := map[string]bool{f.self.Address: true}
 	for _, h := range f.alive(now) {
 		known[h.Address] = true
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -110,7 +110,7 @@
 
 // A part that was cut off goes on by itself and does not take the whole for its
 // own; what comes back is known again.
-func TestCutAndHeal(t *testing.T) {
+func TestCutAndRejoin(t *testing.T) {
 	is := is.New(t)
 	list := fleetOf(12, 3)
 	now := play(t0, list, 20, all)
@@ -126,7 +126,8 @@
 	}
 }
 
-func TestMember(t *testing.T) {
+// What is heard of a gateway last counts, and old words do not bring it back.
+func TestMerge(t *testing.T) {
 	is := is.New(t)
 	f := New(Member{Address: "a:1", Zone: "z", Start: 5})
 	f.Merge(t0, []Member{{Address: "a:1", Start: 9}, {Address: "b:1", Zone: "z", Start: 1, Beat: 7}, {}})
--- a/internal/soak/changes.go
+++ b/internal/soak/changes.go
@@ -76,7 +76,7 @@
 }
 
 // stopsCutNothing: a request that a process had when it was told to stop gets an
-// answer, if nothing else ailed the process.
+// answer, if nothing else disturbed the process.
 func stopsCutNothing(r *Record) []string {
 	var broken []string
 	for _, e := range r.Events {
@@ -85,7 +85,7 @@
 		}
 		for _, c := range r.Calls {
 			had := c.Gateway == e.Gateway && c.Sent.Before(e.At) && c.Done.After(e.At)
-			if had && c.Status == 0 && !r.otherAilment(e, c) {
+			if had && c.Status == 0 && !r.otherFault(e, c) {
 				broken = append(broken, fmt.Sprintf("%s was cut without an answer", c.ID))
 			}
 		}
@@ -93,7 +93,7 @@
 	return broken
 }
 
-// calm reports whether nothing ailed the call's gateway, or the store, for a
+// calm reports whether nothing disturbed the call's gateway, or the store, for a
 // while before the call and until its end.
 func (r *Record) calm(c Call) bool {
 	for _, e := range r.Events {
@@ -104,9 +104,9 @@
 	return true
 }
 
-// otherAilment reports whether something beside the stop ailed the gateway during
-// the call.
-func (r *Record) otherAilment(stop Event, c Call) bool {
+// otherFault reports whether something beside the stop disturbed the gateway
+// during the call.
+func (r *Record) otherFault(stop Event, c Call) bool {
 	for _, e := range r.Events {
 		if e != stop && e.Gateway == c.Gateway && e.At.Before(c.Done) && e.Until.After(c.Sent) {
 			return true
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -32,9 +32,9 @@
 
 // faults are what may happen.
 var faults = []fault{
-	{3, (*World).ailStoreLink},
-	{2, (*World).ailStore},
-	{3, (*World).ailReplicaLink},
+	{3, (*World).failStoreLink},
+	{2, (*World).failStore},
+	{3, (*World).failReplicaLink},
 	{2, (*World).killGateway},
 	{2, (*World).freezeGateway},
 	{2, (*World).stopGateway},
@@ -86,19 +86,19 @@
 	w.record.event(Event{At: at, What: what, Gateway: gateway, Until: time.Now()})
 }
 
-// ail lets the link fail in one of its ways for the time.
-func ail(link *Proxy, rng *rand.Rand, d time.Duration) {
-	link.Set(Ailment(1 + rng.IntN(int(Silent))))
+// failLink lets the link fail in one of its ways for the time.
+func failLink(link *Proxy, rng *rand.Rand, d time.Duration) {
+	link.Set(LinkFault(1 + rng.IntN(int(Silent))))
 	time.Sleep(d)
-	link.Set(Sound)
+	link.Set(NoFault)
 }
 
-func (w *World) ailStoreLink(rng *rand.Rand, d time.Duration) {
+func (w *World) failStoreLink(rng *rand.Rand, d time.Duration) {
 	p := w.procs[rng.IntN(len(w.procs))]
-	w.during("link to the store", p.n, func() { ail(p.link, rng, d) })
+	w.during("link to the store", p.n, func() { failLink(p.link, rng, d) })
 }
 
-func (w *World) ailStore(rng *rand.Rand, d time.Duration) {
+func (w *World) failStore(rng *rand.Rand, d time.Duration) {
 	troubles := []standin.Trouble{standin.Busy, standin.Limited, standin.Silent, standin.Cut, standin.Nonsense}
 	w.during("store", everyGateway, func() {
 		w.store.SetTrouble(troubles[rng.IntN(len(troubles))])
@@ -107,11 +107,11 @@
 	})
 }
 
-func (w *World) ailReplicaLink(rng *rand.Rand, d time.Duration) {
+func (w *World) failReplicaLink(rng *rand.Rand, d time.Duration) {
 	w.mu.Lock()
 	r := w.replicas[rng.IntN(len(w.replicas))]
 	w.mu.Unlock()
-	w.during("link to a replica", noGateway, func() { ail(r.link, rng, d) })
+	w.during("link to a replica", noGateway, func() { failLink(r.link, rng, d) })
 }
 
 // alone lets one fault have the process at a time; it does nothing if another
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,12 +11,13 @@
 	"golang.org/x/sync/errgroup"
 )
 
-// Ailment is what ails a link.
-type Ailment int
+// LinkFault is a way in which a link fails.
+type LinkFault int
 
-// Ailments of a link.
+// Faults of a link.
 const (
-	Sound Ailment = iota
+	// NoFault carries everything.
+	NoFault LinkFault = iota
 	// Slow delays each piece.
 	Slow
 	// Reset closes all connections and takes no new ones.
@@ -26,11 +28,6 @@
 	Silent
 )
 
-// String names the ailment.
-func (a Ailment) String() string {
-	return [...]string{"sound", "slow", "reset", "one way", "silent"}[a]
-}
-
 // slowBy is the delay of each piece on a slow link.
 const slowBy = 150 * time.Millisecond
 
@@ -40,9 +37,9 @@
 	target   string
 	group    errgroup.Group
 
-	mu      sync.Mutex
-	ailment Ailment
-	conns   map[net.Conn]bool
+	mu    sync.Mutex
+	fault LinkFault
+	conns map[net.Conn]bool
 }
 
 // NewProxy starts a link to the target.
@@ -59,14 +56,14 @@
 // Address returns where the link begins.
 func (p *Proxy) Address() string { return p.listener.Addr().String() }
 
-// Set changes what ails the link. What a silent link has lost stays lost, so its
-// connections are closed when it is sound again.
-func (p *Proxy) Set(a Ailment) {
+// Set changes how the link fails. What a link has lost stays lost, so connections
+// through one that lost something are closed by the next change.
+func (p *Proxy) Set(f LinkFault) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	lost := p.ailment == Silent || p.ailment == OneWay
-	p.ailment = a
-	if a == Reset || lost {
+	lost := p.fault == Silent || p.fault == OneWay
+	p.fault = f
+	if f == Reset || lost {
 		for c := range p.conns {
 			reset(c)
 		}
@@ -84,10 +81,10 @@
 	_ = p.group.Wait()
 }
 
-func (p *Proxy) now() Ailment {
+func (p *Proxy) now() LinkFault {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.ailment
+	return p.fault
 }
 
 // reset closes a connection so that its peer sees a reset.
@@ -135,8 +132,8 @@
 	p.mu.Unlock()
 }
 
-// copy carries one direction; pieces are lost while one of the ailments holds.
-func (p *Proxy) copy(dst, src net.Conn, lost ...Ailment) error {
+// copy carries one direction; pieces are lost while the link has one of the faults.
+func (p *Proxy) copy(dst, src net.Conn, lost ...LinkFault) error {
 	defer func() {
 		_ = dst.Close()
 		_ = src.Close()
@@ -160,15 +157,10 @@
 }
 
 // loses waits out the delay of a slow link, and reports whether a piece is lost.
-func (p *Proxy) loses(lost []Ailment) bool {
-	a := p.now()
-	if a == Slow {
+func (p *Proxy) loses(lost []LinkFault) bool {
+	f := p.now()
+	if f == Slow {
 		time.Sleep(slowBy)
 	}
-	for _, l := range lost {
-		if a == l {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(lost, f)
 }
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -39,7 +39,7 @@
 type Event struct {
 	At   time.Time
 	What string
-	// Gateway is the number of the gateway that it ails, everyGateway or
+	// Gateway is the number of the gateway that it disturbs, everyGateway or
 	// noGateway.
 	Gateway int
 	// Until is when its effect on that gateway or link ended.
