--- a/internal/edge/gatewayd/feed.go
+++ b/internal/edge/gatewayd/feed.go
@@ -55,10 +55,10 @@
 // goroutine.
 func (s *Server) news(now, began time.Time, revision int64) (*gladegaugev1.FollowResponse, <-chan struct{}) {
 	batch, ok := s.feed.Since(revision)
-	view := s.view.Load()
 	if !ok {
 		return nil, s.feedChanged
 	}
+	view := s.view.Load()
 	resp := &gladegaugev1.FollowResponse{
 		Revision: batch.Revision,
 		Whole:    batch.Whole,
--- a/internal/edge/gatewayd/meters.go
+++ b/internal/edge/gatewayd/meters.go
@@ -67,11 +67,7 @@
 	m.storeCalls.WithLabelValues(call, result).Inc()
 }
 
-// observe takes the time of one answer.
-func observe(h *prometheus.HistogramVec, kind string, d time.Duration) {
-	h.WithLabelValues(kind).Observe(d.Seconds())
-}
-
+// peerCall counts a call to another gateway.
 func (m *meters) peerCall(call string, err error) {
 	result := "ok"
 	if err != nil {
@@ -79,3 +75,8 @@
 	}
 	m.peerCalls.WithLabelValues(call, result).Inc()
 }
+
+// observe takes the time of one answer.
+func observe(h *prometheus.HistogramVec, kind string, d time.Duration) {
+	h.WithLabelValues(kind).Observe(d.Seconds())
+}
