--- a/internal/edge/gatewayd/server.go
+++ b/internal/edge/gatewayd/server.go
@@ -62,9 +62,9 @@
 	bounds    atomic.Pointer[gateway.Bounds]
 	client    *exchange.Client
 	metrics   *meters
-	// peers calls other gateways.
-	peers     *http.Client
-	listeners *listeners
+	// peerClient calls other gateways.
+	peerClient *http.Client
+	listeners  *listeners
 	// inFlight is the number of requests in progress.
 	inFlight atomic.Int64
 	// lastSeen is when the latest request came, in nanoseconds since 1970; 0
@@ -76,11 +76,11 @@
 	// Only the control goroutine touches these.
 	table  *balance.Table
 	roster *roster.Roster
-	// lapse ends the time of the first lapsed entry; nil if there is none.
-	lapse  *time.Timer
-	budget *retry.Budget
-	fleet  *fleet.Fleet
-	// gateways is the number that the retry budget is split over.
+	// lapseTimer ends the time of the first lapsed entry; nil if there is none.
+	lapseTimer *time.Timer
+	budget     *retry.Budget
+	fleet      *fleet.Fleet
+	// gateways is the number of gateways that the retry budget is split over.
 	gateways int
 	feed     *feed.Feed
 	// feedChanged is closed when there is news for followers.
@@ -99,7 +99,7 @@
 		table:       balance.New(o.Settings.Zone),
 		roster:      roster.New(),
 		budget:      retry.NewBudget(budgetBounds(o.Settings.Bounds, assumedGateways)),
-		peers:       newPeerClient(),
+		peerClient:  newPeerClient(),
 		fleet:       fleet.New(fleet.Member{Zone: o.Settings.Zone}),
 		gateways:    assumedGateways,
 		feed:        feed.New(),
