--- a/internal/core/balance/backup.go
+++ b/internal/core/balance/backup.go
@@ -29,9 +29,12 @@
 }
 
 // backupFor returns the engine with the least to do beside the chosen one; on
-// the side of the split for tight streams if that has two or more.
-func backupFor(now time.Time, chosen *upstream, candidates []*upstream, border int, r Request) Backup {
-	side := candidates[:border]
+// the side of the split that the request belongs to if that has two or more.
+func (p *pool) backupFor(now time.Time, chosen *upstream, candidates []*upstream, border int, r Request) Backup {
+	side := candidates[border:]
+	if p.split.isTight(r) {
+		side = candidates[:border]
+	}
 	if len(side) < 2 {
 		side = candidates
 	}
@@ -53,8 +56,7 @@
 }
 
 // Continue counts the request at the engine that keeps its backup, which reads
-// nothing anew. It reports
-// false if that engine has gone, leaves, or is ejected.
+// nothing anew. It reports false if that engine has gone, leaves, or is ejected.
 func (t *Table) Continue(now time.Time, r Request, b Backup) (Choice, bool) {
 	u, ok := t.upstreams[b.ID]
 	if !ok || u.Leaving || u.health.ejected(now) {
--- a/internal/core/balance/backup_test.go
+++ b/internal/core/balance/backup_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -52,3 +53,21 @@
 		})
 	}
 }
+
+// The copy is on the side of the split that the stream belongs to.
+func TestBackupIsOnItsSide(t *testing.T) {
+	is := is.New(t)
+	table := enginesWith(t, 8)
+	p := table.pools["p"]
+	p.engine = &ingress.Engine{Backups: true}
+	chosen := p.members[0]
+	const border = 4
+	for i, pause := range []time.Duration{250 * time.Millisecond, time.Second} {
+		b := p.backupFor(t0, chosen, p.members, border, Request{Pause: pause})
+		at := 0
+		for at < len(p.members) && p.members[at].ID != b.ID {
+			at++
+		}
+		is.Equal(at < border, i == 0)
+	}
+}
--- a/internal/core/balance/cost.go
+++ b/internal/core/balance/cost.go
@@ -68,8 +68,7 @@
 // belongs to: the first engines in rank for tight streams, the others for
 // everything else.
 func (p *pool) splitCost(r Request, onTightSide bool) float64 {
-	limit := p.split.limit
-	tight := r.Pause > 0 && r.Pause <= limit
+	tight := p.split.isTight(r)
 	if tight != onTightSide {
 		return splitCost
 	}
--- a/internal/core/balance/pick.go
+++ b/internal/core/balance/pick.go
@@ -85,7 +85,7 @@
 		best.Unread = max(0, min(best.Unread, r.Prompt.Tokens-from.tokens))
 	}
 	if r.Protect && p.worthBackup(r) {
-		best.Backup = backupFor(now, chosen, candidates, border, r)
+		best.Backup = p.backupFor(now, chosen, candidates, border, r)
 	}
 	best.Tight = border
 	best.Candidates = len(candidates)
--- a/internal/core/balance/split.go
+++ b/internal/core/balance/split.go
@@ -32,6 +32,9 @@
 	others Demand
 }
 
+// isTight reports whether the request is a stream that bears only short pauses.
+func (s *split) isTight(r Request) bool { return r.Pause > 0 && r.Pause <= s.limit }
+
 // setPauses takes the pause targets of the pool's routes, the shortest first.
 func (s *split) setPauses(pauses []time.Duration) {
 	s.limit = 0
--- a/internal/core/feed/feed.go
+++ b/internal/core/feed/feed.go
@@ -79,7 +79,18 @@
 	if f.revision == 0 {
 		f.floor = revision
 	}
-	f.Add(revision, append(slices.Clone(entries), f.missing(entries)...))
+	f.Add(revision, append(f.changed(entries), f.missing(entries)...))
+}
+
+// changed returns the entries that say something else than the kept ones.
+func (f *Feed) changed(entries []Entry) []Entry {
+	var changes []Entry
+	for _, e := range entries {
+		if held, ok := f.entries[e.Key]; !ok || !held.same(e) {
+			changes = append(changes, e)
+		}
+	}
+	return changes
 }
 
 // missing returns the removals of the entries that are kept and not among the
@@ -98,14 +109,13 @@
 	return removals
 }
 
-// Add takes what changed up to the revision.
+// Add takes what changed up to the revision. An entry that is known already is
+// learned anew: a listing may have held it before its revision said so, and a
+// follower that has the listing's revision from elsewhere does not know it.
 func (f *Feed) Add(revision int64, entries []Entry) {
 	f.revision = max(f.revision, revision)
 	for _, e := range entries {
 		held, ok := f.entries[e.Key]
-		if ok && held.same(e) {
-			continue
-		}
 		if ok && held.Removed {
 			f.removed--
 		}
--- a/internal/core/feed/feed_test.go
+++ b/internal/core/feed/feed_test.go
@@ -78,3 +78,16 @@
 	is.Equal(len(b.Entries), 0)
 	is.True(!b.Whole)
 }
+
+// A listing has the lowest revision of its pages, and may hold an entry that is
+// newer. Who knows that revision from another gateway still has to learn it.
+func TestEntryAheadOfItsListing(t *testing.T) {
+	is := is.New(t)
+	f := New()
+	newer := Entry{Key: "a", Value: []byte("101")}
+	f.Replace(100, []Entry{newer})
+	f.Add(101, []Entry{newer})
+	b, _ := f.Since(100)
+	is.Equal(len(b.Entries), 1)
+	is.Equal(b.Revision, int64(101))
+}
--- a/internal/edge/gatewayd/backup_test.go
+++ b/internal/edge/gatewayd/backup_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -72,3 +73,19 @@
 		})
 	}
 }
+
+// While the caller does not read, nothing is expected of the upstream.
+func TestSlowCallerIsNoSilentUpstream(t *testing.T) {
+	is := is.New(t)
+	ended := make(chan struct{}, 1)
+	p := &patience{giveUp: func() { ended <- struct{}{} }, pauseLimit: time.Hour}
+	p.eventCame()
+	p.eventSent()
+	p.eventCame()
+	is.True(!p.pause.Stop()) // nothing runs while the event is on its way to the caller
+	p.pauseLimit = time.Millisecond
+	p.eventSent()
+	<-ended // now it is silent
+	p.stop()
+	is.Equal(len(ended), 0)
+}
--- a/internal/edge/gatewayd/follow.go
+++ b/internal/edge/gatewayd/follow.go
@@ -149,8 +149,13 @@
 	if f.listed || f.contact.lost() || f.late(time.Now()) {
 		return returnWatch
 	}
+	return f.usualWait()
+}
+
+// usualWait is how long a watch waits when all is well.
+func (f *follower) usualWait() time.Duration {
 	if age := f.server.bounds.Load().KeyAge; age > 0 {
-		return time.Duration(watchShare * float64(age))
+		return min(time.Duration(watchShare*float64(age)), defaultWatch)
 	}
 	return defaultWatch
 }
--- a/internal/edge/gatewayd/lines.go
+++ b/internal/edge/gatewayd/lines.go
@@ -50,7 +50,7 @@
 		Int("attempt", len(x.tried)).
 		Str("upstream", c.ID).
 		Stringer("failure", f).
-		Bool("again", step.Do == gateway.Again).
+		Bool("again", step.Do == gateway.Again || step.Do == gateway.Continue).
 		Int("events", x.events).
 		Dur("left", time.Until(x.admission.Deadline)).
 		AnErr("cause", err).
--- a/internal/edge/gatewayd/messages.go
+++ b/internal/edge/gatewayd/messages.go
@@ -1,6 +1,7 @@
 package gatewayd
 
 import (
+	"math"
 	"time"
 
 	"github.com/gladegauge/gladegauge/internal/core/balance"
@@ -11,8 +12,9 @@
 
 // wholeMilliseconds rounds down: the time that a call was held may be understated,
 // never overstated.
+// What does not fit its field is as long as the field can say.
 func wholeMilliseconds(d time.Duration) uint32 {
-	return uint32(max(0, d.Milliseconds()))
+	return uint32(min(max(0, d.Milliseconds()), math.MaxUint32-1))
 }
 
 // encodeMember returns the message of a gateway.
--- a/internal/edge/gatewayd/patience.go
+++ b/internal/edge/gatewayd/patience.go
@@ -33,7 +33,7 @@
 	// pauseLimit is how long a stream may say nothing after an event; 0 for any
 	// time.
 	pauseLimit time.Duration
-	// pause runs after each event; nil before the first one.
+	// pause runs while the next event is waited for; nil before the first one.
 	pause *time.Timer
 }
 
@@ -79,8 +79,9 @@
 	}
 }
 
-// eventCame notes an event of a stream.
-func (p *patience) eventCame() {
+// eventSent notes that an event of a stream went to the caller: the next one is
+// waited for.
+func (p *patience) eventSent() {
 	switch {
 	case p.pauseLimit == 0:
 	case p.pause == nil:
@@ -90,6 +91,14 @@
 	}
 }
 
+// eventCame notes an event of a stream. Until it went to the caller, who may be
+// slow, the upstream is not waited for.
+func (p *patience) eventCame() {
+	if p.pause != nil {
+		p.pause.Stop()
+	}
+}
+
 // stop ends the waiting.
 func (p *patience) stop() {
 	p.answerBegan()
--- a/internal/edge/gatewayd/peers_test.go
+++ b/internal/edge/gatewayd/peers_test.go
@@ -162,3 +162,42 @@
 	is.Equal(w.upstreams(), 3)
 	w.await(func() bool { return w.upstreams() == 1 })
 }
+
+// A listing without entries takes away what was known.
+func TestEmptyListingOfAnotherGateway(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 2, nil)
+	w.store.SetTrouble(standin.Silent)
+	f := &follower{server: w.server}
+	f.takeFrom(time.Now(), &gladegaugev1.FollowResponse{Revision: 100, Version: 1, Whole: true})
+	is.Equal(w.upstreams(), 0)
+}
+
+// A reload's bounds outlast a change of the fleet's size.
+func TestReloadedRetryBoundsStay(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1, nil)
+	more := boundsOfTests()
+	more.RetryReserve *= 10
+	w.server.control.Must(func(time.Time) {
+		w.server.retries = more
+		w.server.setGateways(2)
+		_, reserve := budgetBounds(more, 2)
+		for w.server.budget.Left() < reserve-1 {
+			before := w.server.budget.Left()
+			w.server.budget.Success()
+			if w.server.budget.Left() == before {
+				break
+			}
+		}
+		is.True(w.server.budget.Left() >= reserve-1)
+	})
+}
+
+// A time that does not fit its field is a long time, not a short one.
+func TestLongTimesDoNotWrap(t *testing.T) {
+	is := is.New(t)
+	is.Equal(wholeMilliseconds(1500*time.Microsecond), uint32(1))
+	is.Equal(wholeMilliseconds(-time.Second), uint32(0))
+	is.True(wholeMilliseconds(50*24*time.Hour) > uint32((40 * 24 * time.Hour).Milliseconds()))
+}
--- a/internal/edge/gatewayd/source.go
+++ b/internal/edge/gatewayd/source.go
@@ -11,9 +11,10 @@
 	"github.com/gladegauge/gladegauge/platform"
 )
 
-// directShare is the part of the age up to which keys are honoured at which a
-// gateway no longer waits for its parent to prove the age, and asks the store.
-const directShare = 0.75
+// lateFactor is the number of watches within which a parent must prove the age of
+// the view; after that a gateway asks the store. With two watches in the time for
+// which keys are honoured, a quarter of that time is left for it.
+const lateFactor = 1.5
 
 // source returns the gateway to ask next; false if it is the store's turn. After
 // a call to the store has failed, any other gateway may know more.
@@ -34,9 +35,8 @@
 
 // late reports whether the view is too old to wait for a parent.
 func (f *follower) late(now time.Time) bool {
-	age := f.server.bounds.Load().KeyAge
 	view := f.server.view.Load()
-	return view.Table != nil && age > 0 && view.Age(now) > time.Duration(directShare*float64(age))
+	return view.Table != nil && view.Age(now) > time.Duration(lateFactor*float64(f.usualWait()))
 }
 
 // askPeer asks the gateway at the address for what it knows. It reports false if
@@ -82,7 +82,7 @@
 // takeEntries takes the entries of another gateway's answer, and passes them on.
 // It runs in the control goroutine.
 func (s *Server) takeEntries(now time.Time, resp *gladegaugev1.FollowResponse, c platform.Changes) {
-	if len(c.Entries) == 0 {
+	if len(c.Entries) == 0 && !resp.GetWhole() {
 		return
 	}
 	s.feedFrom(resp.GetRevision(), c, resp.GetWhole())
--- a/internal/edge/gatewayd/stream.go
+++ b/internal/edge/gatewayd/stream.go
@@ -47,6 +47,7 @@
 		if err := x.send(out, e); err != nil {
 			return gateway.CallerGone, err
 		}
+		x.patience.eventSent()
 	}
 }
 
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -159,7 +159,11 @@
 }
 
 func (w *World) reloadGateway(rng *rand.Rand, _ time.Duration) {
-	w.procs[rng.IntN(len(w.procs))].signal(syscall.SIGHUP)
+	p := w.procs[rng.IntN(len(w.procs))]
+	// A process that only just started has no handler yet.
+	if p.ready() {
+		p.alone(func() { p.signal(syscall.SIGHUP) })
+	}
 }
 
 func (w *World) changeConfiguration(*rand.Rand, time.Duration) {
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -40,6 +40,8 @@
 	mu    sync.Mutex
 	fault LinkFault
 	conns map[net.Conn]bool
+	// closed is true once the link has ended.
+	closed bool
 }
 
 // NewProxy starts a link to the target.
@@ -74,6 +76,7 @@
 func (p *Proxy) Close() {
 	_ = p.listener.Close()
 	p.mu.Lock()
+	p.closed = true
 	for c := range p.conns {
 		_ = c.Close()
 	}
@@ -119,9 +122,11 @@
 		reset(c)
 		return
 	}
-	p.mu.Lock()
-	p.conns[c], p.conns[t] = true, true
-	p.mu.Unlock()
+	if !p.join(c, t) {
+		reset(c)
+		reset(t)
+		return
+	}
 	var both errgroup.Group
 	both.Go(func() error { return p.copy(t, c, Silent) })
 	both.Go(func() error { return p.copy(c, t, Silent, OneWay) })
@@ -132,6 +137,18 @@
 	p.mu.Unlock()
 }
 
+// join keeps both connections until the link fails; false if it has failed
+// meanwhile.
+func (p *Proxy) join(c, t net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || p.fault == Reset {
+		return false
+	}
+	p.conns[c], p.conns[t] = true, true
+	return true
+}
+
 // copy carries one direction; pieces are lost while the link has one of the faults.
 func (p *Proxy) copy(dst, src net.Conn, lost ...LinkFault) error {
 	defer func() {
--- a/internal/soak/replicas.go
+++ b/internal/soak/replicas.go
@@ -21,6 +21,7 @@
 	w.nextN++
 	r := &replica{}
 	r.Replica = standin.NewReplica(w.t, id, func(_ int, req standin.Request) standin.Reply { return w.reply(id, req) })
+	r.Zone = zoneOf(w.nextN)
 	r.link = w.link(r.Address())
 	w.replicas = append(w.replicas, r)
 	w.store.PutReplica(r.At(r.link.Address()), pool, false)
@@ -90,3 +91,6 @@
 	}
 	return reply
 }
+
+// zoneOf is the availability zone of the nth gateway or replica.
+func zoneOf(n int) string { return fmt.Sprintf("z%d", n%zones) }
