--- a/internal/edge/gatewayd/peers.go
+++ b/internal/edge/gatewayd/peers.go
@@ -121,7 +121,7 @@
 	s.log.Info().Int("gateways", n).Int("before", s.gateways).Msg("fleet: size changed")
 	s.gateways = n
 	s.metrics.gateways.Set(float64(n))
-	s.budget = s.budget.With(budgetBounds(s.retries, n))
+	s.budget = s.budget.With(budgetBounds(s.promised, n))
 }
 
 // Exchange answers another gateway's swap.
--- a/internal/edge/gatewayd/peers_test.go
+++ b/internal/edge/gatewayd/peers_test.go
@@ -180,7 +180,7 @@
 	more := boundsOfTests()
 	more.RetryReserve *= 10
 	w.server.control.Must(func(time.Time) {
-		w.server.retries = more
+		w.server.promised = more
 		w.server.setGateways(2)
 		_, reserve := budgetBounds(more, 2)
 		for w.server.budget.Left() < reserve-1 {
--- a/internal/edge/gatewayd/reload.go
+++ b/internal/edge/gatewayd/reload.go
@@ -53,8 +53,8 @@
 	bounds := boundsOf(next.Bounds)
 	s.bounds.Store(&bounds)
 	s.control.Must(func(time.Time) {
-		s.retries = next.Bounds
-		s.budget = s.budget.With(budgetBounds(s.retries, s.gateways))
+		s.promised = next.Bounds
+		s.budget = s.budget.With(budgetBounds(s.promised, s.gateways))
 	})
 	s.log.Info().Str("cause", cause).Msg("settings: taken")
 }
--- a/internal/edge/gatewayd/server.go
+++ b/internal/edge/gatewayd/server.go
@@ -80,8 +80,8 @@
 	lapseTimer *time.Timer
 	budget     *retry.Budget
 	fleet      *fleet.Fleet
-	// retries are the bounds that the retry budget follows from.
-	retries platform.Bounds
+	// promised are the operators' bounds of the latest settings.
+	promised platform.Bounds
 	// gateways is the number of gateways that the retry budget is split over.
 	gateways int
 	feed     *feed.Feed
@@ -104,7 +104,7 @@
 		peerClient:  newPeerClient(),
 		fleet:       fleet.New(fleet.Member{Zone: o.Settings.Zone}),
 		gateways:    assumedGateways,
-		retries:     o.Settings.Bounds,
+		promised:    o.Settings.Bounds,
 		feed:        feed.New(),
 		feedChanged: make(chan struct{}),
 	}
--- a/internal/edge/gatewayd/state_test.go
+++ b/internal/edge/gatewayd/state_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -186,6 +187,7 @@
 	}{
 		{"nothing changed", 2010 * time.Millisecond, platform.Changes{}, wait},
 		{"cut short", 500 * time.Millisecond, platform.Changes{}, 0},
+		{"cut short while the process was frozen", 2700 * time.Millisecond, platform.Changes{}, 0},
 		{"an upstream went", 2010 * time.Millisecond, platform.Changes{Removed: []string{"i"}}, 0},
 		{"a value was faulty", 2010 * time.Millisecond, platform.Changes{Faults: []platform.Fault{{}}}, 0},
 	}
@@ -226,3 +228,21 @@
 	is.NoErr(group.Wait())
 	is.True(loadAge() > old)
 }
+
+// The time to the kill is that of the latest settings.
+func TestStopKeepsToReloadedSettings(t *testing.T) {
+	is := is.New(t)
+	hold := make(chan struct{})
+	defer close(hold)
+	w := newWorld(t, 1, func(int, standin.Request) standin.Reply { return standin.Reply{Body: "late", Hold: hold} })
+	w.server.control.Must(func(time.Time) { w.server.promised.StopWithin = stopReserve })
+	var group errgroup.Group
+	group.Go(func() error {
+		w.call("/read/1")
+		return nil
+	})
+	w.await(func() bool { return w.server.inFlight.Load() == 1 })
+	w.stop()
+	w.await(func() bool { return strings.Contains(w.logs.String(), "planned stop: out of time") })
+	is.NoErr(group.Wait())
+}
--- a/internal/edge/gatewayd/stop.go
+++ b/internal/edge/gatewayd/stop.go
@@ -37,9 +37,13 @@
 	stop := s.o.Stop
 	began := time.Now()
 	s.stoppingAt.Store(&began)
-	s.control.Must(func(time.Time) { s.fleet.Leave() })
+	var stopWithin time.Duration
+	s.control.Must(func(time.Time) {
+		s.fleet.Leave()
+		stopWithin = s.promised.StopWithin
+	})
 	s.log.Info().Int64("in_progress", s.inFlight.Load()).Msg("planned stop: not ready for new callers")
-	limit := max(stop.LeaveAfter, s.o.Settings.Bounds.StopWithin-stopReserve)
+	limit := max(stop.LeaveAfter, stopWithin-stopReserve)
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	err := program.WaitUntil(ctx, func() bool {
