--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -39,7 +39,7 @@
 	start, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
 	if !w.AwaitReady(start) {
-		t.Fatal("the gateways never got ready")
+		t.Fatalf("seed %d: the gateways never got ready (logs in %s)", seed, keep(t, w, seed))
 	}
 	load, endLoad := context.WithCancel(context.Background())
 	defer endLoad()
