Balance: one question tells tight streams; a feed's unused method is gone

The split asked the same of a pause in two places, and nothing called Feed.Revision. Behaviour is as before; the tests keep their assertions.

--- a/internal/core/balance/backup.go
+++ b/internal/core/balance/backup.go
@@ -32,7 +32,7 @@
 // the side of the split that the request belongs to if that has two or more.
 func (p *pool) backupFor(now time.Time, chosen *upstream, candidates []*upstream, border int, r Request) Backup {
 	side := candidates[border:]
-	if p.split.isTight(r) {
+	if p.split.isTight(r.Pause) {
 		side = candidates[:border]
 	}
 	if len(side) < 2 {
--- a/internal/core/balance/cost.go
+++ b/internal/core/balance/cost.go
@@ -68,7 +68,7 @@
 // belongs to: the first engines in rank for tight streams, the others for
 // everything else.
 func (p *pool) splitCost(r Request, onTightSide bool) float64 {
-	tight := p.split.isTight(r)
+	tight := p.split.isTight(r.Pause)
 	if tight != onTightSide {
 		return splitCost
 	}
--- a/internal/core/balance/demand.go
+++ b/internal/core/balance/demand.go
@@ -48,7 +48,7 @@
 	for _, d := range s.demands {
 		d.decay(now, memory)
 		sum.All += d.work / memory.Seconds()
-		if d.pause > 0 && d.pause <= s.limit {
+		if s.isTight(d.pause) {
 			sum.Tight += d.work / memory.Seconds()
 		}
 	}
--- a/internal/core/balance/split.go
+++ b/internal/core/balance/split.go
@@ -32,8 +32,8 @@
 	others Demand
 }
 
-// isTight reports whether the request is a stream that bears only short pauses.
-func (s *split) isTight(r Request) bool { return r.Pause > 0 && r.Pause <= s.limit }
+// isTight reports whether streams that bear this pause bear only short ones.
+func (s *split) isTight(pause time.Duration) bool { return pause > 0 && pause <= s.limit }
 
 // setPauses takes the pause targets of the pool's routes, the shortest first.
 func (s *split) setPauses(pauses []time.Duration) {
--- a/internal/core/feed/feed.go
+++ b/internal/core/feed/feed.go
@@ -140,9 +140,6 @@
 	f.floor = f.revision
 }
 
-// Revision returns the revision up to which everything is known; 0 for nothing.
-func (f *Feed) Revision() int64 { return f.revision }
-
 // Since returns what was learned after the revision, in order of the keys; false
 // if nothing is known yet.
 func (f *Feed) Since(revision int64) (Batch, bool) {
