--- a/internal/edge/gatewayd/follow.go
+++ b/internal/edge/gatewayd/follow.go
@@ -13,8 +13,7 @@
 
 // Times of following the store.
 const (
-	// defaultWatch is how long a watch waits where keys may be honoured at any
-	// age of the view.
+	// defaultWatch is the longest wait of a watch, where nothing asks for less.
 	defaultWatch = 10 * time.Second
 	// returnWatch is the wait of the first watch after an outage, the shortest
 	// that the store takes.
@@ -22,6 +21,11 @@
 	// watchShare is the part of the age up to which keys are honoured that one
 	// watch may take; each answer proves the age anew, and one may be lost.
 	watchShare = 0.5
+	// configShare is the part of the time in which a configuration must be in
+	// force that one watch may take. A store that forgets its history may say
+	// nothing to a watch that waits, so that only the next one tells; the rest of
+	// the time is for that one, a listing, and the way to followers.
+	configShare = 0.75
 	// gatherFor is the pause after a watch that brought changes. Changes come
 	// in groups, and every call is paid for.
 	gatherFor = 150 * time.Millisecond
@@ -152,12 +156,19 @@
 	return f.usualWait()
 }
 
-// usualWait is how long a watch waits when all is well.
+// usualWait is how long a watch waits when all is well. Each answer proves the
+// age of the view anew: of the keys, where revocation is strict, and of the
+// configuration in any case.
 func (f *follower) usualWait() time.Duration {
-	if age := f.server.bounds.Load().KeyAge; age > 0 {
-		return min(time.Duration(watchShare*float64(age)), defaultWatch)
+	wait := defaultWatch
+	bounds := f.server.bounds.Load()
+	if bounds.KeyAge > 0 {
+		wait = min(wait, time.Duration(watchShare*float64(bounds.KeyAge)))
 	}
-	return defaultWatch
+	if bounds.DenyAge > 0 {
+		wait = min(wait, time.Duration(configShare*float64(bounds.DenyAge)))
+	}
+	return wait
 }
 
 // failed notes a failure and pauses.
--- a/internal/edge/gatewayd/state_test.go
+++ b/internal/edge/gatewayd/state_test.go
@@ -83,6 +83,27 @@
 	w.await(func() bool { return w.server.view.Load().Table.Version == 3 && w.upstreams() == 0 })
 }
 
+// A configuration comes into force in its time also where keys may be honoured at
+// any age, and while a store that forgets its history says nothing to watches.
+func TestConfigurationWhileHistoryGoes(t *testing.T) {
+	is := is.New(t)
+	w := &world{t: t, is: is, store: standin.NewStore(t)}
+	w.store.PutConfig(configuration(1))
+	b := boundsOfTests()
+	b.StrictRevocation = false
+	b.ConfigWithin = 400 * time.Millisecond
+	w.start(b)
+	w.await(func() bool { return w.readiness() == 200 })
+	w.await(func() bool { return len(w.store.Waits()) > 1 })
+	w.store.Deafen()
+	w.store.PutConfig(configuration(2))
+	w.store.Forget()
+	w.await(func() bool { return w.server.view.Load().Table.Version == 2 })
+	for _, wait := range w.store.Waits() {
+		is.True(wait <= b.ConfigWithin)
+	}
+}
+
 // A faulty configuration changes nothing, and the view is no longer proved.
 func TestFaultyConfiguration(t *testing.T) {
 	is := is.New(t)
