Gateway: an engine that talks to others is not given up before a stream's first event

Hypothesis: one request's clock does not tell a dark engine from a busy one. A request that waited its turn for 1.2 s was cut and read again elsewhere, or answered with 502.

Change: the limit counts from the last word of the engine to any request of this gateway, not from the sending of one request. Plain services keep their limit.

--- a/internal/core/balance/outcome.go
+++ b/internal/core/balance/outcome.go
@@ -37,7 +37,7 @@
 	if !ok {
 		return
 	}
-	u.heard()
+	u.heard(now)
 	r, ok := u.running[c.run]
 	if !ok || r.begun {
 		return
@@ -51,15 +51,26 @@
 }
 
 // Heard notes that anything came from the upstream.
-func (t *Table) Heard(id string) {
+func (t *Table) Heard(now time.Time, id string) {
 	if u, ok := t.upstreams[id]; ok {
-		u.heard()
+		u.heard(now)
 	}
 }
 
 // heard notes that the upstream is not silent.
-func (u *upstream) heard() {
+func (u *upstream) heard(now time.Time) {
 	u.askedAt = time.Time{}
+	u.heardAt = now
+}
+
+// SilentFor returns how long the upstream of the choice has said nothing to
+// anybody, counted from the choice at the earliest.
+func (t *Table) SilentFor(now time.Time, c Choice) time.Duration {
+	since := c.pickedAt
+	if u, ok := t.upstreams[c.ID]; ok && u.heardAt.After(since) {
+		since = u.heardAt
+	}
+	return now.Sub(since)
 }
 
 // Ended notes what became of the request. Tokens is the size of the answer.
@@ -78,12 +89,12 @@
 	}
 	switch o {
 	case Completed:
-		u.heard()
+		u.heard(now)
 		u.health.succeeded()
 		u.pace.learn(now, now.Sub(r.sentAt))
 		t.pool(u.Pool).split.answered(r.route, tokens)
 	case Refused:
-		u.heard()
+		u.heard(now)
 	case Faulty, Broken:
 		u.health.failed()
 		t.judge(now, u)
--- a/internal/core/balance/pick.go
+++ b/internal/core/balance/pick.go
@@ -52,6 +52,8 @@
 	// keys are those of the prompt's parts, for the picture of the KV cache.
 	keys   []uint64
 	prompt Prompt
+	// pickedAt is when the choice was made.
+	pickedAt time.Time
 }
 
 // Pick chooses an upstream and counts the request there until Ended. It
@@ -145,6 +147,7 @@
 func (t *Table) send(now time.Time, p *pool, u *upstream, r Request, c *Choice) {
 	t.lastRun++
 	c.run = t.lastRun
+	c.pickedAt = now
 	if u.askedAt.IsZero() {
 		u.askedAt = now
 	}
--- /dev/null
+++ b/internal/core/balance/silent_test.go
@@ -0,0 +1,56 @@
+package balance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// An upstream that says anything to anybody is not silent, however long one
+// request waits there; one that has said nothing since the choice is.
+func TestSilentFor(t *testing.T) {
+	tests := []struct {
+		name string
+		// heard are the times of its words, in milliseconds from the start; the
+		// request was sent at 100.
+		heard []int
+		want  time.Duration
+	}{
+		{"nothing, ever", nil, 900 * time.Millisecond},
+		{"only before the request", []int{50}, 900 * time.Millisecond},
+		{"to another request since", []int{50, 700}, 300 * time.Millisecond},
+		{"just now", []int{700, 1000}, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			table := tableWith(1)
+			sent := false
+			var c Choice
+			pick := func() {
+				c, _ = table.Pick(at(100), plainRequest(1))
+				sent = true
+			}
+			for _, ms := range tt.heard {
+				if ms > 100 && !sent {
+					pick()
+				}
+				table.Heard(at(ms), "i-0")
+			}
+			if !sent {
+				pick()
+			}
+			is.Equal(table.SilentFor(at(1000), c), tt.want)
+		})
+	}
+}
+
+// An upstream that left the list is as silent as it was.
+func TestSilentAfterItLeft(t *testing.T) {
+	is := is.New(t)
+	table := tableWith(1)
+	c, _ := table.Pick(at(100), plainRequest(1))
+	table.SetInstances(nil)
+	is.Equal(table.SilentFor(at(600), c), 500*time.Millisecond)
+}
--- a/internal/core/balance/table.go
+++ b/internal/core/balance/table.go
@@ -37,6 +37,8 @@
 	// askedAt is when the oldest request was sent that it has not said anything
 	// after; zero if there is none.
 	askedAt time.Time
+	// heardAt is when it last said anything to any request.
+	heardAt time.Time
 }
 
 // pool is the upstreams that serve the same requests.
--- a/internal/edge/gatewayd/attempt.go
+++ b/internal/edge/gatewayd/attempt.go
@@ -16,7 +16,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	x.loadTold = false
-	x.patience = x.newPatience(cancel)
+	x.patience = x.newPatience(choice, cancel)
 	defer x.patience.stop()
 	got, err := x.server.client.Do(ctx, choice.Address, x.upstreamRequest(choice, time.Now()), x.owns)
 	if err != nil {
--- a/internal/edge/gatewayd/patience.go
+++ b/internal/edge/gatewayd/patience.go
@@ -5,14 +5,18 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/gladegauge/gladegauge/internal/core/balance"
 )
 
 const (
 	// patienceShare is the part of the target after which an upstream that
 	// says nothing is given up for another one, where the request may repeat.
 	patienceShare = 0.6
-	// streamPatience is the least time for the first event of a stream: long
-	// prompts and full batches are slow without being broken.
+	// streamPatience is the least time without a word from a model engine, to any
+	// request, after which it is given up for one whose stream has not begun. Long
+	// prompts and full batches are slow without being broken, but a batch that
+	// lives says something every few steps.
 	streamPatience = time.Second
 	// pauseFactor is how many pause targets a stream may say nothing before it
 	// goes on from the copy of its run. Callers give up a silent stream some time
@@ -38,17 +42,36 @@
 }
 
 // newPatience begins to wait for the answer of an attempt.
-func (x *request) newPatience(end context.CancelCauseFunc) *patience {
+func (x *request) newPatience(choice balance.Choice, end context.CancelCauseFunc) *patience {
 	p := &patience{
 		giveUp:     func() { end(errSilent) },
 		pauseLimit: x.pauseLimit(),
 	}
-	if d, ok := x.answerLimit(); ok {
+	d, ok := x.answerLimit()
+	switch {
+	case !ok:
+	case x.call.Prompt.Tokens > 0:
+		p.answer = time.AfterFunc(d, func() { x.whileAlive(p, choice, d) })
+	default:
 		p.answer = time.AfterFunc(d, p.giveUp)
 	}
 	return p
 }
 
+// whileAlive waits on for the first event of a stream while its engine talks to
+// others: the request waits its turn there, and would be read again elsewhere.
+func (x *request) whileAlive(p *patience, choice balance.Choice, limit time.Duration) {
+	var left time.Duration
+	x.server.control.Must(func(now time.Time) {
+		left = limit - x.server.table.SilentFor(now, choice)
+	})
+	if left <= 0 {
+		p.giveUp()
+		return
+	}
+	p.answer.Reset(left)
+}
+
 // answerLimit is how long the upstream may say nothing before another one gets
 // the request; false if none may.
 func (x *request) answerLimit() (time.Duration, bool) {
--- a/internal/edge/gatewayd/stream.go
+++ b/internal/edge/gatewayd/stream.go
@@ -41,7 +41,7 @@
 			heard = now
 		} else if now.Sub(heard) >= heardEvery {
 			heard = now
-			x.server.control.Must(func(time.Time) { x.server.table.Heard(a.choice.ID) })
+			x.server.control.Must(func(now time.Time) { x.server.table.Heard(now, a.choice.ID) })
 		}
 		x.commitStream(a)
 		if err := x.send(out, e); err != nil {
