Gateway: a request meant for an upstream that another start replaced goes to another one

Cause: after a crash an engine comes back at its address within 2 s, while the entry of the earlier start stays listed for three heartbeats. The new start refuses with 421 what is meant for the old one; that counted as an attempt, the only one that chats have, and as no failure of the upstream.

Change: such a refusal is a failure of its own. It reached nobody, so it counts like an upstream that could not be reached (four at most) and takes a retry from the budget; the entry is taken to be gone for 5 s. Of two entries at one address only the later one is used.

Found beside it: a run that may happen once, lost in the middle, whose copy's engine could not be reached, was sent to a third engine. It was refused there only because of a header that happened to be set. What may have run is not sent again, whatever the last failure was.

--- a/internal/core/balance/backup.go
+++ b/internal/core/balance/backup.go
@@ -59,7 +59,7 @@
 // nothing anew. It reports false if that engine has gone, leaves, or is ejected.
 func (t *Table) Continue(now time.Time, r Request, b Backup) (Choice, bool) {
 	u, ok := t.upstreams[b.ID]
-	if !ok || u.Leaving || u.health.ejected(now) {
+	if !ok || u.Leaving || u.gone(now) || u.health.ejected(now) {
 		return Choice{}, false
 	}
 	p := t.pool(u.Pool)
--- a/internal/core/balance/outcome.go
+++ b/internal/core/balance/outcome.go
@@ -13,6 +13,9 @@
 	Faulty
 	// Refused means that the upstream did not run the request.
 	Refused
+	// Replaced means that another start answers at the upstream's address: this
+	// one is gone, though it is still on the list.
+	Replaced
 	// Unreachable means that no connection could be made.
 	Unreachable
 	// Broken means that no answer came, or only a part of one.
@@ -24,7 +27,7 @@
 
 // String names the outcome in logs.
 func (o Outcome) String() string {
-	names := [...]string{"", "completed", "faulty", "refused", "unreachable", "broken", "abandoned"}
+	names := [...]string{"", "completed", "faulty", "refused", "replaced", "unreachable", "broken", "abandoned"}
 	if o < Completed || int(o) >= len(names) {
 		return "unknown"
 	}
@@ -98,6 +101,8 @@
 	case Faulty, Broken:
 		u.health.failed()
 		t.judge(now, u)
+	case Replaced:
+		u.goneUntil = now.Add(goneFor)
 	case Unreachable:
 		u.health.failed()
 		if p := t.pools[u.Pool]; p.mayEject(now) {
--- a/internal/core/balance/pick.go
+++ b/internal/core/balance/pick.go
@@ -104,7 +104,7 @@
 	var good, ejected []*upstream
 	for _, u := range p.members {
 		switch {
-		case u.Leaving || slices.Contains(r.Exclude, u.ID):
+		case u.Leaving || u.gone(now) || slices.Contains(r.Exclude, u.ID):
 		case u.health.ejected(now):
 			ejected = append(ejected, u)
 		default:
--- a/internal/core/balance/table.go
+++ b/internal/core/balance/table.go
@@ -39,6 +39,11 @@
 	askedAt time.Time
 	// heardAt is when it last said anything to any request.
 	heardAt time.Time
+	// goneUntil is until when it is taken to be gone: another start answered in
+	// its place.
+	goneUntil time.Time
+	// superseded is true if a later start is listed at its address.
+	superseded bool
 }
 
 // pool is the upstreams that serve the same requests.
@@ -108,11 +113,24 @@
 			c.Went = append(c.Went, id)
 		}
 	}
+	t.supersede()
 	t.index()
 	slices.Sort(c.Went)
 	return c
 }
 
+// supersede notes the upstreams at whose address a later one is listed: an address
+// has one start at a time, and the entry of the earlier one has yet to lapse.
+func (t *Table) supersede() {
+	latest := make(map[string]int64, len(t.upstreams))
+	for _, u := range t.upstreams {
+		latest[u.Address] = max(latest[u.Address], u.Created)
+	}
+	for _, u := range t.upstreams {
+		u.superseded = u.Created > 0 && u.Created < latest[u.Address]
+	}
+}
+
 // index sorts the upstreams into their pools, in order of rank.
 func (t *Table) index() {
 	for _, p := range t.pools {
--- a/internal/core/gateway/next.go
+++ b/internal/core/gateway/next.go
@@ -17,6 +17,9 @@
 	Faulty
 	// Lost means that there was no answer, or none that can be used.
 	Lost
+	// Replaced means that another start answers at the upstream's address, and
+	// refused what was meant for the one before.
+	Replaced
 	// Silent means that the gateway stopped waiting for this upstream.
 	Silent
 	// CallerGone means that the caller has left.
@@ -25,7 +28,7 @@
 
 // String names the failure in logs.
 func (f Failure) String() string {
-	names := [...]string{"", "unsent", "not_run", "faulty", "lost", "silent", "caller_gone"}
+	names := [...]string{"", "unsent", "not_run", "faulty", "lost", "replaced", "silent", "caller_gone"}
 	if f < Unsent || int(f) >= len(names) {
 		return "unknown"
 	}
@@ -46,7 +49,8 @@
 type Progress struct {
 	// Sent is the number of upstreams that a byte of it was written to.
 	Sent int
-	// Unsent is the number of upstreams that could not be reached.
+	// Unsent is the number of upstreams that could not be reached, or that are
+	// no longer at their address.
 	Unsent int
 	// MayHaveRun is true once an attempt is not provably unrun.
 	MayHaveRun bool
@@ -61,7 +65,7 @@
 // With returns the progress after an attempt failed.
 func (p Progress) With(f Failure) Progress {
 	switch f {
-	case Unsent:
+	case Unsent, Replaced:
 		p.Unsent++
 	case NotRun:
 		p.Sent++
@@ -130,13 +134,18 @@
 	if a.Deadline.Sub(now) < leastLeft || p.Sent >= a.Route.MaxAttempts {
 		return false
 	}
+	if p.MayHaveRun && !a.Route.MayRepeat() {
+		return false
+	}
 	switch f {
 	case Unsent:
 		return p.Unsent < maxUnsent
+	case Replaced:
+		return p.Replayable && p.Unsent < maxUnsent
 	case NotRun:
 		return p.Replayable
 	default:
-		return p.Replayable && a.Route.MayRepeat()
+		return p.Replayable
 	}
 }
 
--- a/internal/edge/gatewayd/attempt.go
+++ b/internal/edge/gatewayd/attempt.go
@@ -27,7 +27,7 @@
 	a := answer{Answer: got, choice: choice, head: platform.DecodeAnswer(got.StatusCode, got.Header)}
 	failure, err := x.take(ctx, a)
 	switch failure {
-	case gateway.None, gateway.Faulty, gateway.NotRun:
+	case gateway.None, gateway.Faulty, gateway.NotRun, gateway.Replaced:
 		a.Close()
 	default:
 		a.Abort()
--- a/internal/edge/gatewayd/failure.go
+++ b/internal/edge/gatewayd/failure.go
@@ -32,6 +32,8 @@
 		return balance.Unreachable
 	case gateway.NotRun:
 		return balance.Refused
+	case gateway.Replaced:
+		return balance.Replaced
 	case gateway.Faulty:
 		return balance.Faulty
 	case gateway.Lost, gateway.Silent:
--- a/internal/edge/gatewayd/take.go
+++ b/internal/edge/gatewayd/take.go
@@ -37,6 +37,8 @@
 // take passes an answer on, or tells why it cannot be used.
 func (x *request) take(ctx context.Context, a answer) (gateway.Failure, error) {
 	switch {
+	case a.head.Replaced:
+		return gateway.Replaced, errors.Newf("refused with %s by another start", a.Status)
 	case a.head.NotRun:
 		return gateway.NotRun, errors.Newf("refused with %s", a.Status)
 	case isSuccess(a.StatusCode) && !a.head.Sealed:
