--- a/internal/core/balance/backup.go
+++ b/internal/core/balance/backup.go
@@ -24,23 +24,15 @@
 	if p.engine == nil || !p.engine.Backups {
 		return false
 	}
-	output := p.split.expectedOutput(r)
+	output := p.outputs.expected(r)
 	return output >= backupShare*(output+float64(r.Prompt.Tokens))
 }
 
-// backupFor returns the engine with the least to do beside the chosen one; on
-// the side of the split that the request belongs to if that has two or more.
-func (p *pool) backupFor(now time.Time, chosen *upstream, candidates []*upstream, border int, r Request) Backup {
-	side := candidates[border:]
-	if p.split.isTight(r.Pause) {
-		side = candidates[:border]
-	}
-	if len(side) < 2 {
-		side = candidates
-	}
+// backupFor returns the engine with the least to do beside the chosen one.
+func backupFor(now time.Time, chosen *upstream, candidates []*upstream, r Request) Backup {
 	var best *upstream
 	var load float64
-	for _, u := range side {
+	for _, u := range candidates {
 		if u == chosen {
 			continue
 		}
@@ -63,7 +55,7 @@
 		return Choice{}, false
 	}
 	p := t.pool(u.Pool)
-	c := t.consider(now, p, u, r, r.Prompt.chain(), p.usualWork(), false)
+	c := t.consider(now, p, u, r, r.Prompt.chain(), p.usual(now), false)
 	c.Unread = 0
 	t.send(now, p, u, r, &c)
 	return c, true
--- a/internal/core/balance/cache.go
+++ b/internal/core/balance/cache.go
@@ -18,6 +18,8 @@
 type cachedPart struct {
 	tokens int
 	usedAt time.Time
+	// read is true once the engine has read it; before, it is on its way there.
+	read bool
 }
 
 // cache is what one engine is believed to keep, by what was sent to it.
@@ -37,12 +39,22 @@
 // setMemory bounds the picture by the engine's memory; 0 means no bound.
 func (c *cache) setMemory(tokens int) { c.limit = int(cacheShare * float64(tokens)) }
 
-// held returns the tokens of the prompt that the engine is believed to keep.
+// held returns the tokens of the prompt that the engine is believed to keep by the
+// time that it reads the next one.
 func (c *cache) held(now time.Time, p Prompt, keys []uint64) int {
+	return c.sum(now, p, keys, false)
+}
+
+// heldNow returns those that it has read already.
+func (c *cache) heldNow(now time.Time, p Prompt, keys []uint64) int {
+	return c.sum(now, p, keys, true)
+}
+
+func (c *cache) sum(now time.Time, p Prompt, keys []uint64, read bool) int {
 	tokens := 0
 	for i, key := range keys {
 		part, ok := c.parts[key]
-		if !ok || now.Sub(part.usedAt) > cacheKeep {
+		if !ok || (read && !part.read) || now.Sub(part.usedAt) > cacheKeep {
 			break
 		}
 		tokens += p.Parts[i].Tokens
@@ -50,14 +62,39 @@
 	return tokens
 }
 
-// used notes that the engine has read the prompt.
-func (c *cache) used(now time.Time, p Prompt, keys []uint64) {
+// used notes that the engine has read the prompt, or that it is on its way there.
+// It returns the shared parts that this is new of.
+func (c *cache) used(now time.Time, p Prompt, keys []uint64, read bool) []newPart {
+	var news []newPart
+	shared := len(p.shared())
 	for i, key := range keys {
-		if _, ok := c.parts[key]; !ok {
-			c.tokens += p.Parts[i].Tokens
+		if c.put(now, key, p.Parts[i].Tokens, read) && i < shared {
+			news = append(news, newPart{key: key, tokens: p.Parts[i].Tokens})
 		}
-		c.parts[key] = cachedPart{tokens: p.Parts[i].Tokens, usedAt: now}
 	}
+	c.limitSize()
+	return news
+}
+
+// newPart is a part that others may not know of yet.
+type newPart struct {
+	key    uint64
+	tokens int
+}
+
+// put notes a part and reports whether it was not known, or not as read, or not
+// used for long.
+func (c *cache) put(now time.Time, key uint64, tokens int, read bool) bool {
+	held, ok := c.parts[key]
+	if !ok {
+		c.tokens += tokens
+	}
+	c.parts[key] = cachedPart{tokens: tokens, usedAt: now, read: read || held.read}
+	return !ok || (read && !held.read) || now.Sub(held.usedAt) > cacheKeep/3
+}
+
+// limitSize forgets parts beyond the bounds.
+func (c *cache) limitSize() {
 	for len(c.parts) > cacheEntries || (c.limit > 0 && c.tokens > c.limit) {
 		if !c.evict() {
 			return
--- a/internal/core/balance/cost.go
+++ b/internal/core/balance/cost.go
@@ -15,12 +15,10 @@
 	// the engine that has its prompt.
 	patientTarget   = 400 * time.Millisecond
 	leastWaitWeight = 0.3
-	// splitCost keeps tight streams and long prompts apart. It is a quarter of
-	// a second, the shortest pause that callers usually bear.
-	splitCost = 250.0
 	// harmWeight is what a millisecond of reading costs for each tight stream
-	// that runs beside it.
-	harmWeight = 0.5
+	// that runs beside it, of any gateway. 0.05 served prompts better and
+	// streams worse, 0.5 the other way round.
+	harmWeight = 0.12
 	// slotCost is what one more request in a batch costs.
 	slotCost = 0.6
 	// sharedWork is the part of a request's work that the requests beside it
@@ -31,20 +29,26 @@
 	silenceAfter = 400 * time.Millisecond
 	// silenceWeight is the cost of each millisecond of silence beyond that.
 	silenceWeight = 2.0
+	// overdueWeight is the cost of each millisecond for which the prompts at an
+	// engine have waited for longer than can be explained.
+	overdueWeight = 1.0
 )
 
 // engineCost is the cost at a model engine.
-func (p *pool) engineCost(now time.Time, u *upstream, r Request, c Choice, usual float64) float64 {
-	perMs := p.speed.tokensPerMs()
+func (p *pool) engineCost(now time.Time, u *upstream, r Request, c Choice, usual usual) float64 {
+	tight := p.pauses.isTight(r.Pause)
+	perMs := p.speed.tokensPerMs() / u.slowness(now, usual.gaps, tight)
 	reading := float64(c.Unread) / perMs
-	cost := waitWeight(r.Target)*float64(u.unread())/perMs + readWeight*reading + slotCost*c.InFlight
+	backlog := float64(u.unread(now)) / perMs
+	cost := waitWeight(r.Target)*backlog + readWeight*reading + slotCost*c.InFlight
 	if slots := float64(u.Slots); slots > 0 && c.InFlight >= slots {
 		// Beyond its slots a request waits for another one to end.
-		cost += u.pace.workMs(now, usual) * (c.InFlight + 1 - slots) / slots
+		cost += u.pace.workMs(now, usual.work) * (c.InFlight + 1 - slots) / slots
 	}
 	cost += readWeight * p.overflow(now, u, r) / perMs
-	if limit := p.split.limit; limit > 0 && r.Pause > limit {
-		cost += harmWeight * reading * float64(u.tight(limit))
+	cost += overdueWeight * u.meanOverdue(now)
+	if !tight {
+		cost += harmWeight * p.pauses.yield(r.Tier) * reading * float64(u.tight(now, p.pauses.limit))
 	}
 	return cost
 }
@@ -64,17 +68,6 @@
 	return work * (1 + max(0, c.InFlight+1-slots)/slots + sharedWork*c.InFlight/slots)
 }
 
-// splitCost is the cost of leaving the side of the split that the request
-// belongs to: the first engines in rank for tight streams, the others for
-// everything else.
-func (p *pool) splitCost(r Request, onTightSide bool) float64 {
-	tight := p.split.isTight(r.Pause)
-	if tight != onTightSide {
-		return splitCost
-	}
-	return 0
-}
-
 // silenceCost grows while an upstream that was asked says nothing.
 func silenceCost(now time.Time, u *upstream) float64 {
 	if u.askedAt.IsZero() {
--- a/internal/core/balance/fetch.go
+++ b/internal/core/balance/fetch.go
@@ -24,11 +24,11 @@
 // sourceFor returns the engine that the chosen one should copy from; one with
 // no tokens if a copy is not worth it. The engine copies only what it lacks, so
 // that naming one costs nothing if this gateway's picture is behind.
-func (p *pool) sourceFor(now time.Time, chosen *upstream, candidates []*upstream, border int, prompt Prompt, keys []uint64) source {
+func (p *pool) sourceFor(now time.Time, chosen *upstream, candidates []*upstream, prompt Prompt, keys []uint64) source {
 	if len(prompt.shared()) == 0 || !p.copies() {
 		return source{}
 	}
-	best := mostKept(now, chosen, candidates, border, prompt, keys)
+	best := mostKept(now, chosen, candidates, prompt, keys)
 	more := best.tokens - chosen.cache.held(now, prompt, keys)
 	if more < fetchLeast || p.moveMs(more) > float64(more)/p.speed.tokensPerMs() {
 		return source{}
@@ -45,7 +45,7 @@
 // mostKept returns the engine beside the chosen one that is believed to keep the
 // most of the shared parts: one that this gateway used, or the home of a
 // beginning.
-func mostKept(now time.Time, chosen *upstream, candidates []*upstream, border int, prompt Prompt, keys []uint64) source {
+func mostKept(now time.Time, chosen *upstream, candidates []*upstream, prompt Prompt, keys []uint64) source {
 	var best source
 	consider := func(u *upstream, tokens int) {
 		if u != chosen && tokens > best.tokens {
@@ -54,12 +54,12 @@
 	}
 	shared := prompt.shared()
 	for _, u := range candidates {
-		consider(u, u.cache.held(now, prompt, keys[:len(shared)]))
+		consider(u, u.cache.heldNow(now, prompt, keys[:len(shared)]))
 	}
 	tokens := 0
 	for i, part := range shared {
 		tokens += part.Tokens
-		consider(homeOfKey(candidates[border:], keys[i]), int(homeCredit*float64(tokens)))
+		consider(homeOfKey(candidates, keys[i]), int(homeCredit*float64(tokens)))
 	}
 	return best
 }
--- a/internal/core/balance/load.go
+++ b/internal/core/balance/load.go
@@ -34,10 +34,16 @@
 	pause  time.Duration
 	sentAt time.Time
 	begun  bool
+	// expected is the time to its first event, in milliseconds, at an engine that
+	// is as fast as its pool.
+	expected float64
 }
 
 // others estimates how many requests of other gateways are at the upstream.
 func (u *upstream) others(now time.Time) float64 {
+	if u.told(now) {
+		return float64(u.shared.Requests)
+	}
 	if !u.load.known {
 		return 0
 	}
@@ -53,9 +59,13 @@
 	return float64(len(u.running)) + u.others(now)
 }
 
-// unread is the prompt tokens that this gateway's requests still wait for.
-func (u *upstream) unread() int {
+// unread is the prompt tokens that wait to be read at the engine, as far as they
+// are known.
+func (u *upstream) unread(now time.Time) int {
 	tokens := 0
+	if u.told(now) {
+		tokens = u.shared.Unread
+	}
 	for _, r := range u.running {
 		tokens += r.unread
 	}
@@ -66,6 +76,9 @@
 // tokens. Those of other gateways are taken to have the mean.
 func (u *upstream) memoryTokens(now time.Time, mean float64) float64 {
 	tokens := mean * u.others(now)
+	if u.told(now) {
+		tokens = float64(u.shared.Tokens)
+	}
 	for _, r := range u.running {
 		tokens += float64(r.tokens)
 	}
@@ -73,7 +86,16 @@
 }
 
 // tight counts the streams that bear only pauses up to the limit.
-func (u *upstream) tight(limit time.Duration) int {
+func (u *upstream) tight(now time.Time, limit time.Duration) int {
+	n := u.ownTight(limit)
+	if u.told(now) {
+		n += u.shared.Tight
+	}
+	return n
+}
+
+// ownTight counts those of this gateway.
+func (u *upstream) ownTight(limit time.Duration) int {
 	n := 0
 	for _, r := range u.running {
 		if r.pause > 0 && r.pause <= limit {
--- a/internal/core/balance/memory.go
+++ b/internal/core/balance/memory.go
@@ -9,7 +9,7 @@
 
 // tokensOf is the memory that the request is expected to fill, in tokens.
 func (p *pool) tokensOf(r Request) int {
-	return r.Prompt.Tokens + int(p.split.expectedOutput(r))
+	return r.Prompt.Tokens + int(p.outputs.expected(r))
 }
 
 // learnTokens follows the mean memory of a request.
--- a/internal/core/balance/outcome.go
+++ b/internal/core/balance/outcome.go
@@ -49,14 +49,19 @@
 	r.unread = 0
 	if c.prompt.Tokens > 0 {
 		t.pool(u.Pool).speed.learn(c.Unread, now.Sub(r.sentAt))
-		u.cache.used(now, c.prompt, c.keys)
+		t.tell(u, u.cache.used(now, c.prompt, c.keys, true), true)
 	}
 }
 
-// Heard notes that anything came from the upstream.
-func (t *Table) Heard(now time.Time, id string) {
+// Heard notes that anything came from the upstream, and the gaps between the
+// events.
+func (t *Table) Heard(now time.Time, id string, g Gaps) {
 	if u, ok := t.upstreams[id]; ok {
 		u.heard(now)
+		u.strain.learn(now, g)
+		if gap, ok := g.typical(); ok {
+			u.tempo.learn(now, gap)
+		}
 	}
 }
 
@@ -95,7 +100,7 @@
 		u.heard(now)
 		u.health.succeeded()
 		u.pace.learn(now, now.Sub(r.sentAt))
-		t.pool(u.Pool).split.answered(r.route, tokens)
+		t.pool(u.Pool).learnOutput(r, tokens)
 	case Refused:
 		u.heard(now)
 	case Faulty, Broken:
--- /dev/null
+++ b/internal/core/balance/outputs.go
@@ -0,0 +1,29 @@
+package balance
+
+// outputs are the mean numbers of tokens of the answers, by route.
+type outputs map[string]float64
+
+// expected is the number of tokens that an answer to the request is likely to
+// have.
+func (o outputs) expected(r Request) float64 {
+	if mean, ok := o[r.Route]; ok && r.Prompt.OutputHint == 0 {
+		return mean
+	}
+	return r.Prompt.expectedOutput()
+}
+
+// learn takes the tokens of an answer of the route.
+func (o outputs) learn(route string, tokens int) {
+	mean, ok := o[route]
+	if !ok {
+		mean = float64(tokens)
+	}
+	o[route] = mean + workWeight*(float64(tokens)-mean)
+}
+
+// learnOutput takes the tokens of an answer.
+func (p *pool) learnOutput(r *run, tokens int) {
+	if r.tokens > 0 {
+		p.outputs.learn(r.route, tokens)
+	}
+}
--- /dev/null
+++ b/internal/core/balance/overdue.go
@@ -0,0 +1,42 @@
+package balance
+
+import "time"
+
+const (
+	// overdueFrom is how much longer than twice the expected time a prompt may wait
+	// without a doubt in its engine, in milliseconds: many engine steps.
+	overdueFrom = 100.0
+	// overdueMost bounds what one prompt's wait may say, in milliseconds. Callers
+	// give a stream up after about as long.
+	overdueMost = 2000.0
+)
+
+// overdue returns the number of this gateway's prompts at the engine that have
+// waited for longer than can be explained, and for how much longer, in
+// milliseconds, summed up.
+func (u *upstream) overdue(now time.Time) (n int, sum float64) {
+	for _, r := range u.running {
+		if r.begun {
+			continue
+		}
+		late := milliseconds(now.Sub(r.sentAt)) - 2*r.expected - overdueFrom
+		if late > 0 {
+			n++
+			sum += min(late, overdueMost)
+		}
+	}
+	return n, sum
+}
+
+// meanOverdue is the mean over such prompts of all gateways, in milliseconds.
+func (u *upstream) meanOverdue(now time.Time) float64 {
+	n, sum := u.overdue(now)
+	if u.told(now) {
+		n += u.shared.Overdue
+		sum += min(u.shared.OverdueMs, overdueMost*float64(u.shared.Overdue))
+	}
+	if n == 0 {
+		return 0
+	}
+	return sum / float64(n)
+}
--- /dev/null
+++ b/internal/core/balance/parts.go
@@ -0,0 +1,41 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/gladegauge/gladegauge/internal/core/occupancy"
+)
+
+// tell notes parts that are kept at the upstream and that others may not know of.
+func (t *Table) tell(u *upstream, parts []newPart, read bool) {
+	for _, p := range parts {
+		t.news = append(t.news, occupancy.Part{Upstream: u.hash, Key: p.key, Tokens: p.tokens, Read: read})
+	}
+	if over := len(t.news) - occupancy.NewsMost; over > 0 {
+		t.news = t.news[over:]
+	}
+}
+
+// News returns the parts that other gateways may not know of, once.
+func (t *Table) News() []occupancy.Part {
+	news := t.news
+	t.news = nil
+	return news
+}
+
+// OthersRead takes parts that other gateways told of.
+func (t *Table) OthersRead(now time.Time, parts []occupancy.Part) {
+	if len(parts) == 0 {
+		return
+	}
+	byHash := make(map[uint64]*upstream, len(t.upstreams))
+	for _, u := range t.upstreams {
+		byHash[u.hash] = u
+	}
+	for _, p := range parts {
+		if u, ok := byHash[p.Upstream]; ok {
+			u.cache.put(now, p.Key, p.Tokens, p.Read)
+			u.cache.limitSize()
+		}
+	}
+}
--- a/internal/core/balance/pick.go
+++ b/internal/core/balance/pick.go
@@ -14,6 +14,8 @@
 	// Pause is the longest pause between events that its caller bears; 0 for
 	// any.
 	Pause time.Duration
+	// Tier is the rank of its route; 0 is the highest.
+	Tier int
 	// Target is the time to the first event that is still in time; 0 for none.
 	Target time.Duration
 	Prompt Prompt
@@ -43,9 +45,11 @@
 	InFlight float64
 	// LoadAge is the age of the upstream's own word; below 0 if there is none.
 	LoadAge time.Duration
-	// Tight and Candidates tell how the pool was split.
-	Tight      int
+	// Candidates is the number of upstreams that it was chosen from.
 	Candidates int
+	// ToldAge is the age of the other gateways' word on the upstream; below 0 if
+	// there is none.
+	ToldAge time.Duration
 
 	// run is the number of the request in the table.
 	run uint64
@@ -68,28 +72,23 @@
 		return Choice{}, false
 	}
 	keys := r.Prompt.chain()
-	usual := p.usualWork()
-	border := p.split.tightMembers(now, len(candidates))
-	home := homeOf(candidates[border:], r.Prompt, keys)
+	usual := p.usual(now)
+	home := homeOf(candidates, r.Prompt, keys)
 	best := Choice{}
 	var chosen *upstream
-	for i, u := range candidates {
+	for _, u := range candidates {
 		c := t.consider(now, p, u, r, keys, usual, u == home)
-		if border > 0 {
-			c.Cost += p.splitCost(r, i < border)
-		}
 		if chosen == nil || c.Cost < best.Cost || (c.Cost == best.Cost && tie(r, u) > tie(r, chosen)) {
 			best, chosen = c, u
 		}
 	}
-	if from := p.sourceFor(now, chosen, candidates, border, r.Prompt, keys); from.tokens > 0 {
+	if from := p.sourceFor(now, chosen, candidates, r.Prompt, keys); from.tokens > 0 {
 		best.FetchFrom = from.upstream.Address
 		best.Unread = max(0, min(best.Unread, r.Prompt.Tokens-from.tokens))
 	}
 	if r.Protect && p.worthBackup(r) {
-		best.Backup = p.backupFor(now, chosen, candidates, border, r)
+		best.Backup = backupFor(now, chosen, candidates, r)
 	}
-	best.Tight = border
 	best.Candidates = len(candidates)
 	t.send(now, p, chosen, r, &best)
 	return best, true
@@ -117,24 +116,39 @@
 	return good
 }
 
-// consider works out the cost of sending the request to the upstream. Usual is
-// the mean time of the pool's answers in milliseconds.
-func (t *Table) consider(now time.Time, p *pool, u *upstream, r Request, keys []uint64, usual float64, home bool) Choice {
+// usual is what the upstreams of a pool have in common now.
+type usual struct {
+	// work is the mean time of an answer in milliseconds.
+	work float64
+	gaps usualGaps
+}
+
+// usual returns it for the pool.
+func (p *pool) usual(now time.Time) usual {
+	return usual{work: p.usualWork(), gaps: p.usualGaps(now)}
+}
+
+// consider works out the cost of sending the request to the upstream.
+func (t *Table) consider(now time.Time, p *pool, u *upstream, r Request, keys []uint64, usual usual, home bool) Choice {
 	c := Choice{
 		Instance: u.Instance,
 		InFlight: u.inFlight(now),
 		LoadAge:  -1,
+		ToldAge:  -1,
 		keys:     keys,
 		prompt:   r.Prompt,
 	}
 	if u.load.known {
 		c.LoadAge = now.Sub(u.load.at)
 	}
+	if u.told(now) {
+		c.ToldAge = now.Sub(u.sharedAt)
+	}
 	c.Unread = unreadTokens(now, u, r.Prompt, keys, home)
 	if r.Prompt.Tokens > 0 {
 		c.Cost = p.engineCost(now, u, r, c, usual)
 	} else {
-		c.Cost = serviceCost(now, u, c, usual)
+		c.Cost = serviceCost(now, u, c, usual.work)
 	}
 	if u.Zone != t.zone {
 		c.Cost += zoneCost
@@ -152,10 +166,11 @@
 		u.askedAt = now
 	}
 	sent := &run{route: r.Route, unread: c.Unread, pause: r.Pause, sentAt: now}
-	u.running[c.run] = sent
 	if r.Prompt.Tokens > 0 {
+		sent.expected = float64(u.unread(now)+c.Unread) / p.speed.tokensPerMs()
 		sent.tokens = p.tokensOf(r)
 		p.learnTokens(sent.tokens)
-		p.split.asked(now, r, float64(c.Unread)/p.speed.tokensPerMs())
+		t.tell(u, u.cache.used(now, r.Prompt, c.keys, false), false)
 	}
+	u.running[c.run] = sent
 }
--- /dev/null
+++ b/internal/core/balance/shared_test.go
@@ -0,0 +1,90 @@
+package balance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gladegauge/gladegauge/internal/core/occupancy"
+)
+
+// keepOfTests is how long a word of other gateways counts.
+const keepOfTests = 700 * time.Millisecond
+
+// pair returns two gateways that see the same engines.
+func pair(t *testing.T, n int) (*Table, *Table) {
+	t.Helper()
+	return enginesWith(t, n), enginesWith(t, n)
+}
+
+// What another gateway sent counts like what this one sent, and for a short time
+// only.
+func TestToldLoads(t *testing.T) {
+	is := is.New(t)
+	a, b := pair(t, 2)
+	first, _ := a.Pick(t0, long(1))
+	b.OthersHave(at(1), a.Loads(at(1)), keepOfTests)
+	next, _ := b.Pick(at(2), long(2))
+	is.True(next.ID != first.ID) // the other engine is free
+	is.Equal(next.ToldAge, time.Millisecond)
+	u := b.upstreams[first.ID]
+	is.Equal(u.unread(at(2)), first.Unread)
+	is.Equal(u.inFlight(at(2)), 1.0)
+	later := at(3).Add(keepOfTests)
+	is.Equal(u.unread(later), 0)
+	c, _ := b.Pick(later, long(3))
+	is.True(c.ToldAge < 0)
+}
+
+// An engine that keeps a part by another gateway's word is preferred, and named as
+// the source of a copy only once it has read it.
+func TestToldParts(t *testing.T) {
+	is := is.New(t)
+	a, b := pair(t, 6)
+	first, _ := a.Pick(t0, long(1))
+	b.OthersRead(at(1), a.News())
+	keys := long(1).Prompt.chain()
+	kept := b.upstreams[first.ID].cache
+	is.Equal(kept.held(at(1), long(1).Prompt, keys[:2]), 6000)
+	is.Equal(kept.heldNow(at(1), long(1).Prompt, keys[:2]), 0)
+	a.Began(at(200), first)
+	news := a.News()
+	is.Equal(len(news), 2) // the shared parts, not the request's own
+	b.OthersRead(at(201), news)
+	is.Equal(kept.heldNow(at(201), long(1).Prompt, keys[:2]), 6000)
+	again, _ := b.Pick(at(202), long(21))
+	is.Equal(again.ID, first.ID)
+	is.Equal(again.Unread, 3000)
+	is.Equal(len(a.News()), 0) // told once
+}
+
+// Engines that left, and those that nobody knows, change nothing.
+func TestToldOfUnknownEngines(t *testing.T) {
+	is := is.New(t)
+	table := enginesWith(t, 2)
+	table.OthersHave(t0, occupancy.Loads{42: {Requests: 1000, Unread: 1 << 20}}, keepOfTests)
+	table.OthersRead(t0, []occupancy.Part{{Upstream: 42, Key: 1, Tokens: 100, Read: true}})
+	c, ok := table.Pick(at(1), long(1))
+	is.True(ok)
+	is.Equal(c.InFlight, 0.0)
+}
+
+// One gateway's word, however wrong, keeps no request from being served: the whole
+// pool may look full.
+func TestFalseWordsEmptyNoPool(t *testing.T) {
+	is := is.New(t)
+	table := enginesWith(t, 3)
+	loads := make(occupancy.Loads)
+	for _, u := range table.upstreams {
+		loads[u.hash] = occupancy.Load{Requests: 1 << 30, Unread: 1 << 30, Tight: 1 << 30, Overdue: 1, OverdueMs: 1e12, Tempos: 1, Tempo: 1e9}
+	}
+	table.OthersHave(t0, loads, keepOfTests)
+	used := make(map[string]bool)
+	for i := range 60 {
+		c, ok := table.Pick(at(i), long(i))
+		is.True(ok)
+		used[c.ID] = true
+	}
+	is.Equal(len(used), 3) // all alike, so that work is spread as ever
+}
--- a/internal/core/balance/speed.go
+++ b/internal/core/balance/speed.go
@@ -17,10 +17,6 @@
 	defaultWork = 20 * time.Millisecond
 	// workWeight is the weight of the latest answer in the mean time.
 	workWeight = 0.1
-	// tokenWork is the share of an engine, in milliseconds, that one more
-	// token of a batch takes: reading costs a fiftieth of that per token, and
-	// most of a decoding step is common to the batch.
-	tokenWork = 0.3
 )
 
 // speed is what the engines of a pool have in common.
--- a/internal/core/balance/table.go
+++ b/internal/core/balance/table.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/gladegauge/gladegauge/internal/core/ingress"
+	"github.com/gladegauge/gladegauge/internal/core/occupancy"
 )
 
 // Instance is one start of an upstream, as the platform lists it.
@@ -33,7 +34,14 @@
 	cache   *cache
 	load    load
 	pace    pace
+	tempo   tempo
+	strain  strain
 	running map[uint64]*run
+	// shared is what other gateways told at sharedAt that they have here; it counts
+	// until sharedUntil.
+	shared      occupancy.Load
+	sharedAt    time.Time
+	sharedUntil time.Time
 	// askedAt is when the oldest request was sent that it has not said anything
 	// after; zero if there is none.
 	askedAt time.Time
@@ -53,7 +61,8 @@
 	speed   speed
 	// meanTokens is the mean memory of a request, in tokens; 0 before the first.
 	meanTokens float64
-	split      split
+	pauses     pauses
+	outputs    outputs
 }
 
 // Table is one gateway's view of the upstreams. It is not safe for concurrent
@@ -63,6 +72,8 @@
 	upstreams map[string]*upstream
 	pools     map[string]*pool
 	lastRun   uint64
+	// news are parts that other gateways may not know of yet.
+	news []occupancy.Part
 }
 
 // New returns a table without upstreams for a gateway in the zone.
@@ -150,7 +161,7 @@
 func (t *Table) pool(name string) *pool {
 	p, ok := t.pools[name]
 	if !ok {
-		p = &pool{}
+		p = &pool{outputs: make(outputs)}
 		t.pools[name] = p
 	}
 	return p
@@ -161,7 +172,7 @@
 	for name := range t.pools {
 		if p, ok := table.Pool(name); ok {
 			t.pools[name].engine = p.Engine
-			t.pools[name].split.setPauses(table.Pauses(name))
+			t.pools[name].pauses.set(table.Pauses(name))
 		}
 	}
 	t.limitCaches()
--- /dev/null
+++ b/internal/core/balance/tempo.go
@@ -0,0 +1,70 @@
+package balance
+
+import "time"
+
+const (
+	// tempoSpan is how long the shortest gaps of an engine are remembered: twice
+	// as long at most. Even an engine that reads all the time has a pause in it.
+	tempoSpan = time.Second
+	// tempoLeast is the number of gaps that say something.
+	tempoLeast = 3
+)
+
+// Gaps are the times between events of one stream since the last word about it.
+type Gaps struct {
+	n    int
+	sum  time.Duration
+	most time.Duration
+}
+
+// With returns the gaps with one more.
+func (g Gaps) With(d time.Duration) Gaps {
+	g.n++
+	g.sum += d
+	g.most = max(g.most, d)
+	return g
+}
+
+// typical is the mean of the gaps without the longest one, in which a prompt may
+// have been read, in milliseconds; false if there are too few. Events that came
+// late together do not change it.
+func (g Gaps) typical() (float64, bool) {
+	if g.n < tempoLeast {
+		return 0, false
+	}
+	return milliseconds(g.sum-g.most) / float64(g.n-1), true
+}
+
+// tempo is the usual gap of an engine while it reads nothing: the shortest one of
+// any of its streams lately, in milliseconds.
+type tempo struct {
+	gap    float64
+	before float64
+	since  time.Time
+	at     time.Time
+}
+
+// learn takes a typical gap.
+func (t *tempo) learn(now time.Time, gap float64) {
+	if now.Sub(t.since) > tempoSpan {
+		t.before, t.gap, t.since = t.gap, 0, now
+		if now.Sub(t.at) > tempoSpan {
+			t.before = 0
+		}
+	}
+	if t.gap == 0 || gap < t.gap {
+		t.gap = gap
+	}
+	t.at = now
+}
+
+// value returns the tempo; false if nothing was learned lately.
+func (t *tempo) value(now time.Time) (float64, bool) {
+	if t.at.IsZero() || now.Sub(t.at) > paceKeep {
+		return 0, false
+	}
+	if t.before > 0 {
+		return min(t.gap, t.before), true
+	}
+	return t.gap, true
+}
--- /dev/null
+++ b/internal/core/balance/tight_test.go
@@ -0,0 +1,133 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gladegauge/gladegauge/internal/core/ingress"
+	"github.com/gladegauge/gladegauge/internal/core/occupancy"
+)
+
+// chat is a tight stream with a small prompt of its own.
+func chat(i int) Request {
+	own := Part{ID: uint64(50_000 + i), Tokens: 500}
+	return Request{Pool: "p", Route: "chat", Pause: 250 * time.Millisecond, Target: 300 * time.Millisecond,
+		Hash: uint64(i), Prompt: Prompt{Model: 1, Tokens: 500, OutputHint: 100, Parts: []Part{own}}}
+}
+
+// long is a stream with a long prompt, on one of twenty subjects.
+func long(i int) Request {
+	return Request{Pool: "p", Route: "long", Pause: time.Second, Target: time.Second, Tier: 1,
+		Hash: uint64(i), Prompt: prompt(uint64(i%20), uint64(i))}
+}
+
+// Long prompts keep away from engines where tight streams run, of any gateway, and
+// tight streams from engines that read; while there is nowhere else, both are
+// served anyway.
+func TestPromptsKeepAwayFromTightStreams(t *testing.T) {
+	for _, n := range []int{1, 3, 6} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			is := is.New(t)
+			table := enginesWith(t, n)
+			loads := make(occupancy.Loads)
+			tight := make(map[string]bool)
+			for i, u := range table.pools["p"].members {
+				loads[u.hash] = occupancy.Load{Requests: 20}
+				if 2*i < n {
+					loads[u.hash] = occupancy.Load{Requests: 20, Tight: 20}
+					tight[u.ID] = true
+				}
+			}
+			beside := 0
+			for i := range 40 {
+				now := at(20 * i)
+				table.OthersHave(now, loads, keepOfTests)
+				c, ok := table.Pick(now, long(i))
+				is.True(ok)
+				table.Began(at(20*i+15), c)
+				table.Ended(at(20*i+16), c, Completed, 50)
+				if tight[c.ID] {
+					beside++
+				}
+			}
+			if n > 1 {
+				is.True(2*beside*n < 40*len(tight)) // less than half of their share
+			}
+			reading, ok := table.Pick(at(2000), long(1))
+			is.True(ok)
+			c, ok := table.Pick(at(2001), chat(999))
+			is.True(ok)
+			is.True(n == 1 || c.ID != reading.ID)
+		})
+	}
+}
+
+// Streams are told apart by the pauses that the configuration promises, before
+// the first request came.
+func TestPausesOfThePool(t *testing.T) {
+	tests := []struct {
+		name    string
+		targets []ingress.Pause
+		limit   time.Duration
+		tier    int
+	}{
+		{"no streams", nil, 0, 0},
+		{"one pause", []ingress.Pause{{Target: time.Second}}, 0, 0},
+		{"alike", []ingress.Pause{{Target: time.Second}, {Target: 1200 * time.Millisecond}}, 0, 0},
+		{"unlike", []ingress.Pause{{Target: time.Second, Tier: 3}, {Target: 1100 * time.Millisecond, Tier: 2}, {Target: 2 * time.Second, Tier: 1}}, 1300 * time.Millisecond, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			var p pauses
+			p.set(tt.targets)
+			is.Equal(p.limit, tt.limit)
+			is.Equal(p.tier, tt.tier)
+			is.True(!p.isTight(0))
+		})
+	}
+}
+
+// Lengths of answers are learned by route; a hint of the caller goes first.
+func TestOutputs(t *testing.T) {
+	is := is.New(t)
+	o := make(outputs)
+	r := Request{Route: "r", Prompt: Prompt{MaxOutput: 200}}
+	is.Equal(o.expected(r), 100.0)
+	o.learn("r", 40)
+	is.Equal(o.expected(r), 40.0)
+	r.Prompt.OutputHint = 70
+	is.Equal(o.expected(r), 70.0)
+}
+
+// A pool whose routes are alike, or without engines that share parts, is picked
+// from without a fault.
+func TestUnusualPools(t *testing.T) {
+	is := is.New(t)
+	table := tableWith(3)
+	cfg, faults := ingress.New(1, []*ingress.Route{{Name: "r", Prefix: "/r/", Kind: ingress.Stream, Timeout: time.Second, MaxAttempts: 1, Shares: []ingress.Share{{Pool: "p", Weight: 1}}}},
+		[]ingress.Pool{{Name: "p", Engine: &ingress.Engine{}}}, nil, ingress.Limits{})
+	is.Equal(len(faults), 0)
+	table.SetPools(cfg)
+	used := make(map[string]bool)
+	for i := range 30 {
+		r := Request{Pool: "p", Route: "r", Hash: uint64(i), Prompt: Prompt{Model: 1, Tokens: 800}}
+		c, ok := table.Pick(at(i), r)
+		is.True(ok)
+		used[c.ID] = true
+	}
+	is.Equal(len(used), 3)
+}
+
+// The further a request stands below tight streams, the more it yields to them.
+func TestYield(t *testing.T) {
+	is := is.New(t)
+	p := pauses{limit: time.Second, tier: 1}
+	is.Equal(p.yield(0), leastYield)
+	is.Equal(p.yield(1), leastYield)
+	is.Equal(p.yield(2), 1.0)
+	is.Equal(p.yield(4), 3.0)
+}
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -14,7 +14,7 @@
 // # Usage
 //
 //	f := fleet.New(self)
-//	f.Beat(demands)
+//	f.Beat()
 //	f.Merge(now, heard)
 //	if parent, ok := f.Parent(now); ok {
 //		follow(parent)
@@ -28,7 +28,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/gladegauge/gladegauge/internal/core/balance"
 	"github.com/gladegauge/gladegauge/internal/core/rendezvous"
 )
 
@@ -76,11 +75,8 @@
 	return &Fleet{self: self, others: make(map[string]*heard)}
 }
 
-// Beat tells that the gateway lives and what it asks of the pools.
-func (f *Fleet) Beat(demands []balance.Demand) {
-	f.self.Beat++
-	f.self.Demands = demands
-}
+// Beat tells that the gateway lives.
+func (f *Fleet) Beat() { f.self.Beat++ }
 
 // Leave tells that the gateway takes nobody new.
 func (f *Fleet) Leave() {
@@ -165,18 +161,3 @@
 	}
 	return f.peak
 }
-
-// OthersAsk returns what all other gateways ask of each pool.
-func (f *Fleet) OthersAsk(now time.Time) map[string]balance.Demand {
-	sums := make(map[string]balance.Demand)
-	for _, h := range f.alive(now) {
-		for _, d := range h.Demands {
-			sum := sums[d.Pool]
-			sum.Pool = d.Pool
-			sum.Tight += d.Tight
-			sum.All += d.All
-			sums[d.Pool] = sum
-		}
-	}
-	return sums
-}
--- a/internal/core/fleet/member.go
+++ b/internal/core/fleet/member.go
@@ -1,10 +1,6 @@
 package fleet
 
-import (
-	"time"
-
-	"github.com/gladegauge/gladegauge/internal/core/balance"
-)
+import "time"
 
 // Member is one gateway.
 type Member struct {
@@ -14,8 +10,6 @@
 	// Beat rises while it lives.
 	Start uint64
 	Beat  uint64
-	// Demands are what its requests ask of each pool that is split.
-	Demands []balance.Demand
 	// Leaving is true once it takes nobody new.
 	Leaving bool
 }
@@ -37,4 +31,6 @@
 	hash uint64
 	// downUntil is until when it is not asked.
 	downUntil time.Time
+	// relayDownUntil is until when it is not taken for a relay.
+	relayDownUntil time.Time
 }
--- a/internal/core/ingress/table.go
+++ b/internal/core/ingress/table.go
@@ -160,18 +160,27 @@
 	return n
 }
 
-// Pauses returns the pause targets of the streams that the pool serves, without
-// repeats, the shortest first.
-func (t *Table) Pauses(pool string) []time.Duration {
-	var pauses []time.Duration
+// Pause is what a route of streams promises.
+type Pause struct {
+	Target time.Duration
+	// Tier is the rank of the route; 0 is the highest.
+	Tier int
+}
+
+// Pauses returns the pauses of the streams that the pool serves, without repeats,
+// the shortest first.
+func (t *Table) Pauses(pool string) []Pause {
+	var pauses []Pause
 	for _, rs := range t.routes {
 		for _, r := range rs {
 			if r.PauseTarget > 0 && r.serves(pool) {
-				pauses = append(pauses, r.PauseTarget)
+				pauses = append(pauses, Pause{Target: r.PauseTarget, Tier: r.Tier})
 			}
 		}
 	}
-	slices.Sort(pauses)
+	slices.SortFunc(pauses, func(a, b Pause) int {
+		return cmp.Or(cmp.Compare(a.Target, b.Target), cmp.Compare(a.Tier, b.Tier))
+	})
 	return slices.Compact(pauses)
 }
 
--- /dev/null
+++ b/internal/core/occupancy/load.go
@@ -0,0 +1,51 @@
+package occupancy
+
+// Load is what gateways have at one upstream.
+type Load struct {
+	// Requests is the number of requests that have not ended.
+	Requests int
+	// Tight is the number of streams among them that bear only short pauses.
+	Tight int
+	// Unread is the prompt tokens that wait to be read.
+	Unread int
+	// Tokens is the memory that the requests fill, in tokens.
+	Tokens int
+	// Overdue is the number of prompts that have waited for longer than can be
+	// explained, and OverdueMs for how much longer, in milliseconds, summed up.
+	Overdue   int
+	OverdueMs float64
+	// Tempos is the number of gateways that know the usual time between two
+	// events of the upstream's streams, and Tempo the sum of it, in milliseconds.
+	Tempos int
+	Tempo  float64
+	// Strains and Strain are the same of that time whatever is read meanwhile.
+	Strains int
+	Strain  float64
+}
+
+// plus returns the sum.
+func (l Load) plus(o Load) Load {
+	return Load{
+		Requests:  l.Requests + o.Requests,
+		Tight:     l.Tight + o.Tight,
+		Unread:    l.Unread + o.Unread,
+		Tokens:    l.Tokens + o.Tokens,
+		Overdue:   l.Overdue + o.Overdue,
+		OverdueMs: l.OverdueMs + o.OverdueMs,
+		Tempos:    l.Tempos + o.Tempos,
+		Tempo:     l.Tempo + o.Tempo,
+		Strains:   l.Strains + o.Strains,
+		Strain:    l.Strain + o.Strain,
+	}
+}
+
+// Loads are by the hash of the upstream's identity. Upstreams with nothing are
+// left out.
+type Loads map[uint64]Load
+
+// add adds the loads of other gateways.
+func (l Loads) add(o Loads) {
+	for id, load := range o {
+		l[id] = l[id].plus(load)
+	}
+}
--- /dev/null
+++ b/internal/core/occupancy/occupancy_test.go
@@ -0,0 +1,130 @@
+package occupancy
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var t0 = time.Unix(1000, 0)
+
+func at(ms int) time.Time { return t0.Add(time.Duration(ms) * time.Millisecond) }
+
+// requests returns the loads of one upstream.
+func requests(n int) Loads { return Loads{7: {Requests: n, Unread: 10 * n}} }
+
+// Every gateway learns what all others have, whether it is a relay or not, and
+// nothing twice.
+func TestSums(t *testing.T) {
+	is := is.New(t)
+	relay, member := New(), New()
+	relay.Own(requests(1))
+	member.Own(requests(2))
+	relay.TakeMember(t0, "m", requests(2))
+	relay.TakeMember(t0, "n", requests(4))
+	relay.TakeZone(t0, "z", requests(8))
+	relay.TakeZone(t0, "z", requests(16)) // the newer word
+	is.Equal(relay.Zone(at(1))[7].Requests, 7)
+	is.Equal(relay.For(at(1), "m")[7], Load{Requests: 21, Unread: 210})
+	others, ok := relay.Others(at(1), true)
+	is.True(ok)
+	is.Equal(others[7].Requests, 22)
+	_, ok = member.Others(at(1), false)
+	is.True(!ok) // nothing was told yet
+	member.TakeAll(at(1), relay.For(at(1), "m"))
+	others, ok = member.Others(at(2), false)
+	is.True(ok)
+	is.Equal(others[7].Requests, 21)
+}
+
+// A word that is too old counts for nothing: a gateway that was cut off acts on
+// what it sees itself, and what a dead one had is forgotten.
+func TestOldWords(t *testing.T) {
+	tests := []struct {
+		name string
+		tell func(b *Book)
+	}{
+		{"of a member", func(b *Book) { b.TakeMember(t0, "m", requests(3)) }},
+		{"of a zone", func(b *Book) { b.TakeZone(t0, "z", requests(3)) }},
+		{"of the relay", func(b *Book) { b.TakeAll(t0, requests(3)) }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			b := New()
+			tt.tell(b)
+			for _, relay := range []bool{true, false} {
+				_, ok := b.Others(t0.Add(b.Keep()+time.Millisecond), relay)
+				is.True(!ok)
+			}
+			is.Equal(len(b.For(t0.Add(b.Keep()+time.Millisecond), "")), 0)
+		})
+	}
+}
+
+// A gateway that told and was not heard again is forgotten, whatever its address.
+func TestBookIsBounded(t *testing.T) {
+	is := is.New(t)
+	b := New()
+	for i := range 500 {
+		now := at(100 * i)
+		b.TakeMember(now, fmt.Sprint("m", i), requests(1))
+		b.TakeZone(now, fmt.Sprint("z", i), requests(1))
+		b.For(now, "m")
+	}
+	is.True(len(b.members) <= 10)
+	is.True(len(b.zones) <= 10)
+}
+
+// News reach everybody once, and nobody hears its own word.
+func TestNews(t *testing.T) {
+	is := is.New(t)
+	n := NewNews()
+	n.Add("a", []Part{{Key: 1}})
+	n.Add("b", []Part{{Key: 2}})
+	n.Add("", []Part{{Key: 3}})
+	is.Equal(n.For("a"), []Part{{Key: 2}, {Key: 3}})
+	is.Equal(len(n.For("a")), 0)
+	is.Equal(n.Beyond("r"), []Part{{Key: 1}, {Key: 2}}) // not what came from beyond
+	n.Add("b", []Part{{Key: 4}})
+	is.Equal(n.For("a"), []Part{{Key: 4}})
+	is.Equal(n.For("c"), []Part{{Key: 1}, {Key: 2}, {Key: 3}, {Key: 4}}) // one that came later
+}
+
+// The oldest news give way, and a long list comes in pieces.
+func TestNewsAreBounded(t *testing.T) {
+	is := is.New(t)
+	n := NewNews()
+	for i := range 2 * newsKept {
+		n.Add("a", []Part{{Key: uint64(i)}})
+	}
+	is.Equal(len(n.entries), newsKept)
+	got := 0
+	for {
+		parts := n.For("b")
+		if len(parts) == 0 {
+			break
+		}
+		is.True(len(parts) <= NewsMost)
+		got += len(parts)
+	}
+	is.Equal(got, newsKept)
+}
+
+// A relay hears at most so many words a second, however large its zone is, and
+// each counts until several more should have come.
+func TestLargeZones(t *testing.T) {
+	tests := []struct {
+		members int
+		every   time.Duration
+	}{{0, Every}, {1, Every}, {16, Every}, {17, 2 * Every}, {115, 8 * Every}}
+	for _, tt := range tests {
+		is := is.New(t)
+		is.Equal(EveryOf(tt.members), tt.every)
+		b := New()
+		b.Expect(tt.members)
+		is.True(b.Keep() >= 3*tt.every)
+	}
+}
--- a/internal/edge/gatewayd/lines.go
+++ b/internal/edge/gatewayd/lines.go
@@ -25,7 +25,7 @@
 
 // logPick writes why the upstream was picked.
 func (x *request) logPick(c balance.Choice) {
-	x.log().
+	line := x.log().
 		Int("attempt", len(x.tried)).
 		Str("route", x.admission.Route.Name).
 		Str("upstream", c.ID).
@@ -35,13 +35,17 @@
 		Str("fetch_from", c.FetchFrom).
 		Str("backup", c.Backup.ID).
 		Bool("continues", x.continuing).
-		Dur("load_age", c.LoadAge).
 		Int("candidates", c.Candidates).
-		Int("tight", c.Tight).
 		Int("urgency", x.admission.Urgency).
 		Int64("version", x.admission.Version).
-		Dur("view_age", x.admission.Age).
-		Msg("picked")
+		Dur("view_age", x.admission.Age)
+	if c.LoadAge >= 0 {
+		line = line.Dur("load_age", c.LoadAge)
+	}
+	if c.ToldAge >= 0 {
+		line = line.Dur("told_age", c.ToldAge)
+	}
+	line.Msg("picked")
 }
 
 // logFailure writes how an attempt failed and whether another one follows.
--- /dev/null
+++ b/internal/edge/gatewayd/load_messages.go
@@ -0,0 +1,65 @@
+package gatewayd
+
+import (
+	"github.com/gladegauge/gladegauge/internal/core/occupancy"
+	gladegaugev1 "github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1"
+)
+
+// encodeLoads returns the message of loads.
+func encodeLoads(loads occupancy.Loads) []*gladegaugev1.UpstreamLoad {
+	list := make([]*gladegaugev1.UpstreamLoad, 0, len(loads))
+	for id, l := range loads {
+		list = append(list, &gladegaugev1.UpstreamLoad{
+			Upstream:  id,
+			Requests:  count32(l.Requests),
+			Tight:     count32(l.Tight),
+			Unread:    count32(l.Unread),
+			Tokens:    count32(l.Tokens),
+			Overdue:   count32(l.Overdue),
+			OverdueMs: float32(l.OverdueMs),
+			Tempos:    count32(l.Tempos),
+			Tempo:     float32(l.Tempo),
+			Strain:    float32(l.Strain),
+			Strains:   count32(l.Strains),
+		})
+	}
+	return list
+}
+
+// decodeLoads returns the loads in a message.
+func decodeLoads(list []*gladegaugev1.UpstreamLoad) occupancy.Loads {
+	loads := make(occupancy.Loads, len(list))
+	for _, l := range list {
+		loads[l.GetUpstream()] = occupancy.Load{
+			Requests:  int(l.GetRequests()),
+			Tight:     int(l.GetTight()),
+			Unread:    int(l.GetUnread()),
+			Tokens:    int(l.GetTokens()),
+			Overdue:   int(l.GetOverdue()),
+			OverdueMs: float64(l.GetOverdueMs()),
+			Tempos:    int(l.GetTempos()),
+			Tempo:     float64(l.GetTempo()),
+			Strain:    float64(l.GetStrain()),
+			Strains:   int(l.GetStrains()),
+		}
+	}
+	return loads
+}
+
+// encodeParts returns the message of parts.
+func encodeParts(parts []occupancy.Part) []*gladegaugev1.KeptPart {
+	list := make([]*gladegaugev1.KeptPart, len(parts))
+	for i, p := range parts {
+		list[i] = &gladegaugev1.KeptPart{Upstream: p.Upstream, Key: p.Key, Tokens: count32(p.Tokens), Read: p.Read}
+	}
+	return list
+}
+
+// decodeParts returns the parts in a message.
+func decodeParts(list []*gladegaugev1.KeptPart) []occupancy.Part {
+	parts := make([]occupancy.Part, len(list))
+	for i, p := range list {
+		parts[i] = occupancy.Part{Upstream: p.GetUpstream(), Key: p.GetKey(), Tokens: int(p.GetTokens()), Read: p.GetRead()}
+	}
+	return parts
+}
--- /dev/null
+++ b/internal/edge/gatewayd/loads.go
@@ -0,0 +1,127 @@
+package gatewayd
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/gladegauge/gladegauge/internal/core/occupancy"
+	"github.com/gladegauge/gladegauge/internal/edge/loop"
+	gladegaugev1 "github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1"
+)
+
+// tellTimeout bounds a word: a later answer would say little.
+const tellTimeout = 250 * time.Millisecond
+
+// tellLoop tells, again and again, what there is at the upstreams: a relay tells
+// the other relays what its availability zone has, everybody else tells the relay.
+func (s *Server) tellLoop(ctx context.Context) error {
+	pause := occupancy.Every
+	for loop.Pause(ctx, pause) {
+		var relay string
+		var self bool
+		s.control.Must(func(now time.Time) {
+			relay, self = s.fleet.Relay(now)
+			n := s.fleet.ZoneSize(now)
+			s.occupancy.Expect(n)
+			pause = occupancy.EveryOf(n)
+		})
+		if self {
+			s.tellRelays(ctx)
+		} else {
+			s.tellRelay(ctx, relay)
+		}
+	}
+	return nil
+}
+
+// tellRelay tells the relay what this gateway has, and takes what all others have.
+func (s *Server) tellRelay(ctx context.Context, address string) {
+	req := &gladegaugev1.TellLoadsRequest{Gateway: s.PeersAddress()}
+	s.control.Must(func(now time.Time) {
+		req.Loads = encodeLoads(s.table.Loads(now))
+		req.Parts = encodeParts(s.table.News())
+	})
+	resp, ok := s.tell(ctx, address, req)
+	if !ok {
+		return
+	}
+	s.control.Must(func(now time.Time) {
+		s.occupancy.TakeAll(now, decodeLoads(resp.GetLoads()))
+		s.table.OthersRead(now, decodeParts(resp.GetParts()))
+		s.takeOthers(now, false)
+	})
+}
+
+// tellRelays tells the other relays what the gateways of this availability zone
+// have, and takes what theirs have.
+func (s *Server) tellRelays(ctx context.Context) {
+	var to []string
+	s.control.Must(func(now time.Time) {
+		to = s.fleet.Relays(now)
+		s.occupancy.Own(s.table.Loads(now))
+		s.kept.Add(s.PeersAddress(), s.table.News())
+		s.takeOthers(now, true)
+	})
+	for _, address := range to {
+		req := &gladegaugev1.TellLoadsRequest{Gateway: s.PeersAddress(), Zone: s.o.Settings.Zone}
+		s.control.Must(func(now time.Time) {
+			req.Loads = encodeLoads(s.occupancy.Zone(now))
+			req.Parts = encodeParts(s.kept.Beyond(address))
+		})
+		resp, ok := s.tell(ctx, address, req)
+		if !ok {
+			continue
+		}
+		s.control.Must(func(now time.Time) {
+			s.occupancy.TakeZone(now, resp.GetZone(), decodeLoads(resp.GetLoads()))
+			s.takeOthers(now, true)
+		})
+	}
+}
+
+// tell calls one gateway. It reports false if there was no answer.
+func (s *Server) tell(ctx context.Context, address string, req *gladegaugev1.TellLoadsRequest) (*gladegaugev1.TellLoadsResponse, bool) {
+	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
+	defer cancel()
+	resp, err := s.peer(address).TellLoads(ctx, connect.NewRequest(req))
+	s.metrics.peerCall("tell_loads", err)
+	if err != nil {
+		s.control.Must(func(now time.Time) { s.fleet.RelayDown(now, address) })
+		return nil, false
+	}
+	return resp.Msg, true
+}
+
+// takeOthers lets the choice of upstreams see what other gateways have. It runs in
+// the control goroutine.
+func (s *Server) takeOthers(now time.Time, relay bool) {
+	if loads, ok := s.occupancy.Others(now, relay); ok {
+		s.table.OthersHave(now, loads, s.occupancy.Keep())
+	}
+}
+
+// TellLoads takes the word of another gateway, and answers with what it does not
+// know.
+func (s *Server) TellLoads(_ context.Context, req *connect.Request[gladegaugev1.TellLoadsRequest]) (*connect.Response[gladegaugev1.TellLoadsResponse], error) {
+	resp := &gladegaugev1.TellLoadsResponse{Zone: s.o.Settings.Zone}
+	from := req.Msg.GetGateway()
+	loads := decodeLoads(req.Msg.GetLoads())
+	parts := decodeParts(req.Msg.GetParts())
+	s.control.Must(func(now time.Time) {
+		s.occupancy.Own(s.table.Loads(now))
+		s.table.OthersRead(now, parts)
+		if zone := req.Msg.GetZone(); zone != "" {
+			s.occupancy.TakeZone(now, zone, loads)
+			s.kept.Add("", parts)
+			resp.Loads = encodeLoads(s.occupancy.Zone(now))
+			return
+		}
+		s.occupancy.TakeMember(now, from, loads)
+		s.kept.Add(from, parts)
+		resp.Loads = encodeLoads(s.occupancy.For(now, from))
+		resp.Parts = encodeParts(s.kept.For(from))
+	})
+	return connect.NewResponse(resp), nil
+}
--- /dev/null
+++ b/internal/edge/gatewayd/loads_test.go
@@ -0,0 +1,118 @@
+package gatewayd
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/matryer/is"
+
+	"github.com/gladegauge/gladegauge/internal/core/balance"
+	"github.com/gladegauge/gladegauge/internal/core/occupancy"
+	gladegaugev1 "github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1"
+	"github.com/gladegauge/gladegauge/platform/standin"
+)
+
+// tellWorld is three gateways in two availability zones, and two replicas.
+func tellWorld(t *testing.T) (*world, []*testPeer) {
+	t.Helper()
+	w := &world{t: t, is: is.New(t), store: standin.NewStore(t)}
+	cfg := configuration(1)
+	cfg.Engines = true
+	w.store.PutConfig(cfg)
+	for _, id := range []string{"i-a", "i-b"} {
+		w.store.PutReplica(standin.NewReplica(t, id, func(int, standin.Request) standin.Reply { return standin.Reply{Body: "ok"} }), "app", false)
+	}
+	var peers []*testPeer
+	var seeds []string
+	for _, zone := range []string{"a", "a", "b"} {
+		p := startPeerIn(t, w.store, zone, seeds...)
+		peers = append(peers, p)
+		seeds = append(seeds, p.PeersAddress())
+	}
+	w.await(func() bool {
+		for _, p := range peers {
+			n := 0
+			p.control.Must(func(time.Time) { n = p.table.Size("app") })
+			if known, _ := p.known(); n != 2 || known != len(peers) {
+				return false
+			}
+		}
+		return true
+	})
+	return w, peers
+}
+
+// pickOn lets the gateway send a prompt somewhere.
+func pickOn(p *testPeer, own uint64) balance.Choice {
+	var c balance.Choice
+	r := balance.Request{Pool: "app", Route: "note", Prompt: balance.Prompt{
+		Model: 1, Tokens: 9000,
+		Parts: []balance.Part{{ID: 5, Tokens: 6000}, {ID: own, Tokens: 3000}},
+	}}
+	p.control.Must(func(now time.Time) { c, _ = p.table.Pick(now, r) })
+	return c
+}
+
+// What one gateway has at an upstream, and which parts are kept there, reaches the
+// gateways of its zone and of other zones; so does its end.
+func TestLoadsReachEverybody(t *testing.T) {
+	w, peers := tellWorld(t)
+	c := pickOn(peers[0], 100)
+	sees := func(p *testPeer, n float64) bool {
+		var got balance.Choice
+		p.control.Must(func(now time.Time) { got = p.table.Seen(now, c.ID) })
+		return got.InFlight == n
+	}
+	for _, p := range peers[1:] {
+		w.await(func() bool { return sees(p, 1) })
+	}
+	next := pickOn(peers[2], 200)
+	w.is.Equal(next.ID, c.ID) // the shared part is on its way there
+	w.is.Equal(next.Unread, 3000)
+	for _, p := range []*testPeer{peers[0], peers[1]} {
+		w.await(func() bool { return sees(p, 2) })
+	}
+	peers[0].control.Must(func(now time.Time) { peers[0].table.Ended(now, c, balance.Completed, 10) })
+	w.await(func() bool { return sees(peers[1], 1) && sees(peers[2], 1) })
+}
+
+// A gateway that is gone takes its loads with it.
+func TestLoadsOfAGatewayThatIsGone(t *testing.T) {
+	w, peers := tellWorld(t)
+	c := pickOn(peers[1], 100)
+	sees := func(n float64) bool {
+		var got balance.Choice
+		peers[2].control.Must(func(now time.Time) { got = peers[2].table.Seen(now, c.ID) })
+		return got.InFlight == n
+	}
+	w.await(func() bool { return sees(1) })
+	peers[1].stop()
+	w.await(func() bool { return sees(0) })
+}
+
+// Messages that come late, twice or out of order change nothing for long: the
+// newest word of a gateway counts, and no word adds to another.
+func TestRepeatedWords(t *testing.T) {
+	is := is.New(t)
+	w, peers := tellWorld(t)
+	p := peers[2]
+	told := func(n uint32) {
+		_, err := p.TellLoads(context.Background(), connect.NewRequest(&gladegaugev1.TellLoadsRequest{
+			Gateway: "10.9.9.9:1",
+			Loads:   []*gladegaugev1.UpstreamLoad{{Upstream: 42, Requests: n}},
+		}))
+		is.NoErr(err)
+	}
+	for _, n := range []uint32{3, 3, 9, 3} {
+		told(n)
+	}
+	var sum occupancy.Loads
+	p.control.Must(func(now time.Time) { sum = p.occupancy.Zone(now) })
+	is.Equal(sum[42].Requests, 3)
+	w.await(func() bool {
+		p.control.Must(func(now time.Time) { sum = p.occupancy.Zone(now) })
+		return sum[42].Requests == 0
+	})
+}
--- a/internal/edge/gatewayd/messages.go
+++ b/internal/edge/gatewayd/messages.go
@@ -4,7 +4,6 @@
 	"math"
 	"time"
 
-	"github.com/gladegauge/gladegauge/internal/core/balance"
 	"github.com/gladegauge/gladegauge/internal/core/feed"
 	"github.com/gladegauge/gladegauge/internal/core/fleet"
 	gladegaugev1 "github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1"
@@ -19,20 +18,12 @@
 
 // encodeMember returns the message of a gateway.
 func encodeMember(m fleet.Member) *gladegaugev1.GatewayMember {
-	g := &gladegaugev1.GatewayMember{Address: m.Address, Zone: m.Zone, Start: m.Start, Beat: m.Beat, Leaving: m.Leaving}
-	for _, d := range m.Demands {
-		g.Demands = append(g.Demands, &gladegaugev1.PoolDemand{Pool: d.Pool, Tight: float32(d.Tight), All: float32(d.All)})
-	}
-	return g
+	return &gladegaugev1.GatewayMember{Address: m.Address, Zone: m.Zone, Start: m.Start, Beat: m.Beat, Leaving: m.Leaving}
 }
 
 // decodeMember returns the gateway in a message.
 func decodeMember(g *gladegaugev1.GatewayMember) fleet.Member {
-	m := fleet.Member{Address: g.GetAddress(), Zone: g.GetZone(), Start: g.GetStart(), Beat: g.GetBeat(), Leaving: g.GetLeaving()}
-	for _, d := range g.GetDemands() {
-		m.Demands = append(m.Demands, balance.Demand{Pool: d.GetPool(), Tight: float64(d.GetTight()), All: float64(d.GetAll())})
-	}
-	return m
+	return fleet.Member{Address: g.GetAddress(), Zone: g.GetZone(), Start: g.GetStart(), Beat: g.GetBeat(), Leaving: g.GetLeaving()}
 }
 
 // encodeEntry returns the message of an entry of the store.
@@ -48,3 +39,7 @@
 	}
 	return list
 }
+
+// count32 returns a count as it is sent. What does not fit its field is as much as
+// the field can say.
+func count32(n int) uint32 { return uint32(min(max(0, n), math.MaxUint32)) }
--- a/internal/edge/gatewayd/peers.go
+++ b/internal/edge/gatewayd/peers.go
@@ -76,7 +76,7 @@
 	defer cancel()
 	req := &gladegaugev1.GatewayExchangeRequest{}
 	s.control.Must(func(now time.Time) {
-		s.fleet.Beat(s.table.Demands(now))
+		s.fleet.Beat()
 		req.Members = s.share(now)
 	})
 	resp, err := s.peer(address).Exchange(ctx, connect.NewRequest(req))
@@ -100,15 +100,13 @@
 	return list
 }
 
-// merge takes what another gateway knows: the retry budget and the split of pools
-// follow from it. It runs in the control goroutine.
+// merge takes what another gateway knows: the retry budget follows from it. It runs in the control goroutine.
 func (s *Server) merge(now time.Time, list []*gladegaugev1.GatewayMember) {
 	members := make([]fleet.Member, len(list))
 	for i, m := range list {
 		members[i] = decodeMember(m)
 	}
 	s.fleet.Merge(now, members)
-	s.table.OthersAsk(s.fleet.OthersAsk(now))
 	s.setGateways(s.fleet.Size(now))
 }
 
--- a/internal/edge/gatewayd/pick.go
+++ b/internal/edge/gatewayd/pick.go
@@ -48,6 +48,7 @@
 		Pool:    x.admission.Pool,
 		Pause:   route.PauseTarget,
 		Target:  route.Target,
+		Tier:    route.Tier,
 		Prompt:  x.call.Prompt,
 		Protect: route.Kind == ingress.Stream && !route.Resumable,
 		Exclude: x.tried,
--- a/internal/edge/gatewayd/server.go
+++ b/internal/edge/gatewayd/server.go
@@ -28,6 +28,7 @@
 	"github.com/gladegauge/gladegauge/internal/core/fleet"
 	"github.com/gladegauge/gladegauge/internal/core/gateway"
 	"github.com/gladegauge/gladegauge/internal/core/ingress"
+	"github.com/gladegauge/gladegauge/internal/core/occupancy"
 	"github.com/gladegauge/gladegauge/internal/core/retry"
 	"github.com/gladegauge/gladegauge/internal/core/roster"
 	"github.com/gladegauge/gladegauge/internal/edge/exchange"
@@ -80,6 +81,10 @@
 	lapseTimer *time.Timer
 	budget     *retry.Budget
 	fleet      *fleet.Fleet
+	// occupancy is what other gateways told that they have at the upstreams.
+	occupancy *occupancy.Book
+	// kept is what gateways told of the prompts that engines keep.
+	kept *occupancy.News
 	// promised are the operators' bounds of the latest settings.
 	promised platform.Bounds
 	// gateways is the number of gateways that the retry budget is split over.
@@ -103,6 +108,8 @@
 		budget:      retry.NewBudget(budgetBounds(o.Settings.Bounds, assumedGateways)),
 		peerClient:  newPeerClient(),
 		fleet:       fleet.New(fleet.Member{Zone: o.Settings.Zone}),
+		occupancy:   occupancy.New(),
+		kept:        occupancy.NewNews(),
 		gateways:    assumedGateways,
 		promised:    o.Settings.Bounds,
 		feed:        feed.New(),
@@ -134,6 +141,7 @@
 	group.Go(func() error { return s.follow(work) })
 	if s.o.Settings.Peers != "" {
 		group.Go(func() error { return s.exchangeLoop(work) })
+		group.Go(func() error { return s.tellLoop(work) })
 	}
 	group.Go(func() error { return s.control.Every(work, sweepEvery, s.sweep) })
 	listeners.serve(work, group, s)
--- a/internal/edge/gatewayd/stream.go
+++ b/internal/edge/gatewayd/stream.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/gladegauge/gladegauge/internal/core/balance"
 	"github.com/gladegauge/gladegauge/internal/core/gateway"
 )
 
@@ -24,6 +25,8 @@
 	out := http.NewResponseController(x.w)
 	began := false
 	heard := time.Now()
+	last := heard
+	var gaps balance.Gaps
 	for {
 		e, err := readEvent(br)
 		if errors.Is(err, io.EOF) {
@@ -39,9 +42,17 @@
 			began = true
 			x.answerBegan(a)
 			heard = now
-		} else if now.Sub(heard) >= heardEvery {
+			last = now
+		}
+		if now != last {
+			gaps = gaps.With(now.Sub(last))
+			last = now
+		}
+		if now.Sub(heard) >= heardEvery {
 			heard = now
-			x.server.control.Must(func(now time.Time) { x.server.table.Heard(now, a.choice.ID) })
+			told := gaps
+			gaps = balance.Gaps{}
+			x.server.control.Must(func(now time.Time) { x.server.table.Heard(now, a.choice.ID, told) })
 		}
 		x.commitStream(a)
 		if err := x.send(out, e); err != nil {
--- a/internal/gen/gladegauge/v1/gladegaugev1connect/gateway.connect.go
+++ b/internal/gen/gladegauge/v1/gladegaugev1connect/gateway.connect.go
@@ -37,6 +37,9 @@
 	GatewayServiceExchangeProcedure = "/gladegauge.v1.GatewayService/Exchange"
 	// GatewayServiceFollowProcedure is the fully-qualified name of the GatewayService's Follow RPC.
 	GatewayServiceFollowProcedure = "/gladegauge.v1.GatewayService/Follow"
+	// GatewayServiceTellLoadsProcedure is the fully-qualified name of the GatewayService's TellLoads
+	// RPC.
+	GatewayServiceTellLoadsProcedure = "/gladegauge.v1.GatewayService/TellLoads"
 )
 
 // GatewayServiceClient is a client for the gladegauge.v1.GatewayService service.
@@ -46,6 +49,9 @@
 	// Follow answers as soon as the callee knows more of the store than the
 	// caller, or when the wait is over.
 	Follow(context.Context, *connect.Request[v1.FollowRequest]) (*connect.Response[v1.FollowResponse], error)
+	// TellLoads tells what the caller's side has at each upstream, and answers
+	// with what all others have there.
+	TellLoads(context.Context, *connect.Request[v1.TellLoadsRequest]) (*connect.Response[v1.TellLoadsResponse], error)
 }
 
 // NewGatewayServiceClient constructs a client for the gladegauge.v1.GatewayService service. By
@@ -71,13 +77,20 @@
 			connect.WithSchema(gatewayServiceMethods.ByName("Follow")),
 			connect.WithClientOptions(opts...),
 		),
+		tellLoads: connect.NewClient[v1.TellLoadsRequest, v1.TellLoadsResponse](
+			httpClient,
+			baseURL+GatewayServiceTellLoadsProcedure,
+			connect.WithSchema(gatewayServiceMethods.ByName("TellLoads")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // gatewayServiceClient implements GatewayServiceClient.
 type gatewayServiceClient struct {
-	exchange *connect.Client[v1.GatewayExchangeRequest, v1.GatewayExchangeResponse]
-	follow   *connect.Client[v1.FollowRequest, v1.FollowResponse]
+	exchange  *connect.Client[v1.GatewayExchangeRequest, v1.GatewayExchangeResponse]
+	follow    *connect.Client[v1.FollowRequest, v1.FollowResponse]
+	tellLoads *connect.Client[v1.TellLoadsRequest, v1.TellLoadsResponse]
 }
 
 // Exchange calls gladegauge.v1.GatewayService.Exchange.
@@ -90,6 +103,11 @@
 	return c.follow.CallUnary(ctx, req)
 }
 
+// TellLoads calls gladegauge.v1.GatewayService.TellLoads.
+func (c *gatewayServiceClient) TellLoads(ctx context.Context, req *connect.Request[v1.TellLoadsRequest]) (*connect.Response[v1.TellLoadsResponse], error) {
+	return c.tellLoads.CallUnary(ctx, req)
+}
+
 // GatewayServiceHandler is an implementation of the gladegauge.v1.GatewayService service.
 type GatewayServiceHandler interface {
 	// Exchange swaps what two gateways know of all gateways.
@@ -97,6 +115,9 @@
 	// Follow answers as soon as the callee knows more of the store than the
 	// caller, or when the wait is over.
 	Follow(context.Context, *connect.Request[v1.FollowRequest]) (*connect.Response[v1.FollowResponse], error)
+	// TellLoads tells what the caller's side has at each upstream, and answers
+	// with what all others have there.
+	TellLoads(context.Context, *connect.Request[v1.TellLoadsRequest]) (*connect.Response[v1.TellLoadsResponse], error)
 }
 
 // NewGatewayServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -118,12 +139,20 @@
 		connect.WithSchema(gatewayServiceMethods.ByName("Follow")),
 		connect.WithHandlerOptions(opts...),
 	)
+	gatewayServiceTellLoadsHandler := connect.NewUnaryHandler(
+		GatewayServiceTellLoadsProcedure,
+		svc.TellLoads,
+		connect.WithSchema(gatewayServiceMethods.ByName("TellLoads")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/gladegauge.v1.GatewayService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case GatewayServiceExchangeProcedure:
 			gatewayServiceExchangeHandler.ServeHTTP(w, r)
 		case GatewayServiceFollowProcedure:
 			gatewayServiceFollowHandler.ServeHTTP(w, r)
+		case GatewayServiceTellLoadsProcedure:
+			gatewayServiceTellLoadsHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -140,3 +169,7 @@
 func (UnimplementedGatewayServiceHandler) Follow(context.Context, *connect.Request[v1.FollowRequest]) (*connect.Response[v1.FollowResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("gladegauge.v1.GatewayService.Follow is not implemented"))
 }
+
+func (UnimplementedGatewayServiceHandler) TellLoads(context.Context, *connect.Request[v1.TellLoadsRequest]) (*connect.Response[v1.TellLoadsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("gladegauge.v1.GatewayService.TellLoads is not implemented"))
+}
