Balance: tight streams count the longest pauses of an engine

Hypothesis: some engines cannot carry tight streams while they read.

Change: the longest pause of each tight stream that ended is averaged for each engine, told to all gateways, and costs such a stream up to 100 ms. The longest pause stands in the last line of a request.

--- a/internal/core/balance/backup_test.go
+++ b/internal/core/balance/backup_test.go
@@ -41,12 +41,12 @@
 			if !tt.want {
 				return
 			}
-			table.Ended(at(10), c, Broken, 0)
+			table.Ended(at(10), c, Broken, Answer{})
 			next, ok := table.Continue(at(10), tt.r, c.Backup)
 			is.True(ok)
 			is.Equal(next.ID, c.Backup.ID)
 			is.Equal(next.Backup.Any(), false)
-			table.Ended(at(20), next, Completed, 100)
+			table.Ended(at(20), next, Completed, Answer{Tokens: 100})
 			table.SetInstances(nil)
 			_, ok = table.Continue(at(30), tt.r, c.Backup)
 			is.True(!ok) // it has gone
--- a/internal/core/balance/balance_test.go
+++ b/internal/core/balance/balance_test.go
@@ -115,7 +115,7 @@
 			if c.ID == "i-2" && from < 1000 {
 				o = Broken
 			}
-			table.Ended(now, c, o, 0)
+			table.Ended(now, c, o, Answer{})
 		}
 		return used
 	}
@@ -132,7 +132,7 @@
 	for i := range 200 {
 		c, _ := table.Pick(at(100*i), plainRequest(i*7919))
 		used[c.ID]++
-		table.Ended(at(100*i), c, Broken, 0)
+		table.Ended(at(100*i), c, Broken, Answer{})
 	}
 	is.Equal(len(used), 4)
 	for _, n := range used {
@@ -187,7 +187,7 @@
 	for i := range 20 {
 		c, _ := table.Pick(at(1500), plainRequest(i))
 		is.True(c.ID != first.ID)
-		table.Ended(at(1500), c, Completed, 0)
+		table.Ended(at(1500), c, Completed, Answer{})
 	}
 }
 
@@ -197,7 +197,7 @@
 	table := enginesWith(t, 3)
 	for i := range 300 {
 		c, _ := table.Pick(at(i*50), Request{Pool: "p", Route: "r", Prompt: prompt(uint64(i), uint64(i))})
-		table.Ended(at(i*50+20), c, Outcome(1+i%6), 5)
+		table.Ended(at(i*50+20), c, Outcome(1+i%6), Answer{Tokens: 5})
 	}
 	for _, u := range table.upstreams {
 		is.Equal(len(u.running), 0)
--- a/internal/core/balance/cost.go
+++ b/internal/core/balance/cost.go
@@ -47,7 +47,9 @@
 	}
 	cost += readWeight * p.overflow(now, u, r) / perMs
 	cost += overdueWeight * u.meanOverdue(now)
-	if !tight {
+	if tight {
+		cost += pauseCost * u.pauseRisk(now, r.Pause)
+	} else {
 		cost += harmWeight * p.pauses.yield(r.Tier) * reading * float64(u.tight(now, p.pauses.limit))
 	}
 	return cost
--- a/internal/core/balance/fetch_test.go
+++ b/internal/core/balance/fetch_test.go
@@ -75,7 +75,7 @@
 		}
 		is.True(c.FetchFrom != c.Address)
 		fresh.Began(at(50), c)
-		fresh.Ended(at(60), c, Completed, 10)
+		fresh.Ended(at(60), c, Completed, Answer{Tokens: 10})
 		again, _ := fresh.Pick(at(80), Request{Pool: "p", Route: "r", Prompt: prompt(subject, 2)})
 		is.Equal(again.ID, c.ID)
 		is.Equal(again.FetchFrom, "") // what is shared is known to be there
--- a/internal/core/balance/gone_test.go
+++ b/internal/core/balance/gone_test.go
@@ -14,7 +14,7 @@
 	table := tableWith(3)
 	c, ok := table.Pick(t0, plainRequest(1))
 	is.True(ok)
-	table.Ended(t0, c, Replaced, 0)
+	table.Ended(t0, c, Replaced, Answer{})
 	for i := range 40 {
 		next, ok := table.Pick(at(i), plainRequest(i))
 		is.True(ok)
@@ -33,7 +33,7 @@
 	is := is.New(t)
 	table := tableWith(1)
 	c, _ := table.Pick(t0, plainRequest(1))
-	table.Ended(t0, c, Replaced, 0)
+	table.Ended(t0, c, Replaced, Answer{})
 	_, ok := table.Pick(at(1), plainRequest(2))
 	is.True(!ok)
 }
--- a/internal/core/balance/outcome.go
+++ b/internal/core/balance/outcome.go
@@ -81,8 +81,16 @@
 	return now.Sub(since)
 }
 
-// Ended notes what became of the request. Tokens is the size of the answer.
-func (t *Table) Ended(now time.Time, c Choice, o Outcome, tokens int) {
+// Answer is what the gateway saw of an answer.
+type Answer struct {
+	// Tokens is its size.
+	Tokens int
+	// LongestGap is the longest time between two of its events.
+	LongestGap time.Duration
+}
+
+// Ended notes what became of the request.
+func (t *Table) Ended(now time.Time, c Choice, o Outcome, a Answer) {
 	u, ok := t.upstreams[c.ID]
 	if !ok {
 		return
@@ -100,7 +108,10 @@
 		u.heard(now)
 		u.health.succeeded()
 		u.pace.learn(now, now.Sub(r.sentAt))
-		t.pool(u.Pool).learnOutput(r, tokens)
+		if t.pool(u.Pool).pauses.isTight(r.pause) {
+			u.pausing.learn(now, a.LongestGap)
+		}
+		t.pool(u.Pool).learnOutput(r, a.Tokens)
 	case Refused:
 		u.heard(now)
 	case Faulty, Broken:
--- /dev/null
+++ b/internal/core/balance/pause_test.go
@@ -0,0 +1,60 @@
+package balance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gladegauge/gladegauge/internal/core/occupancy"
+)
+
+// An engine whose tight streams paused for too long, by any gateway's word, is left
+// by such streams for one that keeps the pauses; others do not mind.
+func TestPausesOfAnEngine(t *testing.T) {
+	pause := 250 * time.Millisecond
+	tests := []struct {
+		name    string
+		longest []time.Duration
+		told    occupancy.Load
+		min     float64
+		max     float64
+	}{
+		{"nothing known", nil, occupancy.Load{}, 0, 0},
+		{"short pauses", []time.Duration{100 * time.Millisecond, 120 * time.Millisecond}, occupancy.Load{}, 0, 0},
+		{"near the target", []time.Duration{230 * time.Millisecond}, occupancy.Load{}, 0.3, 0.8},
+		{"beyond it", []time.Duration{400 * time.Millisecond}, occupancy.Load{}, 1, 1},
+		{"told by two others", nil, occupancy.Load{Longests: 2, Longest: 800}, 1, 1},
+		{"others keep it", []time.Duration{400 * time.Millisecond}, occupancy.Load{Longests: 3, Longest: 300}, 0, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			table := enginesWith(t, 1)
+			u := table.pools["p"].members[0]
+			table.OthersHave(t0, occupancy.Loads{u.hash: tt.told}, keepOfTests)
+			for i, d := range tt.longest {
+				c, ok := table.Pick(at(i), chat(i))
+				is.True(ok)
+				table.Ended(at(i), c, Completed, Answer{Tokens: 100, LongestGap: d})
+			}
+			risk := u.pauseRisk(at(10), pause)
+			is.True(risk >= tt.min && risk <= tt.max)
+			is.Equal(u.pauseRisk(at(10), 0), 0.0) // whoever bears any pause
+			is.Equal(u.pauseRisk(at(10).Add(paceKeep+time.Second), pause), 0.0)
+		})
+	}
+}
+
+// Only streams that ran to their end say something, and only tight ones.
+func TestPausesAreLearnedFromTightStreams(t *testing.T) {
+	is := is.New(t)
+	table := enginesWith(t, 1)
+	u := table.pools["p"].members[0]
+	c, _ := table.Pick(t0, long(1))
+	table.Ended(at(1), c, Completed, Answer{LongestGap: time.Second})
+	c, _ = table.Pick(at(2), chat(1))
+	table.Ended(at(3), c, Broken, Answer{LongestGap: time.Second})
+	_, ok := u.pausing.value(at(4))
+	is.True(!ok)
+}
--- a/internal/core/balance/shared.go
+++ b/internal/core/balance/shared.go
@@ -29,6 +29,9 @@
 		if gap, ok := u.tempo.value(now); ok {
 			l.Tempo, l.Tempos = gap, 1
 		}
+		if longest, ok := u.pausing.value(now); ok {
+			l.Longest, l.Longests = longest, 1
+		}
 		if gap, ok := u.strain.value(now); ok {
 			l.Strain, l.Strains = gap, 1
 		}
--- a/internal/core/balance/table.go
+++ b/internal/core/balance/table.go
@@ -36,6 +36,7 @@
 	pace    pace
 	tempo   tempo
 	strain  strain
+	pausing pausing
 	running map[uint64]*run
 	// shared is what other gateways told at sharedAt that they have here; it counts
 	// until sharedUntil.
--- a/internal/core/balance/tight_test.go
+++ b/internal/core/balance/tight_test.go
@@ -48,7 +48,7 @@
 				c, ok := table.Pick(now, long(i))
 				is.True(ok)
 				table.Began(at(20*i+15), c)
-				table.Ended(at(20*i+16), c, Completed, 50)
+				table.Ended(at(20*i+16), c, Completed, Answer{Tokens: 50})
 				if tight[c.ID] {
 					beside++
 				}
--- a/internal/core/occupancy/load.go
+++ b/internal/core/occupancy/load.go
@@ -21,6 +21,9 @@
 	// Strains and Strain are the same of that time whatever is read meanwhile.
 	Strains int
 	Strain  float64
+	// Longests and Longest are the same of the longest times of its tight streams.
+	Longests int
+	Longest  float64
 }
 
 // plus returns the sum.
@@ -36,6 +39,8 @@
 		Tempo:     l.Tempo + o.Tempo,
 		Strains:   l.Strains + o.Strains,
 		Strain:    l.Strain + o.Strain,
+		Longests:  l.Longests + o.Longests,
+		Longest:   l.Longest + o.Longest,
 	}
 }
 
--- a/internal/edge/gatewayd/attempt.go
+++ b/internal/edge/gatewayd/attempt.go
@@ -56,7 +56,7 @@
 	}
 	x.server.metrics.attempts.WithLabelValues(o.String()).Inc()
 	x.server.control.Must(func(now time.Time) {
-		x.server.table.Ended(now, choice, o, tokens)
+		x.server.table.Ended(now, choice, o, balance.Answer{Tokens: tokens, LongestGap: x.longestGap})
 		if load != nil {
 			x.server.table.Reported(now, choice.ID, *load)
 		}
--- a/internal/edge/gatewayd/lines.go
+++ b/internal/edge/gatewayd/lines.go
@@ -80,6 +80,7 @@
 		Str("result", result).
 		Dur("first", x.firstByte).
 		Dur("took", took).
+		Dur("longest_gap", x.longestGap).
 		Int("events", x.events).
 		Int("sent", x.progress.Sent)
 	if refusal != nil {
--- a/internal/edge/gatewayd/load_messages.go
+++ b/internal/edge/gatewayd/load_messages.go
@@ -20,6 +20,8 @@
 			Tempos:    count32(l.Tempos),
 			Tempo:     float32(l.Tempo),
 			Strain:    float32(l.Strain),
+			Longests:  count32(l.Longests),
+			Longest:   float32(l.Longest),
 			Strains:   count32(l.Strains),
 		})
 	}
@@ -40,6 +42,8 @@
 			Tempos:    int(l.GetTempos()),
 			Tempo:     float64(l.GetTempo()),
 			Strain:    float64(l.GetStrain()),
+			Longests:  int(l.GetLongests()),
+			Longest:   float64(l.GetLongest()),
 			Strains:   int(l.GetStrains()),
 		}
 	}
--- a/internal/edge/gatewayd/loads_test.go
+++ b/internal/edge/gatewayd/loads_test.go
@@ -74,7 +74,7 @@
 	for _, p := range []*testPeer{peers[0], peers[1]} {
 		w.await(func() bool { return sees(p, 2) })
 	}
-	peers[0].control.Must(func(now time.Time) { peers[0].table.Ended(now, c, balance.Completed, 10) })
+	peers[0].control.Must(func(now time.Time) { peers[0].table.Ended(now, c, balance.Completed, balance.Answer{Tokens: 10}) })
 	w.await(func() bool { return sees(peers[1], 1) && sees(peers[2], 1) })
 }
 
--- a/internal/edge/gatewayd/request.go
+++ b/internal/edge/gatewayd/request.go
@@ -47,6 +47,8 @@
 	// firstByte is the time until the first event, or until the head of another
 	// answer.
 	firstByte time.Duration
+	// longestGap is the longest time between two events from the upstream.
+	longestGap time.Duration
 	// patience is with the upstream of the present attempt.
 	patience *patience
 	// loadTold is true once the load that rode on the present answer was noted.
--- a/internal/edge/gatewayd/state_test.go
+++ b/internal/edge/gatewayd/state_test.go
@@ -238,7 +238,7 @@
 			c, ok := w.server.table.Pick(now, balance.Request{Pool: "app"})
 			if ok {
 				age = c.LoadAge
-				w.server.table.Ended(now, c, balance.Abandoned, 0)
+				w.server.table.Ended(now, c, balance.Abandoned, balance.Answer{})
 			}
 		})
 		return age
--- a/internal/edge/gatewayd/stream.go
+++ b/internal/edge/gatewayd/stream.go
@@ -46,6 +46,7 @@
 		}
 		if now != last {
 			gaps = gaps.With(now.Sub(last))
+			x.longestGap = max(x.longestGap, now.Sub(last))
 			last = now
 		}
 		if now.Sub(heard) >= heardEvery {
