Balance: an engine that is nearly full gets nothing while others have room

What gateways tell each other is 100 to 200 ms old, and in that time a burst brings ten requests more.

Change: engines with nine tenths of their slots taken, by the word of all gateways, are left out while others have room. Plain services are not.

--- a/internal/core/balance/pick.go
+++ b/internal/core/balance/pick.go
@@ -67,7 +67,7 @@
 	if !ok {
 		return Choice{}, false
 	}
-	candidates := p.usable(now, r)
+	candidates := p.withRoom(now, p.usable(now, r))
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
