--- a/internal/core/balance/cache.go
+++ b/internal/core/balance/cache.go
@@ -93,6 +93,16 @@
 	return !ok || (read && !held.read) || now.Sub(held.usedAt) > cacheKeep/3
 }
 
+// unread forgets the parts that were on their way and will not be read after all.
+func (c *cache) unread(keys []uint64) {
+	for _, key := range keys {
+		if part, ok := c.parts[key]; ok && !part.read {
+			delete(c.parts, key)
+			c.tokens -= part.tokens
+		}
+	}
+}
+
 // limitSize forgets parts beyond the bounds.
 func (c *cache) limitSize() {
 	for len(c.parts) > cacheEntries || (c.limit > 0 && c.tokens > c.limit) {
--- a/internal/core/balance/outcome.go
+++ b/internal/core/balance/outcome.go
@@ -100,6 +100,9 @@
 		return
 	}
 	delete(u.running, c.run)
+	if !r.begun {
+		u.cache.unread(c.keys)
+	}
 	if len(u.running) == 0 {
 		u.askedAt = time.Time{}
 	}
--- a/internal/core/balance/pick.go
+++ b/internal/core/balance/pick.go
@@ -116,18 +116,6 @@
 	return good
 }
 
-// usual is what the upstreams of a pool have in common now.
-type usual struct {
-	// work is the mean time of an answer in milliseconds.
-	work float64
-	gaps usualGaps
-}
-
-// usual returns it for the pool.
-func (p *pool) usual(now time.Time) usual {
-	return usual{work: p.usualWork(), gaps: p.usualGaps(now)}
-}
-
 // consider works out the cost of sending the request to the upstream.
 func (t *Table) consider(now time.Time, p *pool, u *upstream, r Request, keys []uint64, usual usual, home bool) Choice {
 	c := Choice{
--- a/internal/core/balance/shared.go
+++ b/internal/core/balance/shared.go
@@ -45,13 +45,3 @@
 	}
 	return loads
 }
-
-// Seen returns what this gateway sees of the upstream; the zero value if it is not
-// on the list.
-func (t *Table) Seen(now time.Time, id string) Choice {
-	u, ok := t.upstreams[id]
-	if !ok {
-		return Choice{}
-	}
-	return Choice{Instance: u.Instance, InFlight: u.inFlight(now)}
-}
--- a/internal/core/balance/shared_test.go
+++ b/internal/core/balance/shared_test.go
@@ -59,6 +59,27 @@
 	is.Equal(len(a.News()), 0) // told once
 }
 
+// A prompt that was refused, or lost before its first event, was not read.
+func TestPromptsThatWereNotRead(t *testing.T) {
+	for _, o := range []Outcome{Refused, Replaced, Unreachable, Broken, Abandoned} {
+		t.Run(o.String(), func(t *testing.T) {
+			is := is.New(t)
+			table := enginesWith(t, 2)
+			held := func(c Choice) int {
+				return table.upstreams[c.ID].cache.held(at(1), long(1).Prompt, long(1).Prompt.chain())
+			}
+			c, _ := table.Pick(t0, long(1))
+			is.Equal(held(c), 9000)
+			table.Ended(at(1), c, o, Answer{})
+			is.Equal(held(c), 0)
+			begun, _ := table.Pick(at(1), long(1))
+			table.Began(at(2), begun)
+			table.Ended(at(3), begun, o, Answer{})
+			is.Equal(held(begun), 9000)
+		})
+	}
+}
+
 // Engines that left, and those that nobody knows, change nothing.
 func TestToldOfUnknownEngines(t *testing.T) {
 	is := is.New(t)
--- a/internal/edge/gatewayd/loads_test.go
+++ b/internal/edge/gatewayd/loads_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/cespare/xxhash/v2"
 	"github.com/matryer/is"
 
 	"github.com/gladegauge/gladegauge/internal/core/balance"
@@ -55,41 +56,41 @@
 	return c
 }
 
+// othersAt is the number of requests that other gateways have at the upstream, as
+// far as this one knows.
+func othersAt(p *testPeer, c balance.Choice) int {
+	n := 0
+	p.control.Must(func(now time.Time) {
+		_, relay := p.fleet.Relay(now)
+		loads, _ := p.occupancy.Others(now, relay)
+		n = loads[xxhash.Sum64String(c.ID)].Requests
+	})
+	return n
+}
+
 // What one gateway has at an upstream, and which parts are kept there, reaches the
 // gateways of its zone and of other zones; so does its end.
 func TestLoadsReachEverybody(t *testing.T) {
 	w, peers := tellWorld(t)
 	c := pickOn(peers[0], 100)
-	sees := func(p *testPeer, n float64) bool {
-		var got balance.Choice
-		p.control.Must(func(now time.Time) { got = p.table.Seen(now, c.ID) })
-		return got.InFlight == n
-	}
 	for _, p := range peers[1:] {
-		w.await(func() bool { return sees(p, 1) })
+		w.await(func() bool { return othersAt(p, c) == 1 })
 	}
 	next := pickOn(peers[2], 200)
 	w.is.Equal(next.ID, c.ID) // the shared part is on its way there
 	w.is.Equal(next.Unread, 3000)
-	for _, p := range []*testPeer{peers[0], peers[1]} {
-		w.await(func() bool { return sees(p, 2) })
-	}
+	w.await(func() bool { return othersAt(peers[0], c) == 1 && othersAt(peers[1], c) == 2 })
 	peers[0].control.Must(func(now time.Time) { peers[0].table.Ended(now, c, balance.Completed, balance.Answer{Tokens: 10}) })
-	w.await(func() bool { return sees(peers[1], 1) && sees(peers[2], 1) })
+	w.await(func() bool { return othersAt(peers[1], c) == 1 && othersAt(peers[2], c) == 0 })
 }
 
 // A gateway that is gone takes its loads with it.
 func TestLoadsOfAGatewayThatIsGone(t *testing.T) {
 	w, peers := tellWorld(t)
 	c := pickOn(peers[1], 100)
-	sees := func(n float64) bool {
-		var got balance.Choice
-		peers[2].control.Must(func(now time.Time) { got = peers[2].table.Seen(now, c.ID) })
-		return got.InFlight == n
-	}
-	w.await(func() bool { return sees(1) })
+	w.await(func() bool { return othersAt(peers[2], c) == 1 })
 	peers[1].stop()
-	w.await(func() bool { return sees(0) })
+	w.await(func() bool { return othersAt(peers[2], c) == 0 })
 }
 
 // Messages that come late, twice or out of order change nothing for long: the
