--- a/internal/core/balance/pick.go
+++ b/internal/core/balance/pick.go
@@ -94,6 +94,12 @@
 	return best, true
 }
 
+// MayPick reports whether there is an upstream left to try.
+func (t *Table) MayPick(now time.Time, r Request) bool {
+	p, ok := t.pools[r.Pool]
+	return ok && len(p.usable(now, r)) > 0
+}
+
 // tie decides between upstreams of the same cost.
 func tie(r Request, u *upstream) uint64 { return rendezvous.Mix(r.Hash, u.hash) }
 
--- a/internal/edge/gatewayd/patience.go
+++ b/internal/edge/gatewayd/patience.go
@@ -53,11 +53,21 @@
 	case x.call.Prompt.Tokens > 0:
 		p.answer = time.AfterFunc(d, func() { x.whileAlive(p, choice, d) })
 	default:
-		p.answer = time.AfterFunc(d, p.giveUp)
+		p.answer = time.AfterFunc(d, func() { x.whileAlone(p) })
 	}
 	return p
 }
 
+// whileAlone waits on for the answer of an upstream that says nothing if there is
+// no other one to ask.
+func (x *request) whileAlone(p *patience) {
+	other := false
+	x.server.control.Must(func(now time.Time) { other = x.server.table.MayPick(now, x.wants()) })
+	if other {
+		p.giveUp()
+	}
+}
+
 // whileAlive waits on for the first event of a stream while its engine talks to
 // others: the request waits its turn there, and would be read again elsewhere.
 func (x *request) whileAlive(p *patience, choice balance.Choice, limit time.Duration) {
--- a/internal/edge/gatewayd/slow_test.go
+++ b/internal/edge/gatewayd/slow_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -139,3 +140,35 @@
 		})
 	}
 }
+
+// A read whose upstream is slow is asked of another one; if there is none, it waits
+// for its answer.
+func TestSlowAndAlone(t *testing.T) {
+	for _, n := range []int{1, 2} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			is := is.New(t)
+			slow := make(chan struct{})
+			w := newWorld(t, n, func(i int, _ standin.Request) standin.Reply {
+				if i > 0 {
+					return standin.Reply{Body: "quick"}
+				}
+				return standin.Reply{Body: "slow", Hold: slow}
+			})
+			answered := make(chan standin.Answer, 1)
+			w.group.Go(func() error {
+				answered <- w.caller.Call(context.Background(), standin.Request{ID: "r", Host: "x.example", URI: "/read/1", Key: "key-a", DeadlineMs: 1900})
+				return nil
+			})
+			if n == 1 {
+				w.await(func() bool { return len(w.ran()) == 1 })
+				release := time.AfterFunc(900*time.Millisecond, func() { close(slow) }) // beyond 0.6 of the target
+				defer release.Stop()
+			} else {
+				defer close(slow)
+			}
+			a := <-answered
+			is.Equal(a.Status, 200)
+			is.Equal(a.Body, map[int]string{1: "slow", 2: "quick"}[n])
+		})
+	}
+}
