--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -51,12 +50,13 @@
 func (w *World) newProcess(n int, dir string) *process {
 	p := &process{world: w, n: n, path: filepath.Join(dir, fmt.Sprintf("settings-%d.conf", n))}
 	p.link = w.link(w.store.Address())
+	addresses := freeAddresses(w.t, 3)
 	p.settings = standin.Gateway{
 		Host:      fmt.Sprintf("g-%d", n),
 		Zone:      fmt.Sprintf("z%d", n%zones),
-		Callers:   freeAddress(w.t),
-		Readiness: freeAddress(w.t),
-		Peers:     freeAddress(w.t),
+		Callers:   addresses[0],
+		Readiness: addresses[1],
+		Peers:     addresses[2],
 		Store:     p.link.Address(),
 		RevokeMs:  int(revokeWithin.Milliseconds()),
 		ConfigMs:  int(configWithin.Milliseconds()),
@@ -119,13 +119,3 @@
 	_ = resp.Body.Close()
 	return resp.StatusCode == http.StatusOK
 }
-
-// freeAddress is a loopback address that nobody listens on.
-func freeAddress(t standin.Owner) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
