Balance, occupancy: one mean type, one place that sums words; a stale package comment

Cause, found on rereading: strain and longest pauses were the same mean twice with other weights; a kept part had two types; a relay's words were summed in three loops; the package comment still told of the split.

Change: no behaviour. recent replaces both means, cache gives occupancy.Part, For, Zone and Others share told and fromMembers. No test or figure was changed.

--- a/internal/core/balance/cache.go
+++ b/internal/core/balance/cache.go
@@ -1,6 +1,10 @@
 package balance
 
-import "time"
+import (
+	"time"
+
+	"github.com/gladegauge/gladegauge/internal/core/occupancy"
+)
 
 // Bounds of the picture of an engine's KV cache.
 const (
@@ -63,25 +67,19 @@
 }
 
 // used notes that the engine has read the prompt, or that it is on its way there.
-// It returns the shared parts that this is new of.
-func (c *cache) used(now time.Time, p Prompt, keys []uint64, read bool) []newPart {
-	var news []newPart
+// It returns the shared parts that this is new of, without their engine.
+func (c *cache) used(now time.Time, p Prompt, keys []uint64, read bool) []occupancy.Part {
+	var news []occupancy.Part
 	shared := len(p.shared())
 	for i, key := range keys {
 		if c.put(now, key, p.Parts[i].Tokens, read) && i < shared {
-			news = append(news, newPart{key: key, tokens: p.Parts[i].Tokens})
+			news = append(news, occupancy.Part{Key: key, Tokens: p.Parts[i].Tokens, Read: read})
 		}
 	}
 	c.limitSize()
 	return news
 }
 
-// newPart is a part that others may not know of yet.
-type newPart struct {
-	key    uint64
-	tokens int
-}
-
 // put notes a part and reports whether it was not known, or not as read, or not
 // used for long.
 func (c *cache) put(now time.Time, key uint64, tokens int, read bool) bool {
--- a/internal/core/balance/doc.go
+++ b/internal/core/balance/doc.go
@@ -10,8 +10,10 @@
 // Shared prompts have a home: the first upstream in rendezvous order of the
 // deepest shared part. All gateways that know the same upstreams agree on it
 // without a word, and leave it for the next in order when it is overloaded.
-// Streams with tight pauses are kept apart from long prompts in the same way,
-// by ranking the upstreams and giving the first few of them to the former.
+// Gateways tell each other what they have at the engines and what these keep
+// (package occupancy). Long prompts keep away from engines where streams with
+// tight pauses run, such streams from engines that read, and everything from
+// engines that are nearly full.
 //
 // Engines that can, copy the beginning of a prompt from the engine that is
 // believed to keep the most of it, and keep a copy of a run that may not be
--- a/internal/core/balance/outcome.go
+++ b/internal/core/balance/outcome.go
@@ -49,7 +49,7 @@
 	r.unread = 0
 	if c.prompt.Tokens > 0 {
 		t.pool(u.Pool).speed.learn(c.Unread, now.Sub(r.sentAt))
-		t.tell(u, u.cache.used(now, c.prompt, c.keys, true), true)
+		t.tell(u, u.cache.used(now, c.prompt, c.keys, true))
 	}
 }
 
@@ -58,7 +58,9 @@
 func (t *Table) Heard(now time.Time, id string, g Gaps) {
 	if u, ok := t.upstreams[id]; ok {
 		u.heard(now)
-		u.strain.learn(now, g)
+		if gap, ok := g.strain(); ok {
+			u.strain.learn(now, gap, strainWeight)
+		}
 		if gap, ok := g.typical(); ok {
 			u.tempo.learn(now, gap)
 		}
@@ -112,7 +114,7 @@
 		u.health.succeeded()
 		u.pace.learn(now, now.Sub(r.sentAt))
 		if t.pool(u.Pool).pauses.isTight(r.pause) {
-			u.pausing.learn(now, a.LongestGap)
+			u.pausing.learn(now, milliseconds(a.LongestGap), pauseWeight)
 		}
 		t.pool(u.Pool).learnOutput(r, a.Tokens)
 	case Refused:
--- a/internal/core/balance/parts.go
+++ b/internal/core/balance/parts.go
@@ -7,9 +7,10 @@
 )
 
 // tell notes parts that are kept at the upstream and that others may not know of.
-func (t *Table) tell(u *upstream, parts []newPart, read bool) {
+func (t *Table) tell(u *upstream, parts []occupancy.Part) {
 	for _, p := range parts {
-		t.news = append(t.news, occupancy.Part{Upstream: u.hash, Key: p.key, Tokens: p.tokens, Read: read})
+		p.Upstream = u.hash
+		t.news = append(t.news, p)
 	}
 	if over := len(t.news) - occupancy.NewsMost; over > 0 {
 		t.news = t.news[over:]
--- a/internal/core/balance/pause.go
+++ b/internal/core/balance/pause.go
@@ -14,27 +14,6 @@
 	pauseCost = 100.0
 )
 
-// pausing is the mean of the longest pauses of an engine's tight streams, in
-// milliseconds.
-type pausing struct {
-	longest float64
-	at      time.Time
-}
-
-// learn takes the longest pause of a stream.
-func (p *pausing) learn(now time.Time, longest time.Duration) {
-	if _, ok := p.value(now); !ok {
-		p.longest = milliseconds(longest)
-	}
-	p.longest += pauseWeight * (milliseconds(longest) - p.longest)
-	p.at = now
-}
-
-// value returns the pauses; false if no stream ended lately.
-func (p *pausing) value(now time.Time) (float64, bool) {
-	return p.longest, !p.at.IsZero() && now.Sub(p.at) <= paceKeep
-}
-
 // pauseRisk is how likely a stream that bears the pause misses it at the engine, by
 // the streams before it: 0 to 1.
 func (u *upstream) pauseRisk(now time.Time, pause time.Duration) float64 {
--- a/internal/core/balance/pick.go
+++ b/internal/core/balance/pick.go
@@ -164,7 +164,7 @@
 		sent.expected = float64(u.unread(now)+c.Unread) / p.speed.tokensPerMs()
 		sent.tokens = p.tokensOf(r)
 		p.learnTokens(sent.tokens)
-		t.tell(u, u.cache.used(now, r.Prompt, c.keys, false), false)
+		t.tell(u, u.cache.used(now, r.Prompt, c.keys, false))
 	}
 	u.running[c.run] = sent
 }
--- a/internal/core/balance/table.go
+++ b/internal/core/balance/table.go
@@ -29,14 +29,16 @@
 // upstream is what the table knows of one instance.
 type upstream struct {
 	Instance
-	hash    uint64
-	health  health
-	cache   *cache
-	load    load
-	pace    pace
-	tempo   tempo
-	strain  strain
-	pausing pausing
+	hash   uint64
+	health health
+	cache  *cache
+	load   load
+	pace   pace
+	tempo  tempo
+	// strain is the mean gap between events of its streams, whatever it reads
+	// meanwhile; pausing is the mean of the longest gaps of its tight streams.
+	strain  recent
+	pausing recent
 	running map[uint64]*run
 	// shared is what other gateways told at sharedAt that they have here; it counts
 	// until sharedUntil.
--- a/internal/core/balance/tempo.go
+++ b/internal/core/balance/tempo.go
@@ -8,6 +8,9 @@
 	tempoSpan = time.Second
 	// tempoLeast is the number of gaps that say something.
 	tempoLeast = 3
+	// strainWeight is the weight of the latest stretch in the strain: it follows
+	// what an engine reads within a second or two.
+	strainWeight = 0.1
 )
 
 // Gaps are the times between events of one stream since the last word about it.
@@ -35,6 +38,15 @@
 	return milliseconds(g.sum-g.most) / float64(g.n-1), true
 }
 
+// strain is the mean gap, whatever was read meanwhile, in milliseconds; false if
+// there is none.
+func (g Gaps) strain() (float64, bool) {
+	if g.n == 0 {
+		return 0, false
+	}
+	return milliseconds(g.sum) / float64(g.n), true
+}
+
 // tempo is the usual gap of an engine while it reads nothing: the shortest one of
 // any of its streams lately, in milliseconds.
 type tempo struct {
--- a/internal/core/occupancy/book.go
+++ b/internal/core/occupancy/book.go
@@ -1,6 +1,9 @@
 package occupancy
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // Times of telling.
 const (
@@ -75,58 +78,52 @@
 // For returns what all gateways but one of the availability zone have: the answer
 // of a relay to that one.
 func (b *Book) For(now time.Time, address string) Loads {
-	sum := b.zone(now, address)
-	sum.add(b.otherZones(now))
+	sum := b.told(now, address)
+	sum.add(b.own)
 	return sum
 }
 
 // Zone returns what the gateways of the availability zone have.
-func (b *Book) Zone(now time.Time) Loads { return b.zone(now, "") }
-
-// zone leaves one gateway out.
-func (b *Book) zone(now time.Time, except string) Loads {
-	sum := make(Loads)
+func (b *Book) Zone(now time.Time) Loads {
+	sum := b.fromMembers(now, "")
 	sum.add(b.own)
-	for address, w := range b.members {
-		switch {
-		case !b.fresh(now, w):
-			delete(b.members, address)
-		case address != except:
-			sum.add(w.loads)
-		}
-	}
-	return sum
-}
-
-// otherZones is the sum of the other availability zones.
-func (b *Book) otherZones(now time.Time) Loads {
-	sum := make(Loads)
-	for zone, w := range b.zones {
-		if !b.fresh(now, w) {
-			delete(b.zones, zone)
-			continue
-		}
-		sum.add(w.loads)
-	}
 	return sum
 }
 
 // Others returns what all other gateways have, as far as it is known; false if
-// nothing is. A relay knows it from its members and the other
-// relays, everybody else from the relay.
+// nothing is. A relay knows it from its members and the other relays, everybody
+// else from the relay.
 func (b *Book) Others(now time.Time, relay bool) (Loads, bool) {
 	if !relay {
 		return b.all.loads, b.fresh(now, b.all)
 	}
+	sum := b.told(now, "")
+	return sum, len(b.members)+len(b.zones) > 0
+}
+
+// told is what other gateways told, but for one of the availability zone.
+func (b *Book) told(now time.Time, except string) Loads {
+	sum := b.fromMembers(now, except)
+	b.forget(now, b.zones)
+	for _, w := range b.zones {
+		sum.add(w.loads)
+	}
+	return sum
+}
+
+// fromMembers is what the other gateways of the availability zone told, but for one.
+func (b *Book) fromMembers(now time.Time, except string) Loads {
+	b.forget(now, b.members)
 	sum := make(Loads)
-	heard := false
-	for _, words := range []map[string]word{b.members, b.zones} {
-		for _, w := range words {
-			if b.fresh(now, w) {
-				heard = true
-				sum.add(w.loads)
-			}
+	for address, w := range b.members {
+		if address != except {
+			sum.add(w.loads)
 		}
 	}
-	return sum, heard
+	return sum
+}
+
+// forget drops the words that no longer count.
+func (b *Book) forget(now time.Time, words map[string]word) {
+	maps.DeleteFunc(words, func(_ string, w word) bool { return !b.fresh(now, w) })
 }
