Balance: a refused connection means that this start has ended, and gateways tell each other

Change: a refused connection comes from the engine's host, so that its start is gone, as after a refusal by another start. Gateways tell which upstreams they found gone; the word of two others is believed, unless the upstream answered this gateway lately or more than half of a pool is said to be gone. A member of an availability zone is one witness, whatever it tells. Silence is still no proof: a gateway with bad links blames everybody.

Ruled out: longer ejection for every unreachable upstream (a cut heals).

--- /dev/null
+++ b/internal/core/balance/gone.go
@@ -0,0 +1,44 @@
+package balance
+
+import "time"
+
+// The load that this answers: a part of a pool crashes at once. Dead engines look
+// idle, so that every gateway sends its next requests there, and finds each of them
+// out for itself; with 103 gateways and 45 crashed engines that took 9,300 refused
+// connections until the list told of the crash.
+
+const (
+	// goneWitnesses is the number of other gateways whose word is taken for a dead
+	// upstream. One alone may be wrong or confused.
+	goneWitnesses = 2
+	// goneHeard is the time after which what an upstream said itself no longer
+	// speaks against such words. It is a little longer than words take.
+	goneHeard = 500 * time.Millisecond
+	// maxToldGoneShare is the part of a pool that may be left out by the word of
+	// others. Beyond it the words say more about those who tell them.
+	maxToldGoneShare = 0.5
+)
+
+// gone reports whether another start has taken the upstream's place, or nothing
+// listens there, as this gateway found itself.
+func (u *upstream) gone(now time.Time) bool {
+	return u.superseded || now.Before(u.goneUntil)
+}
+
+// toldGone reports whether enough other gateways found the upstream gone, and it
+// has said nothing to this one since.
+func (u *upstream) toldGone(now time.Time) bool {
+	return u.told(now) && u.shared.Gone >= goneWitnesses && now.Sub(u.heardAt) > goneHeard
+}
+
+// believesGone reports whether the words of others on dead upstreams may be acted
+// on: they leave enough of the pool.
+func (p *pool) believesGone(now time.Time) bool {
+	n := 0
+	for _, u := range p.members {
+		if u.toldGone(now) {
+			n++
+		}
+	}
+	return float64(n) <= maxToldGoneShare*float64(len(p.members))
+}
--- a/internal/core/balance/gone_test.go
+++ b/internal/core/balance/gone_test.go
@@ -5,68 +5,90 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/gladegauge/gladegauge/internal/core/occupancy"
 )
 
-// An upstream in whose place another start answered gets nothing until its entry
-// must have lapsed.
-func TestReplacedUpstream(t *testing.T) {
-	is := is.New(t)
-	table := tableWith(3)
-	c, ok := table.Pick(t0, plainRequest(1))
-	is.True(ok)
-	table.Ended(t0, c, Replaced, Answer{})
-	for i := range 40 {
-		next, ok := table.Pick(at(i), plainRequest(i))
-		is.True(ok)
-		is.True(next.ID != c.ID)
-	}
-	seen := false
-	for i := range 40 {
-		next, _ := table.Pick(t0.Add(goneFor+time.Second), plainRequest(i))
-		seen = seen || next.ID == c.ID
+// An upstream that refuses connections, or that another start replaced, is left alone
+// until its entry has lapsed, and others hear of it.
+func TestDeadUpstreamIsLeftAlone(t *testing.T) {
+	for _, o := range []Outcome{Dead, Replaced} {
+		t.Run(o.String(), func(t *testing.T) {
+			is := is.New(t)
+			table := tableWith(4)
+			dead, _ := table.Pick(t0, plainRequest(1))
+			table.Ended(at(1), dead, o, Answer{})
+			for i := range 100 {
+				c, ok := table.Pick(at(2+40*i), plainRequest(i))
+				is.True(ok)
+				is.True(c.ID != dead.ID)
+				table.Ended(at(3+40*i), c, Completed, Answer{})
+			}
+			hash := table.upstreams[dead.ID].hash
+			is.Equal(table.Loads(at(4000))[hash].Gone, 1)
+			is.Equal(table.Loads(t0.Add(goneFor + time.Second))[hash].Gone, 0) // tried again by then
+		})
 	}
-	is.True(seen)
-}
-
-// All upstreams may be gone: then there is nothing to send to.
-func TestAllReplaced(t *testing.T) {
-	is := is.New(t)
-	table := tableWith(1)
-	c, _ := table.Pick(t0, plainRequest(1))
-	table.Ended(t0, c, Replaced, Answer{})
-	_, ok := table.Pick(at(1), plainRequest(2))
-	is.True(!ok)
 }
 
-// Of two upstreams at one address, only the later one lives.
-func TestLaterStartAtAnAddress(t *testing.T) {
+// The word of two other gateways keeps requests away from a dead upstream; less
+// than that, or what the upstream says itself, does not.
+func TestToldGone(t *testing.T) {
 	tests := []struct {
-		name  string
-		first int64
-		later int64
-		want  []string
+		name string
+		// gone is the number of gateways that found each of four upstreams gone.
+		gone [4]int
+		// heard is how long ago the first upstream answered, in milliseconds; 0 for
+		// never.
+		heard int
+		later time.Duration
+		used  int
 	}{
-		{"listed later", 5, 9, []string{"i-new"}},
-		{"the platform does not say", 0, 0, []string{"i-new", "i-old"}},
+		{"nobody says so", [4]int{}, 0, 0, 4},
+		{"one gateway may be wrong", [4]int{1, 0, 0, 0}, 0, 0, 4},
+		{"two gateways", [4]int{2, 0, 0, 0}, 0, 0, 3},
+		{"it answers all the same", [4]int{2, 0, 0, 0}, 100, 0, 4},
+		{"it answered long before", [4]int{2, 0, 0, 0}, 900, 0, 3},
+		{"half of the pool", [4]int{5, 5, 0, 0}, 0, 0, 2},
+		{"more than half is not believed", [4]int{5, 5, 5, 0}, 0, 0, 4},
+		{"all is not believed", [4]int{9, 9, 9, 9}, 0, 0, 4},
+		{"an old word", [4]int{2, 0, 0, 0}, 0, keepOfTests + time.Millisecond, 4},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			table := New("a")
-			instance := func(id string, created int64) Instance {
-				return Instance{ID: id, Address: "10.0.0.1:80", Zone: "a", Pool: "p", Slots: 8, Created: created}
+			table := tableWith(4)
+			loads := make(occupancy.Loads)
+			for i, u := range table.pools["p"].members {
+				if tt.gone[i] > 0 {
+					loads[u.hash] = occupancy.Load{Gone: tt.gone[i]}
+				}
+				if i == 0 && tt.heard > 0 {
+					u.heard(at(-tt.heard))
+				}
 			}
-			table.SetInstances([]Instance{instance("i-old", tt.first), instance("i-new", tt.later)})
+			table.OthersHave(t0, loads, keepOfTests)
 			used := make(map[string]bool)
-			for i := range 40 {
-				c, ok := table.Pick(at(i), plainRequest(i))
+			now := t0.Add(tt.later)
+			for i := range 60 {
+				c, ok := table.Pick(now, plainRequest(7919*i))
 				is.True(ok)
 				used[c.ID] = true
 			}
-			is.Equal(len(used), len(tt.want))
-			for _, id := range tt.want {
-				is.True(used[id])
-			}
+			is.Equal(len(used), tt.used)
 		})
 	}
 }
+
+// A run does not go on from a copy at an engine that others found gone.
+func TestNoCopyFromTheGone(t *testing.T) {
+	is := is.New(t)
+	table := enginesWith(t, 4)
+	b := Backup{ID: "i-2"}
+	table.OthersHave(t0, occupancy.Loads{table.upstreams["i-2"].hash: {Gone: 2}}, keepOfTests)
+	_, ok := table.Continue(at(1), chat(1), b)
+	is.True(!ok)
+	table.OthersHave(at(2), nil, keepOfTests)
+	_, ok = table.Continue(at(3), chat(1), b)
+	is.True(ok)
+}
--- a/internal/core/balance/health.go
+++ b/internal/core/balance/health.go
@@ -22,9 +22,9 @@
 	// unreachableFor is how long an upstream is left alone after a connection
 	// to it could not be made.
 	unreachableFor = 700 * time.Millisecond
-	// goneFor is how long an upstream is taken to be gone after another start
-	// answered in its place. By then its entry has lapsed, after three heartbeats
-	// of about a second; if not, it is tried again.
+	// goneFor is how long an upstream is taken to be gone after nothing listened at
+	// its address, or another start answered there. By then its entry has lapsed,
+	// after three heartbeats of about a second; if not, it is tried again.
 	goneFor = 5 * time.Second
 	// maxEjectedShare is the part of a pool that may be ejected at once.
 	maxEjectedShare = 0.5
@@ -65,11 +65,6 @@
 	return d
 }
 
-// gone reports whether another start has taken the upstream's place.
-func (u *upstream) gone(now time.Time) bool {
-	return u.superseded || now.Before(u.goneUntil)
-}
-
 // judge ejects the upstream if it fails more often than its pool.
 func (t *Table) judge(now time.Time, u *upstream) {
 	p := t.pools[u.Pool]
--- a/internal/core/balance/outcome.go
+++ b/internal/core/balance/outcome.go
@@ -16,8 +16,11 @@
 	// Replaced means that another start answers at the upstream's address: this
 	// one is gone, though it is still on the list.
 	Replaced
-	// Unreachable means that no connection could be made.
+	// Unreachable means that no connection could be made in time.
 	Unreachable
+	// Dead means that nothing listens at its address any more: this start has
+	// ended, though it is still on the list.
+	Dead
 	// Broken means that no answer came, or only a part of one.
 	Broken
 	// Abandoned means that the gateway gave the request up; it says nothing
@@ -27,7 +30,7 @@
 
 // String names the outcome in logs.
 func (o Outcome) String() string {
-	names := [...]string{"", "completed", "faulty", "refused", "replaced", "unreachable", "broken", "abandoned"}
+	names := [...]string{"", "completed", "faulty", "refused", "replaced", "unreachable", "dead", "broken", "abandoned"}
 	if o < Completed || int(o) >= len(names) {
 		return "unknown"
 	}
@@ -122,7 +125,7 @@
 	case Faulty, Broken:
 		u.health.failed()
 		t.judge(now, u)
-	case Replaced:
+	case Replaced, Dead:
 		u.goneUntil = now.Add(goneFor)
 	case Unreachable:
 		u.health.failed()
--- a/internal/core/balance/pick.go
+++ b/internal/core/balance/pick.go
@@ -104,20 +104,21 @@
 func tie(r Request, u *upstream) uint64 { return rendezvous.Mix(r.Hash, u.hash) }
 
 // usable returns the upstreams that may be tried, in order of rank. Ejected
-// ones are left out while there are others.
+// ones, and those that others found gone, are left out while there are others.
 func (p *pool) usable(now time.Time, r Request) []*upstream {
-	var good, ejected []*upstream
+	var good, doubted []*upstream
+	believes := p.believesGone(now)
 	for _, u := range p.members {
 		switch {
 		case u.Leaving || u.gone(now) || slices.Contains(r.Exclude, u.ID):
-		case u.health.ejected(now):
-			ejected = append(ejected, u)
+		case u.health.ejected(now) || (believes && u.toldGone(now)):
+			doubted = append(doubted, u)
 		default:
 			good = append(good, u)
 		}
 	}
 	if len(good) == 0 {
-		return ejected
+		return doubted
 	}
 	return good
 }
--- a/internal/core/balance/shared.go
+++ b/internal/core/balance/shared.go
@@ -39,6 +39,9 @@
 			l.Unread += r.unread
 			l.Tokens += r.tokens
 		}
+		if now.Before(u.goneUntil) {
+			l.Gone = 1
+		}
 		if l != (occupancy.Load{}) {
 			loads[u.hash] = l
 		}
--- a/internal/core/occupancy/book.go
+++ b/internal/core/occupancy/book.go
@@ -62,8 +62,13 @@
 // Own takes what the gateway itself has.
 func (b *Book) Own(l Loads) { b.own = l }
 
-// TakeMember takes what another gateway of the availability zone has.
+// TakeMember takes what another gateway of the availability zone has. It is one
+// witness, whatever it tells.
 func (b *Book) TakeMember(now time.Time, address string, l Loads) {
+	for id, load := range l {
+		load.Gone = min(load.Gone, 1)
+		l[id] = load
+	}
 	b.members[address] = word{loads: l, at: now}
 }
 
--- a/internal/core/occupancy/load.go
+++ b/internal/core/occupancy/load.go
@@ -24,6 +24,9 @@
 	// Longests and Longest are the same of the longest times of its tight streams.
 	Longests int
 	Longest  float64
+	// Gone is the number of gateways that found nothing, or another start, at the
+	// upstream's address.
+	Gone int
 }
 
 // plus returns the sum.
@@ -41,6 +44,7 @@
 		Strain:    l.Strain + o.Strain,
 		Longests:  l.Longests + o.Longests,
 		Longest:   l.Longest + o.Longest,
+		Gone:      l.Gone + o.Gone,
 	}
 }
 
--- a/internal/core/occupancy/occupancy_test.go
+++ b/internal/core/occupancy/occupancy_test.go
@@ -128,3 +128,15 @@
 		is.True(b.Keep() >= 3*tt.every)
 	}
 }
+
+// A gateway is one witness of a dead upstream, whatever it tells.
+func TestOneWitness(t *testing.T) {
+	is := is.New(t)
+	relay := New()
+	relay.TakeMember(t0, "m", Loads{7: {Gone: 100}})
+	is.Equal(relay.Zone(at(1))[7].Gone, 1)
+	relay.TakeMember(t0, "n", Loads{7: {Gone: 1}})
+	is.Equal(relay.Zone(at(1))[7].Gone, 2)
+	relay.TakeMember(at(2), "n", Loads{})
+	is.Equal(relay.Zone(at(3))[7].Gone, 1)
+}
--- a/internal/edge/gatewayd/attempt.go
+++ b/internal/edge/gatewayd/attempt.go
@@ -21,7 +21,7 @@
 	got, err := x.server.client.Do(ctx, choice.Address, x.upstreamRequest(choice, time.Now()), x.owns)
 	if err != nil {
 		failure := x.failureOf(ctx, err)
-		x.settle(choice, outcomeOf(failure), nil)
+		x.settle(choice, outcomeOf(failure, err), nil)
 		return failure, err
 	}
 	a := answer{Answer: got, choice: choice, head: platform.DecodeAnswer(got.StatusCode, got.Header)}
@@ -37,7 +37,7 @@
 		// It was reported when the answer began, and is old by now.
 		load = nil
 	}
-	x.settle(choice, outcomeOf(failure), load)
+	x.settle(choice, outcomeOf(failure, err), load)
 	return failure, err
 }
 
--- a/internal/edge/gatewayd/failure.go
+++ b/internal/edge/gatewayd/failure.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 
@@ -25,10 +26,15 @@
 	}
 }
 
-// outcomeOf tells what a failure says about the upstream.
-func outcomeOf(f gateway.Failure) balance.Outcome {
+// outcomeOf tells what a failure says about the upstream. A refused connection
+// comes from its host: the process that listened there has ended. Silence may be
+// the fault of any link on the way.
+func outcomeOf(f gateway.Failure, err error) balance.Outcome {
 	switch f {
 	case gateway.Unsent:
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return balance.Dead
+		}
 		return balance.Unreachable
 	case gateway.NotRun:
 		return balance.Refused
--- /dev/null
+++ b/internal/edge/gatewayd/failure_test.go
@@ -0,0 +1,64 @@
+package gatewayd
+
+import (
+	"context"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"github.com/gladegauge/gladegauge/internal/core/balance"
+	"github.com/gladegauge/gladegauge/internal/core/gateway"
+	"github.com/gladegauge/gladegauge/internal/edge/exchange"
+)
+
+// A refused connection tells that a start has ended; silence does not.
+func TestOutcomeOf(t *testing.T) {
+	dial := func(errno syscall.Errno) error {
+		return &exchange.UnsentError{Cause: errors.WithStack(&net.OpError{Op: "dial", Err: os.NewSyscallError("connect", errno)})}
+	}
+	tests := []struct {
+		name    string
+		failure gateway.Failure
+		err     error
+		want    balance.Outcome
+	}{
+		{"refused", gateway.Unsent, dial(syscall.ECONNREFUSED), balance.Dead},
+		{"silent", gateway.Unsent, dial(syscall.ETIMEDOUT), balance.Unreachable},
+		{"no way", gateway.Unsent, dial(syscall.EHOSTUNREACH), balance.Unreachable},
+		{"timed out", gateway.Unsent, &exchange.UnsentError{Cause: context.DeadlineExceeded}, balance.Unreachable},
+		{"reset in an answer", gateway.Lost, &exchange.LostError{Cause: syscall.ECONNRESET}, balance.Broken},
+		{"none", gateway.None, nil, balance.Completed},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is.New(t).Equal(outcomeOf(tt.failure, tt.err), tt.want)
+		})
+	}
+}
+
+// The gateway itself notes a replica whose port refuses, and tells of it.
+func TestRefusedConnectionIsTold(t *testing.T) {
+	w := newWorld(t, 1, fine)
+	w.store.PutAddress("i-dead", closedAddress(t), "app")
+	w.await(func() bool { return w.upstreams() == 2 })
+	w.await(func() bool {
+		w.is.Equal(w.call("/read/1").Status, 200)
+		return goneCount(w.server) == 1
+	})
+}
+
+// goneCount is the number of upstreams that the gateway tells to be gone.
+func goneCount(s *Server) int {
+	n := 0
+	s.control.Must(func(now time.Time) {
+		for _, l := range s.table.Loads(now) {
+			n += l.Gone
+		}
+	})
+	return n
+}
--- a/internal/edge/gatewayd/load_messages.go
+++ b/internal/edge/gatewayd/load_messages.go
@@ -23,6 +23,7 @@
 			Longests:  count32(l.Longests),
 			Longest:   float32(l.Longest),
 			Strains:   count32(l.Strains),
+			Gone:      count32(l.Gone),
 		})
 	}
 	return list
@@ -45,6 +46,7 @@
 			Longests:  int(l.GetLongests()),
 			Longest:   float64(l.GetLongest()),
 			Strains:   int(l.GetStrains()),
+			Gone:      int(l.GetGone()),
 		}
 	}
 	return loads
