Balance: choices compare a few engines, tight streams settle, told prompts are read on

Cause: 103 gateways choose by one picture that is 0.3 s old. Each compared all 180 engines, so that all chose the same few until the next word: prompts waited a second there while half of the pool idled, and chats paused wherever several prompts were read in a row.

Change, each in a file of its own with the load it answers: - draw.go: a choice compares the home of its prompt and some engines drawn by its hash, as many as leave the best one about 14 requests of others until the next word. A small fleet compares all. - settle.go: streams with short pauses settle at the beginning of a common order of the engines, on as many as they need; prompts give way there, the more the further they stand below in the operators' tiers. Costs, no walls. - load.go: what others told to be unread is taken to be read on since.

Ruled out: words told faster (no gain at 100 ms), drawing alone (chats lose), all streams as tight as chats (breaks a site whose long prompts bear only a little more), costs for prompts whose backlog passes a part of their pause (no change), streams packed twice as densely (their own prompts make them pause).

A test was changed: TestFullEngines sent chats only and wanted both of two engines used; chats settle at the first now, so that it sends long prompts too. What it checks of full engines is as before.

--- a/internal/core/balance/backup_test.go
+++ b/internal/core/balance/backup_test.go
@@ -63,7 +63,7 @@
 	for i, u := range p.members {
 		loads[u.hash] = occupancy.Load{Requests: 10 - i}
 	}
-	table.OthersHave(t0, loads, keepOfTests)
+	table.OthersHave(t0, pictureOf(loads))
 	idlest := p.members[3]
 	is.Equal(backupFor(at(1), p.members[0], p.members, Request{}).ID, idlest.ID)
 	is.Equal(backupFor(at(1), idlest, p.members, Request{}).ID, p.members[2].ID) // never its own
--- a/internal/core/balance/cost.go
+++ b/internal/core/balance/cost.go
@@ -39,7 +39,7 @@
 	tight := p.pauses.isTight(r.Pause)
 	perMs := p.speed.tokensPerMs() / u.slowness(now, usual.gaps, tight)
 	reading := float64(c.Unread) / perMs
-	backlog := float64(u.unread(now)) / perMs
+	backlog := float64(u.unread(now, p.speed.tokensPerMs())) / perMs
 	cost := waitWeight(r.Target)*backlog + readWeight*reading + slotCost*c.InFlight
 	if slots := float64(u.Slots); slots > 0 && c.InFlight >= slots {
 		// Beyond its slots a request waits for another one to end.
@@ -47,6 +47,7 @@
 	}
 	cost += readWeight * p.overflow(now, u, r) / perMs
 	cost += overdueWeight * u.meanOverdue(now)
+	cost += p.placeCost(now, u, r.Tier, tight)
 	if tight {
 		cost += pauseCost * u.pauseRisk(now, r.Pause)
 	} else {
--- /dev/null
+++ b/internal/core/balance/draw.go
@@ -0,0 +1,93 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/gladegauge/gladegauge/internal/core/rendezvous"
+)
+
+// The load that this answers: many gateways choose by the same picture of the
+// engines, which is some hundred milliseconds old. If each of them compares all
+// engines, all choose the same few until the next word. With 103 gateways a prompt
+// waited for a second at one engine while half of the pool idled.
+//
+// So a choice compares only some engines, drawn at random, as many as leave the best
+// one about the same number of requests of others until the next word. A small
+// fleet compares all of them.
+
+const (
+	// drawnShare is the number of requests of others that may go to the best engine
+	// before its picture changes. At 7 streams found too few engines without
+	// reading, at 40 prompts queued behind each other.
+	drawnShare = 14.0
+	// drawnLeast is the least number of engines that a choice compares: fewer find
+	// no engine in five that does not read.
+	drawnLeast = 8
+	// leastKindShare is the part of all requests that are taken to be of the same kind
+	// at least: of a rare one, a gateway of a large fleet sees too few to tell.
+	leastKindShare = 0.25
+	// pictureAgeMost bounds the age of the picture, for a gateway that hears nothing.
+	pictureAgeMost = time.Second
+	// arrivalsMemory is the time over which arrivals are counted: a second or two
+	// of a burst.
+	arrivalsMemory = 2 * time.Second
+)
+
+// arrivals follows how often something happens.
+type arrivals struct {
+	count float64
+	at    time.Time
+}
+
+// note counts one.
+func (a *arrivals) note(now time.Time) {
+	a.count = 1 + a.count*a.left(now)
+	a.at = now
+}
+
+// left is the weight that earlier arrivals still have.
+func (a *arrivals) left(now time.Time) float64 {
+	return max(0, 1-float64(now.Sub(a.at))/float64(arrivalsMemory))
+}
+
+// within is the number to expect in the time.
+func (a *arrivals) within(now time.Time, d time.Duration) float64 {
+	return a.count * a.left(now) * float64(d) / float64(arrivalsMemory)
+}
+
+// drawn returns the engines that the request is compared on: the home of its shared
+// parts, and some that its hash draws.
+func (t *Table) drawn(now time.Time, p *pool, list []*upstream, home *upstream, r Request) []*upstream {
+	n := t.toDraw(now, p, len(list), p.pauses.isTight(r.Pause))
+	if p.engine == nil || 2*n >= len(list) {
+		return list
+	}
+	drawn := make([]*upstream, 0, n+1)
+	if home != nil {
+		drawn = append(drawn, home)
+	}
+	for i := range n {
+		drawn = append(drawn, list[rendezvous.Mix(r.Hash, uint64(i))%uint64(len(list))])
+	}
+	return drawn
+}
+
+// toDraw is the number of engines of n to compare, by what other gateways are
+// expected to have sent since their word.
+func (t *Table) toDraw(now time.Time, p *pool, n int, tight bool) int {
+	age := t.pictureAge(now)
+	kind, rest := p.arrivals[tight].within(now, age), p.arrivals[!tight].within(now, age)
+	others := max(kind, leastKindShare*(kind+rest)) * float64(t.gateways-1)
+	if others <= drawnShare {
+		return n
+	}
+	return max(drawnLeast, int(drawnShare*float64(n)/others))
+}
+
+// pictureAge is how old the word of the other gateways is.
+func (t *Table) pictureAge(now time.Time) time.Duration {
+	if t.toldAt.IsZero() {
+		return pictureAgeMost
+	}
+	return min(now.Sub(t.toldAt)+t.toldAge, pictureAgeMost)
+}
--- a/internal/core/balance/gone_test.go
+++ b/internal/core/balance/gone_test.go
@@ -67,7 +67,7 @@
 					u.heard(at(-tt.heard))
 				}
 			}
-			table.OthersHave(t0, loads, keepOfTests)
+			table.OthersHave(t0, pictureOf(loads))
 			used := make(map[string]bool)
 			now := t0.Add(tt.later)
 			for i := range 60 {
@@ -85,10 +85,10 @@
 	is := is.New(t)
 	table := enginesWith(t, 4)
 	b := Backup{ID: "i-2"}
-	table.OthersHave(t0, occupancy.Loads{table.upstreams["i-2"].hash: {Gone: 2}}, keepOfTests)
+	table.OthersHave(t0, pictureOf(occupancy.Loads{table.upstreams["i-2"].hash: {Gone: 2}}))
 	_, ok := table.Continue(at(1), chat(1), b)
 	is.True(!ok)
-	table.OthersHave(at(2), nil, keepOfTests)
+	table.OthersHave(at(2), pictureOf(nil))
 	_, ok = table.Continue(at(3), chat(1), b)
 	is.True(ok)
 }
--- a/internal/core/balance/load.go
+++ b/internal/core/balance/load.go
@@ -60,11 +60,12 @@
 }
 
 // unread is the prompt tokens that wait to be read at the engine, as far as they
-// are known.
-func (u *upstream) unread(now time.Time) int {
+// are known. It has read on since other gateways told of theirs, at the given speed in
+// tokens a millisecond.
+func (u *upstream) unread(now time.Time, perMs float64) int {
 	tokens := 0
 	if u.told(now) {
-		tokens = u.shared.Unread
+		tokens = max(0, u.shared.Unread-int(perMs*milliseconds(now.Sub(u.sharedAt))))
 	}
 	for _, r := range u.running {
 		tokens += r.unread
--- a/internal/core/balance/pause_test.go
+++ b/internal/core/balance/pause_test.go
@@ -32,7 +32,7 @@
 			is := is.New(t)
 			table := enginesWith(t, 1)
 			u := table.pools["p"].members[0]
-			table.OthersHave(t0, occupancy.Loads{u.hash: tt.told}, keepOfTests)
+			table.OthersHave(t0, pictureOf(occupancy.Loads{u.hash: tt.told}))
 			for i, d := range tt.longest {
 				c, ok := table.Pick(at(i), chat(i))
 				is.True(ok)
--- a/internal/core/balance/pick.go
+++ b/internal/core/balance/pick.go
@@ -45,7 +45,7 @@
 	InFlight float64
 	// LoadAge is the age of the upstream's own word; below 0 if there is none.
 	LoadAge time.Duration
-	// Candidates is the number of upstreams that it was chosen from.
+	// Candidates is the number of upstreams that were compared.
 	Candidates int
 	// ToldAge is the age of the other gateways' word on the upstream; below 0 if
 	// there is none.
@@ -76,7 +76,8 @@
 	home := homeOf(candidates, r.Prompt, keys)
 	best := Choice{}
 	var chosen *upstream
-	for _, u := range candidates {
+	compared := t.drawn(now, p, candidates, home, r)
+	for _, u := range compared {
 		c := t.consider(now, p, u, r, keys, usual, u == home)
 		if chosen == nil || c.Cost < best.Cost || (c.Cost == best.Cost && tie(r, u) > tie(r, chosen)) {
 			best, chosen = c, u
@@ -89,7 +90,7 @@
 	if r.Protect && p.worthBackup(r) {
 		best.Backup = backupFor(now, chosen, candidates, r)
 	}
-	best.Candidates = len(candidates)
+	best.Candidates = len(compared)
 	t.send(now, p, chosen, r, &best)
 	return best, true
 }
@@ -162,10 +163,11 @@
 	}
 	sent := &run{route: r.Route, unread: c.Unread, pause: r.Pause, sentAt: now}
 	if r.Prompt.Tokens > 0 {
-		sent.expected = float64(u.unread(now)+c.Unread) / p.speed.tokensPerMs()
+		sent.expected = float64(u.unread(now, p.speed.tokensPerMs())+c.Unread) / p.speed.tokensPerMs()
 		sent.tokens = p.tokensOf(r)
 		p.learnTokens(sent.tokens)
 		t.tell(u, u.cache.used(now, r.Prompt, c.keys, false))
 	}
 	u.running[c.run] = sent
+	p.arrivals[p.pauses.isTight(r.Pause)].note(now)
 }
--- a/internal/core/balance/room_test.go
+++ b/internal/core/balance/room_test.go
@@ -42,10 +42,14 @@
 					loads[u.hash] = occupancy.Load{Requests: tt.requests[i], Unread: 100_000}
 				}
 			}
-			table.OthersHave(t0, loads, keepOfTests)
+			table.OthersHave(t0, pictureOf(loads))
 			used := make(map[int]bool)
 			for i := range 40 {
+				// Chats settle at the first engine, long prompts keep away from it.
 				r := chat(i)
+				if i%2 == 1 {
+					r = long(i)
+				}
 				if !tt.engines {
 					r = plainRequest(i)
 				}
--- /dev/null
+++ b/internal/core/balance/settle.go
@@ -0,0 +1,69 @@
+package balance
+
+import "time"
+
+// The load that this answers: streams whose callers bear only short pauses run
+// beside long prompts. One prompt beside them does no harm, but several in a row hold
+// their tokens up for longer than they bear. Where streams run everywhere, there is no
+// engine left to read a burst of prompts.
+//
+// So tight streams settle at the beginning of a common order of the engines, and other
+// prompts keep away from as many engines as the streams need. Both are costs and no
+// walls: an engine that is free takes anything. All gateways agree on the order without
+// a word, and the number of streams changes slowly, so that an old picture does little
+// harm.
+
+const (
+	// settleWeight is what the last engine in the order costs a tight stream more
+	// than the first one, in milliseconds. It is less than a first event may take.
+	// At 150 more streams paused, at 500 no fewer.
+	settleWeight = 300.0
+	// giveWayWeight is what the first engine costs other prompts for each tier that
+	// they stand below the streams. At half of it, half as many again of the streams
+	// paused.
+	giveWayWeight = 200.0
+	// comfortShare is the part of an engine's slots that tight streams fill while
+	// there is room: with twice as many, their own prompts made them pause.
+	comfortShare = 0.2
+	// settledMost is the part of a pool that may be kept for tight streams.
+	settledMost = 0.5
+	// settledFor is how long the part is not worked out anew.
+	settledFor = 50 * time.Millisecond
+)
+
+// settlement is the part of a pool, from the beginning of its order, where tight
+// streams settle.
+type settlement struct {
+	part float64
+	at   time.Time
+}
+
+// settled returns the part of the pool that its tight streams need.
+func (p *pool) settled(now time.Time) float64 {
+	if now.Sub(p.settlement.at) < settledFor {
+		return p.settlement.part
+	}
+	streams, slots := 0, 0
+	for _, u := range p.members {
+		streams += u.tight(now, p.pauses.limit)
+		slots += u.Slots
+	}
+	part := float64(streams) / (comfortShare * float64(max(slots, 1)))
+	p.settlement = settlement{part: min(part, settledMost), at: now}
+	return p.settlement.part
+}
+
+// placeCost is what the place of the engine in the order costs the request.
+func (p *pool) placeCost(now time.Time, u *upstream, tier int, tight bool) float64 {
+	if p.pauses.limit == 0 {
+		return 0
+	}
+	if tight {
+		return settleWeight * u.place
+	}
+	part := p.settled(now)
+	if u.place >= part {
+		return 0
+	}
+	return giveWayWeight * p.pauses.yield(tier) * (1 - u.place/part)
+}
--- /dev/null
+++ b/internal/core/balance/settle_test.go
@@ -0,0 +1,83 @@
+package balance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gladegauge/gladegauge/internal/core/ingress"
+	"github.com/gladegauge/gladegauge/internal/core/occupancy"
+)
+
+// The part of a pool that is kept for tight streams follows their number.
+func TestSettledPart(t *testing.T) {
+	tests := []struct {
+		name    string
+		streams int
+		want    float64
+	}{
+		{"none", 0, 0},
+		{"a few", 4, 0.25},
+		{"as many as fit half of the pool", 8, 0.5},
+		{"more", 80, settledMost},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			table := enginesWith(t, 10) // 80 slots, of which a fifth is comfortable
+			u := table.pools["p"].members[3]
+			table.OthersHave(t0, pictureOf(occupancy.Loads{u.hash: {Tight: tt.streams}}))
+			is.Equal(table.pools["p"].settled(t0), tt.want)
+		})
+	}
+}
+
+// Tight streams go to the beginning of the order and prompts elsewhere, at gateways
+// that never spoke to each other; each goes on where the other's place is if there is
+// no choice.
+func TestStreamsSettle(t *testing.T) {
+	is := is.New(t)
+	for gateway := range 3 {
+		table := enginesWith(t, 10)
+		p := table.pools["p"]
+		now := t0
+		for i := range 30 {
+			now = now.Add(20 * time.Millisecond)
+			c, ok := table.Pick(now, chat(100*gateway+i))
+			is.True(ok)
+			is.True(table.upstreams[c.ID].place < 0.6)
+			table.Began(now, c)
+		}
+		settled := p.settled(now.Add(settledFor))
+		is.Equal(settled, settledMost)
+		away := 0
+		for i := range 20 {
+			now = now.Add(200 * time.Millisecond)
+			c, ok := table.Pick(now, long(100*gateway+i))
+			is.True(ok)
+			if table.upstreams[c.ID].place >= settled {
+				away++
+			}
+			table.Began(now, c)
+			table.Ended(now, c, Completed, Answer{})
+		}
+		is.True(away >= 18)
+		one := enginesWith(t, 1)
+		_, ok := one.Pick(t0, chat(1))
+		is.True(ok)
+		_, ok = one.Pick(t0, long(1))
+		is.True(ok)
+	}
+}
+
+// Pools without tight streams have no such order.
+func TestNothingSettlesWithoutTightStreams(t *testing.T) {
+	is := is.New(t)
+	table := enginesWith(t, 4)
+	p := table.pools["p"]
+	p.pauses.set([]ingress.Pause{{Target: time.Second}})
+	for _, u := range p.members {
+		is.Equal(p.placeCost(t0, u, 0, false), 0.0)
+	}
+}
--- a/internal/core/balance/shared.go
+++ b/internal/core/balance/shared.go
@@ -10,13 +10,24 @@
 // lately enough to count.
 func (u *upstream) told(now time.Time) bool { return now.Before(u.sharedUntil) }
 
-// OthersHave takes what all other gateways have at the upstreams; it counts for the
-// given time. An upstream that is not among them has nothing of theirs.
-func (t *Table) OthersHave(now time.Time, loads occupancy.Loads, keep time.Duration) {
+// Picture is what all other gateways have at the upstreams.
+type Picture struct {
+	Loads occupancy.Loads
+	// Age is how old the words are on arrival, in the mean.
+	Age time.Duration
+	// Keep is how long they count.
+	Keep time.Duration
+	// Gateways is the number of gateways, with this one.
+	Gateways int
+}
+
+// OthersHave takes the picture. An upstream that is not in it has nothing of theirs.
+func (t *Table) OthersHave(now time.Time, p Picture) {
+	t.toldAt, t.toldAge, t.gateways = now, p.Age, max(p.Gateways, 1)
 	for _, u := range t.upstreams {
-		u.shared = loads[u.hash]
-		u.sharedAt = now
-		u.sharedUntil = now.Add(keep)
+		u.shared = p.Loads[u.hash]
+		u.sharedAt = now.Add(-p.Age)
+		u.sharedUntil = now.Add(p.Keep)
 	}
 }
 
--- a/internal/core/balance/shared_test.go
+++ b/internal/core/balance/shared_test.go
@@ -12,6 +12,11 @@
 // keepOfTests is how long a word of other gateways counts.
 const keepOfTests = 700 * time.Millisecond
 
+// pictureOf is the word of two other gateways, told just now.
+func pictureOf(loads occupancy.Loads) Picture {
+	return Picture{Loads: loads, Keep: keepOfTests, Gateways: 3}
+}
+
 // pair returns two gateways that see the same engines.
 func pair(t *testing.T, n int) (*Table, *Table) {
 	t.Helper()
@@ -24,15 +29,15 @@
 	is := is.New(t)
 	a, b := pair(t, 2)
 	first, _ := a.Pick(t0, long(1))
-	b.OthersHave(at(1), a.Loads(at(1)), keepOfTests)
+	b.OthersHave(at(1), pictureOf(a.Loads(at(1))))
 	next, _ := b.Pick(at(2), long(2))
 	is.True(next.ID != first.ID) // the other engine is free
 	is.Equal(next.ToldAge, time.Millisecond)
 	u := b.upstreams[first.ID]
-	is.Equal(u.unread(at(2)), first.Unread)
+	is.Equal(u.unread(at(2), 0), first.Unread)
 	is.Equal(u.inFlight(at(2)), 1.0)
 	later := at(3).Add(keepOfTests)
-	is.Equal(u.unread(later), 0)
+	is.Equal(u.unread(later, 0), 0)
 	c, _ := b.Pick(later, long(3))
 	is.True(c.ToldAge < 0)
 }
@@ -84,7 +89,7 @@
 func TestToldOfUnknownEngines(t *testing.T) {
 	is := is.New(t)
 	table := enginesWith(t, 2)
-	table.OthersHave(t0, occupancy.Loads{42: {Requests: 1000, Unread: 1 << 20}}, keepOfTests)
+	table.OthersHave(t0, pictureOf(occupancy.Loads{42: {Requests: 1000, Unread: 1 << 20}}))
 	table.OthersRead(t0, []occupancy.Part{{Upstream: 42, Key: 1, Tokens: 100, Read: true}})
 	c, ok := table.Pick(at(1), long(1))
 	is.True(ok)
@@ -100,7 +105,7 @@
 	for _, u := range table.upstreams {
 		loads[u.hash] = occupancy.Load{Requests: 1 << 30, Unread: 1 << 30, Tight: 1 << 30, Overdue: 1, OverdueMs: 1e12, Tempos: 1, Tempo: 1e9}
 	}
-	table.OthersHave(t0, loads, keepOfTests)
+	table.OthersHave(t0, pictureOf(loads))
 	used := make(map[string]bool)
 	for i := range 60 {
 		c, ok := table.Pick(at(i), long(i))
--- a/internal/core/balance/table.go
+++ b/internal/core/balance/table.go
@@ -29,7 +29,9 @@
 // upstream is what the table knows of one instance.
 type upstream struct {
 	Instance
-	hash   uint64
+	hash uint64
+	// place is where it stands in the order of its pool, from 0 up to 1.
+	place  float64
 	health health
 	cache  *cache
 	load   load
@@ -66,6 +68,9 @@
 	meanTokens float64
 	pauses     pauses
 	outputs    outputs
+	// arrivals counts what this gateway sent, tight streams and others apart.
+	arrivals   map[bool]*arrivals
+	settlement settlement
 }
 
 // Table is one gateway's view of the upstreams. It is not safe for concurrent
@@ -75,6 +80,11 @@
 	upstreams map[string]*upstream
 	pools     map[string]*pool
 	lastRun   uint64
+	// toldAt is when other gateways told last what they have, toldAge how old that
+	// was by then, and gateways their number with this one.
+	toldAt   time.Time
+	toldAge  time.Duration
+	gateways int
 	// news are parts that other gateways may not know of yet.
 	news []occupancy.Part
 }
@@ -85,6 +95,7 @@
 		zone:      zone,
 		upstreams: make(map[string]*upstream),
 		pools:     make(map[string]*pool),
+		gateways:  1,
 	}
 }
 
@@ -156,6 +167,9 @@
 	}
 	for _, p := range t.pools {
 		slices.SortFunc(p.members, func(a, b *upstream) int { return cmp.Compare(a.hash, b.hash) })
+		for i, u := range p.members {
+			u.place = float64(i) / float64(len(p.members))
+		}
 	}
 	t.limitCaches()
 }
@@ -164,7 +178,7 @@
 func (t *Table) pool(name string) *pool {
 	p, ok := t.pools[name]
 	if !ok {
-		p = &pool{outputs: make(outputs)}
+		p = &pool{outputs: make(outputs), arrivals: map[bool]*arrivals{true: {}, false: {}}}
 		t.pools[name] = p
 	}
 	return p
--- a/internal/core/balance/tempo_test.go
+++ b/internal/core/balance/tempo_test.go
@@ -91,7 +91,7 @@
 		}
 		a.Heard(at(1), u.ID, gaps)
 	}
-	b.OthersHave(at(2), a.Loads(at(2)), keepOfTests)
+	b.OthersHave(at(2), pictureOf(a.Loads(at(2))))
 	for i := range 10 {
 		c, _ := b.Pick(at(3), long(i))
 		is.True(c.ID != slow.ID || i > 5)
@@ -107,9 +107,9 @@
 	is.Equal(u.meanOverdue(at(50)), 0.0)
 	late := u.meanOverdue(at(1000))
 	is.True(late > 500)
-	table.OthersHave(at(1000), occupancy.Loads{u.hash: {Overdue: 1, OverdueMs: 1e12}}, keepOfTests)
+	table.OthersHave(at(1000), pictureOf(occupancy.Loads{u.hash: {Overdue: 1, OverdueMs: 1e12}}))
 	is.Equal(u.meanOverdue(at(1000)), (late+overdueMost)/2) // no word counts for more
-	table.OthersHave(at(1000), nil, keepOfTests)
+	table.OthersHave(at(1000), pictureOf(nil))
 	table.Began(at(1001), c)
 	is.Equal(u.meanOverdue(at(1001)), 0.0)
 }
--- a/internal/core/balance/tight_test.go
+++ b/internal/core/balance/tight_test.go
@@ -44,7 +44,7 @@
 			beside := 0
 			for i := range 40 {
 				now := at(20 * i)
-				table.OthersHave(now, loads, keepOfTests)
+				table.OthersHave(now, pictureOf(loads))
 				c, ok := table.Pick(now, long(i))
 				is.True(ok)
 				table.Began(at(20*i+15), c)
--- a/internal/core/occupancy/book.go
+++ b/internal/core/occupancy/book.go
@@ -54,6 +54,10 @@
 // Keep is how long a word counts.
 func (b *Book) Keep() time.Duration { return b.keep }
 
+// Age is how old the words of others are when they come, in the mean: half of the
+// time between two words on the way to a relay, and as much between relays.
+func (b *Book) Age() time.Duration { return b.keep / keepWords }
+
 // fresh reports whether the word still counts.
 func (b *Book) fresh(now time.Time, w word) bool {
 	return !w.at.IsZero() && now.Sub(w.at) <= b.keep
--- a/internal/edge/gatewayd/loads.go
+++ b/internal/edge/gatewayd/loads.go
@@ -6,6 +6,7 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/gladegauge/gladegauge/internal/core/balance"
 	"github.com/gladegauge/gladegauge/internal/core/occupancy"
 	"github.com/gladegauge/gladegauge/internal/edge/loop"
 	gladegaugev1 "github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1"
@@ -98,7 +99,12 @@
 // the control goroutine.
 func (s *Server) takeOthers(now time.Time, relay bool) {
 	if loads, ok := s.occupancy.Others(now, relay); ok {
-		s.table.OthersHave(now, loads, s.occupancy.Keep())
+		s.table.OthersHave(now, balance.Picture{
+			Loads:    loads,
+			Age:      s.occupancy.Age(),
+			Keep:     s.occupancy.Keep(),
+			Gateways: s.fleet.Size(now),
+		})
 	}
 }
 
