Gateways: seeds read the store for those that start; a changed view is proved again soon; late followers know when upstreams must be left

Each gateway knew nobody, took itself for the first of its zone, listed and watched.

A watch ends before the view is too old for followers.

Cause by reading: a parent that has lost the store goes on answering until its watch times out, and a follower asked the store after 1.5 watches, 2.25 s, where upstreams must be left after 2 s. Followers now ask within that time, and watches are short enough for it (TestFollowersDoNotWaitForALostParent failed first).

Ruled out: a listing by every gateway with a random delay (as many calls).

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -39,6 +39,9 @@
 	// about 60 bytes, so that two exchanges a second stay within the 4 KB/s that
 	// control may cost a gateway.
 	ShareMost = 16
+	// IntroduceMost is the number that a gateway is told of that knows less than half
+	// as many: it has just started. It is told so once or twice.
+	IntroduceMost = 128
 	// FanOut is the number of gateways that follow the same parent: their polls
 	// stay within 4 KB/s, and three levels below the first reach over 500
 	// gateways.
@@ -68,6 +71,7 @@
 	// peak is the largest size of the last minute.
 	peak   int
 	peakAt time.Time
+	start  start
 }
 
 // New returns a fleet of the gateway alone.
@@ -138,15 +142,22 @@
 	return list
 }
 
-// Share returns what the next message tells: the gateway itself and some others,
-// chosen by the roll of a dice.
-func (f *Fleet) Share(now time.Time, roll uint64) []Member {
+// Known is the number of gateways that are believed to live, with this one.
+func (f *Fleet) Known(now time.Time) int { return 1 + len(f.alive(now)) }
+
+// Share returns what the next message tells a gateway that knows so many: this one
+// and some others, chosen by the roll of a dice.
+func (f *Fleet) Share(now time.Time, known int, roll uint64) []Member {
 	list := f.alive(now)
+	most := ShareMost
+	if 2*known <= len(list) {
+		most = IntroduceMost
+	}
 	slices.SortFunc(list, func(a, b *heard) int {
 		return cmp.Compare(rendezvous.Mix(roll, a.hash), rendezvous.Mix(roll, b.hash))
 	})
 	members := []Member{f.self}
-	for _, h := range list[:min(len(list), ShareMost-1)] {
+	for _, h := range list[:min(len(list), most-1)] {
 		members = append(members, h.Member)
 	}
 	return members
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -41,9 +41,9 @@
 				f.Down(now, address)
 				continue
 			}
-			told := f.Share(now, rng.Uint64())
+			told := f.Share(now, f.Known(now), rng.Uint64())
 			list[j].Merge(now, told)
-			f.Merge(now, list[j].Share(now, rng.Uint64()))
+			f.Merge(now, list[j].Share(now, f.Known(now), rng.Uint64()))
 		}
 	}
 	return now
--- /dev/null
+++ b/internal/core/fleet/start_test.go
@@ -0,0 +1,76 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Whom a gateway follows after its start, and whether it waits for others.
+func TestSourceAtTheStart(t *testing.T) {
+	seeds := []string{"s-1", "s-2"}
+	tests := []struct {
+		name  string
+		self  string
+		seeds []string
+		heard []Member
+		down  []string
+		after time.Duration
+		// follows are the addresses that may be followed; none means the store.
+		follows []string
+		waits   bool
+	}{
+		{name: "a seed reads", self: "s-1", seeds: seeds},
+		{name: "without seeds it reads", self: "x", seeds: nil},
+		{name: "others ask a seed", self: "x", seeds: seeds, follows: seeds, waits: true},
+		{name: "a seed that is down", self: "x", seeds: seeds, heard: []Member{{Address: "s-1", Zone: "b", Start: 1, Beat: 1}}, down: []string{"s-1"}, follows: []string{"s-2"}, waits: true},
+		{name: "one that it heard of goes first", self: "x", seeds: seeds, heard: []Member{{Address: "y", Zone: "a", Start: 1, Beat: 1}}, follows: []string{"y"}, waits: true},
+		{name: "after the longest wait it reads if nobody answers", self: "x", seeds: seeds, after: waitMost, follows: seeds},
+		{name: "introduced", self: "x", seeds: seeds, after: introducedAfter + 1},
+		{name: "introduced, a seed follows like everybody", self: "s-1", seeds: seeds, heard: []Member{{Address: "y", Zone: "a", Start: 1, Beat: 1}}, after: introducedAfter + 1, follows: []string{"y"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			used := make(map[string]bool)
+			for roll := range uint64(20) {
+				f := New(Member{Address: tt.self, Zone: "a"})
+				f.Started(t0, tt.seeds, roll*7919)
+				now := t0.Add(tt.after)
+				f.Merge(now, tt.heard)
+				for _, address := range tt.down {
+					f.Down(now, address)
+				}
+				is.Equal(f.WaitsForOthers(now), tt.waits)
+				if address, ok := f.Source(now, roll); ok {
+					used[address] = true
+				}
+			}
+			// Either gateway may be the first in its zone, by their names.
+			if len(tt.heard) == 0 || tt.heard[0].Zone != "a" {
+				is.Equal(len(used), len(tt.follows))
+			}
+			for _, address := range tt.follows {
+				is.True(used[address] || tt.heard != nil)
+			}
+		})
+	}
+}
+
+// A gateway that knows nobody is told of the whole fleet at once, one that knows it
+// of a few.
+func TestIntroduction(t *testing.T) {
+	is := is.New(t)
+	f := New(Member{Address: "a-0", Zone: "a"})
+	for i := range 100 {
+		f.Merge(t0, []Member{{Address: fmt.Sprintf("b-%d", i), Zone: "b", Start: 1, Beat: 1}})
+	}
+	is.Equal(len(f.Share(t0, 1, 7)), 101)
+	is.Equal(len(f.Share(t0, 100, 7)), ShareMost)
+	for i := range 900 {
+		f.Merge(t0, []Member{{Address: fmt.Sprintf("c-%d", i), Zone: "c", Start: 1, Beat: 1}})
+	}
+	is.Equal(len(f.Share(t0, 1, 7)), IntroduceMost)
+}
--- a/internal/edge/gatewayd/bounds.go
+++ b/internal/edge/gatewayd/bounds.go
@@ -18,6 +18,9 @@
 	// refused: a watch may hear nothing for a second before it is cut off, and
 	// a check needs a moment to take effect.
 	keyMargin = 1200 * time.Millisecond
+	// listMargin is taken off the time within which a leaving upstream must get
+	// nothing new: to ask the store and to take its answer.
+	listMargin = 150 * time.Millisecond
 	// leastKeyPart divides the time within which a revoked key must be refused:
 	// keys are honoured for at least that part of it, however short it is.
 	leastKeyPart = 4
@@ -26,6 +29,9 @@
 // boundsOf returns the bounds of admission.
 func boundsOf(b platform.Bounds) gateway.Bounds {
 	g := gateway.Bounds{DenyAge: b.ConfigWithin, UrgencySteps: platform.UrgencySteps}
+	if b.DrainWithin > 0 {
+		g.ListAge = max(b.DrainWithin-listMargin, b.DrainWithin/leastKeyPart)
+	}
 	if b.StrictRevocation {
 		g.KeyAge = max(b.RevokeWithin-keyMargin, b.RevokeWithin/leastKeyPart)
 	}
--- a/internal/edge/gatewayd/feed.go
+++ b/internal/edge/gatewayd/feed.go
@@ -33,7 +33,7 @@
 		var resp *gladegaugev1.FollowResponse
 		var changed <-chan struct{}
 		if !s.control.Must(func(now time.Time) { resp, changed = s.news(now, began, req.Msg.GetRevision()) }) || resp == nil {
-			return nil, connect.NewError(connect.CodeUnavailable, errNothingKnown)
+			return nil, connect.NewError(connect.CodeFailedPrecondition, errNothingKnown)
 		}
 		if len(resp.GetEntries()) > 0 {
 			return connect.NewResponse(resp), nil
--- a/internal/edge/gatewayd/follow.go
+++ b/internal/edge/gatewayd/follow.go
@@ -26,9 +26,19 @@
 	// nothing to a watch that waits, so that only the next one tells; the rest of
 	// the time is for that one, a listing, and the way to followers.
 	configShare = 0.75
+	// listShare is the part of the age up to which the list of upstreams is relied on
+	// that one watch may take; the rest is for the way to followers, which ask every
+	// half second.
+	listShare = 0.65
 	// gatherFor is the pause after a watch that brought changes. Changes come
 	// in groups, and every call is paid for.
 	gatherFor = 150 * time.Millisecond
+	// startPause is the pause between two questions of a gateway that starts to
+	// others. A listing takes a few of them.
+	startPause = 50 * time.Millisecond
+	// leastWatchShare is the part of the usual time that a watch waits at least when
+	// the view has become old meanwhile.
+	leastWatchShare = 0.25
 )
 
 // follower keeps the state of one gateway's reading of the store.
@@ -75,6 +85,10 @@
 	if address, ok := f.source(); ok && f.askPeer(ctx, address, wait) {
 		return
 	}
+	if f.waitsForOthers(time.Now()) {
+		loop.Pause(ctx, startPause)
+		return
+	}
 	if f.revision == 0 || f.compacted {
 		f.list(ctx)
 		return
@@ -82,6 +96,14 @@
 	f.watch(ctx)
 }
 
+// waitsForOthers reports whether a gateway that starts lets others read the store
+// first.
+func (f *follower) waitsForOthers(now time.Time) bool {
+	waits := false
+	f.server.control.Must(func(time.Time) { waits = f.revision == 0 && f.server.fleet.WaitsForOthers(now) })
+	return waits
+}
+
 // list reads everything.
 func (f *follower) list(ctx context.Context) {
 	asked := time.Now()
@@ -153,7 +175,20 @@
 	if f.listed || f.contact.lost() || f.late(time.Now()) {
 		return returnWatch
 	}
-	return f.usualWait()
+	return f.untilOld(time.Now())
+}
+
+// untilOld is the usual time less the age of the view. A watch that brought changes
+// proves no more than when it was asked; if the next one took its usual time, the
+// followers would find the view too old and all ask the store.
+func (f *follower) untilOld(now time.Time) time.Duration {
+	usual := f.usualWait()
+	view := f.server.view.Load()
+	if view.Table == nil {
+		return usual
+	}
+	least := time.Duration(leastWatchShare * float64(usual))
+	return min(usual, max(least, usual-view.Age(now)))
 }
 
 // usualWait is how long a watch waits when all is well. Each answer proves the
@@ -165,6 +200,9 @@
 	if bounds.KeyAge > 0 {
 		wait = min(wait, time.Duration(watchShare*float64(bounds.KeyAge)))
 	}
+	if bounds.ListAge > 0 {
+		wait = min(wait, time.Duration(listShare*float64(bounds.ListAge)))
+	}
 	if bounds.DenyAge > 0 {
 		wait = min(wait, time.Duration(configShare*float64(bounds.DenyAge)))
 	}
--- a/internal/edge/gatewayd/peers.go
+++ b/internal/edge/gatewayd/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -42,13 +43,15 @@
 }
 
 // exchangeLoop swaps what is known with one other gateway after the other. At the
-// start it asks all seeds.
+// start it asks all seeds, and a little later again: by then they know those that
+// started at the same time.
 func (s *Server) exchangeLoop(ctx context.Context) error {
-	for _, address := range s.o.Settings.Seeds {
-		if address != s.PeersAddress() {
-			s.exchange(ctx, address)
-		}
+	s.exchangeWithSeeds(ctx)
+	//nolint:gosec // Jitter needs no secret randomness.
+	if !loop.Pause(ctx, fleet.ExchangeEvery/4+rand.N(fleet.ExchangeEvery/4)) {
+		return nil
 	}
+	s.exchangeWithSeeds(ctx)
 	for {
 		//nolint:gosec // Jitter needs no secret randomness.
 		if !loop.Pause(ctx, fleet.ExchangeEvery/2+rand.N(fleet.ExchangeEvery)) {
@@ -60,6 +63,15 @@
 	}
 }
 
+// exchangeWithSeeds swaps what is known with each seed.
+func (s *Server) exchangeWithSeeds(ctx context.Context) {
+	for _, address := range s.o.Settings.Seeds {
+		if address != s.PeersAddress() {
+			s.exchange(ctx, address)
+		}
+	}
+}
+
 // partner returns the gateway to swap with next; false if none is known.
 func (s *Server) partner() (string, bool) {
 	var address string
@@ -77,7 +89,9 @@
 	req := &gladegaugev1.GatewayExchangeRequest{}
 	s.control.Must(func(now time.Time) {
 		s.fleet.Beat()
-		req.Members = s.share(now)
+		known := s.fleet.Known(now)
+		req.Known = uint32(min(known, math.MaxUint32)) //nolint:gosec // It is bounded.
+		req.Members = s.share(now, known)
 	})
 	resp, err := s.peer(address).Exchange(ctx, connect.NewRequest(req))
 	s.metrics.peerCall("exchange", err)
@@ -90,9 +104,10 @@
 	})
 }
 
-// share returns what the next message tells. It runs in the control goroutine.
-func (s *Server) share(now time.Time) []*gladegaugev1.GatewayMember {
-	members := s.fleet.Share(now, rand.Uint64()) //nolint:gosec // A sample needs no secret randomness.
+// share returns what the next message tells a gateway that knows so many. It runs in
+// the control goroutine.
+func (s *Server) share(now time.Time, known int) []*gladegaugev1.GatewayMember {
+	members := s.fleet.Share(now, known, rand.Uint64()) //nolint:gosec // A sample needs no secret randomness.
 	list := make([]*gladegaugev1.GatewayMember, len(members))
 	for i, m := range members {
 		list[i] = encodeMember(m)
@@ -127,7 +142,7 @@
 	resp := &gladegaugev1.GatewayExchangeResponse{}
 	s.control.Must(func(now time.Time) {
 		s.merge(now, req.Msg.GetMembers())
-		resp.Members = s.share(now)
+		resp.Members = s.share(now, int(req.Msg.GetKnown()))
 	})
 	return connect.NewResponse(resp), nil
 }
--- a/internal/edge/gatewayd/peers_test.go
+++ b/internal/edge/gatewayd/peers_test.go
@@ -12,6 +12,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/gladegauge/gladegauge/internal/core/feed"
+	"github.com/gladegauge/gladegauge/internal/core/gateway"
+	"github.com/gladegauge/gladegauge/internal/core/ingress"
 	gladegaugev1 "github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1"
 	"github.com/gladegauge/gladegauge/platform"
 	"github.com/gladegauge/gladegauge/platform/standin"
@@ -208,3 +210,104 @@
 	is.Equal(wholeMilliseconds(-time.Second), uint32(0))
 	is.True(wholeMilliseconds(50*24*time.Hour) > uint32((40 * 24 * time.Hour).Milliseconds()))
 }
+
+// Gateways that start at once leave the reading of the store to their seed: the others
+// learn everything from it, and nobody lists what one has listed.
+func TestManyStartAtOnce(t *testing.T) {
+	w := &world{t: t, is: is.New(t)}
+	proved := func(g *testPeer) bool { return !g.view.Load().NewestAt.IsZero() }
+	alone := standin.NewStore(t)
+	alone.PutConfig(configuration(1))
+	lone := startPeer(t, alone)
+	w.await(func() bool { return proved(lone) })
+
+	store := standin.NewStore(t)
+	store.PutConfig(configuration(1))
+	seed := startPeer(t, store)
+	all := []*testPeer{seed}
+	for range 7 {
+		all = append(all, startPeer(t, store, seed.PeersAddress()))
+	}
+	w.await(func() bool {
+		for _, g := range all {
+			if !proved(g) {
+				return false
+			}
+		}
+		return true
+	})
+	w.is.Equal(store.Lists(), alone.Lists())
+}
+
+// If the seed is gone, a gateway that starts reads the store after a moment.
+func TestStartWithoutSeed(t *testing.T) {
+	w := &world{t: t, is: is.New(t)}
+	store := standin.NewStore(t)
+	store.PutConfig(configuration(1))
+	g := startPeer(t, store, closedAddress(t).String())
+	w.await(func() bool { return g.version() == 1 })
+	w.is.True(store.Lists() >= 1)
+}
+
+// A watch that follows one with changes ends before the view is too old for those who
+// follow this gateway.
+func TestWatchAfterChanges(t *testing.T) {
+	now := time.Now()
+	tests := []struct {
+		name string
+		age  time.Duration
+		// least and most are the wait, as a part of the usual one.
+		least, most float64
+	}{
+		{"just proved", 0, 0.95, 1},
+		{"half as old as a watch", 1250 * time.Millisecond, 0.4, 0.6},
+		{"as old as a watch", 2500 * time.Millisecond, leastWatchShare, leastWatchShare},
+		{"much older", time.Minute, leastWatchShare, leastWatchShare},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := New(&Options{Settings: platform.Settings{Bounds: boundsOfTests()}, Log: zerolog.Nop()})
+			s.view.Store(&ingress.View{Table: &ingress.Table{}, NewestAt: now.Add(-tt.age)})
+			s.bounds.Store(&gateway.Bounds{KeyAge: 5 * time.Second})
+			f := &follower{server: s, revision: 1, contact: contact{goodAt: now}}
+			is.Equal(f.usualWait(), 2500*time.Millisecond)
+			share := float64(f.untilOld(now)) / float64(f.usualWait())
+			is.True(share >= tt.least && share <= tt.most)
+		})
+	}
+}
+
+// A parent that has lost the store answers without news until its watch has timed
+// out. Its followers ask the store before a leaving upstream must get nothing new.
+func TestFollowersDoNotWaitForALostParent(t *testing.T) {
+	bounds := func(drain time.Duration) platform.Bounds {
+		b := boundsOfTests()
+		b.DrainWithin = drain
+		return b
+	}
+	now := time.Now()
+	tests := []struct {
+		name  string
+		drain time.Duration
+		age   time.Duration
+		late  bool
+	}{
+		{"a view as old as a watch and a poll", 2 * time.Second, 1700 * time.Millisecond, false},
+		{"just before upstreams must be left", 2 * time.Second, 1900 * time.Millisecond, true},
+		{"more time to leave them", 4 * time.Second, 1900 * time.Millisecond, false},
+		{"more time, but the watches are late", 4 * time.Second, 2500 * time.Millisecond, true},
+		{"no such bound", 0, 1900 * time.Millisecond, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := New(&Options{Settings: platform.Settings{Bounds: bounds(tt.drain)}, Log: zerolog.Nop()})
+			s.view.Store(&ingress.View{Table: &ingress.Table{}, NewestAt: now.Add(-tt.age)})
+			f := &follower{server: s, revision: 1, contact: contact{goodAt: now}}
+			is.Equal(f.late(now), tt.late)
+			// What is usual is not late.
+			is.True(f.usualWait()+followWait <= 2*time.Second)
+		})
+	}
+}
--- a/internal/edge/gatewayd/server.go
+++ b/internal/edge/gatewayd/server.go
@@ -15,6 +15,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -136,6 +137,7 @@
 	if listeners == nil {
 		return errors.AssertionFailedf("Run needs Listen first")
 	}
+	s.fleet.Started(time.Now(), s.o.Settings.Seeds, rand.Uint64()) //nolint:gosec // Jitter needs no secret randomness.
 	group, work := errgroup.WithContext(work)
 	group.Go(func() error { return s.control.Run(work) })
 	group.Go(func() error { return s.follow(work) })
--- a/internal/edge/gatewayd/source.go
+++ b/internal/edge/gatewayd/source.go
@@ -26,17 +26,22 @@
 		case f.tryPeer:
 			address, ok = f.server.fleet.Other(now, rand.Uint64()) //nolint:gosec // Any one will do.
 		case !f.late(now):
-			address, ok = f.server.fleet.Parent(now)
+			address, ok = f.server.fleet.Source(now, rand.Uint64()) //nolint:gosec // Any one will do.
 		}
 	})
 	f.tryPeer = false
 	return address, ok
 }
 
-// late reports whether the view is too old to wait for a parent.
+// late reports whether the view is too old to wait for a parent. A parent that has
+// lost the store goes on answering until its own watch has timed out.
 func (f *follower) late(now time.Time) bool {
 	view := f.server.view.Load()
-	return view.Table != nil && view.Age(now) > time.Duration(lateFactor*float64(f.usualWait()))
+	limit := time.Duration(lateFactor * float64(f.usualWait()))
+	if age := f.server.bounds.Load().ListAge; age > 0 {
+		limit = min(limit, age)
+	}
+	return view.Table != nil && view.Age(now) > limit
 }
 
 // askPeer asks the gateway at the address for what it knows. It reports false if
@@ -51,7 +56,7 @@
 	}))
 	f.server.metrics.peerCall("follow", err)
 	if err != nil {
-		f.server.control.Must(func(now time.Time) { f.server.fleet.Down(now, address) })
+		f.peerFailed(address, err)
 		return false
 	}
 	f.contact.answeredByPeer(time.Now())
@@ -59,6 +64,15 @@
 	return true
 }
 
+// peerFailed notes a gateway that did not answer. One that knows nothing of the store
+// yet may know it in a moment.
+func (f *follower) peerFailed(address string, err error) {
+	if f.revision == 0 && connect.CodeOf(err) == connect.CodeFailedPrecondition {
+		return
+	}
+	f.server.control.Must(func(now time.Time) { f.server.fleet.Down(now, address) })
+}
+
 // takeFrom brings another gateway's news into force. The answer was made at the
 // moment of the question and the time that it was held, or later: no delay on the
 // way makes what it proves look younger.
