--- a/internal/core/balance/draw.go
+++ b/internal/core/balance/draw.go
@@ -20,9 +20,12 @@
 	// before its picture changes. At 7 streams found too few engines without
 	// reading, at 40 prompts queued behind each other.
 	drawnShare = 14.0
-	// drawnLeast is the least number of engines that a choice compares: fewer find
-	// no engine in five that does not read.
-	drawnLeast = 8
+	// leastDrawn is the least number of engines that a choice compares, however old the
+	// picture, and leastDrawnTight that of a tight stream, which settles on few of
+	// them: fewer would miss these. With words 0.9 s old, 8 for all served 0.84 of the
+	// prompts and 0.82 of the chats in time, 3 and 16 served 0.95 and 0.86.
+	leastDrawn      = 3
+	leastDrawnTight = 16
 	// leastKindShare is the part of all requests that are taken to be of the same kind
 	// at least: of a rare one, a gateway of a large fleet sees too few to tell.
 	leastKindShare = 0.25
@@ -81,7 +84,11 @@
 	if others <= drawnShare {
 		return n
 	}
-	return max(drawnLeast, int(drawnShare*float64(n)/others))
+	least := leastDrawn
+	if tight {
+		least = leastDrawnTight
+	}
+	return max(least, int(drawnShare*float64(n)/others))
 }
 
 // pictureAge is how old the word of the other gateways is.
