Balance: the least urgent requests are turned away when they would wait for longer than their target

Cause: nothing was turned away however many prompts came.

A request waits for longer than its target at the best engine it was compared on, and this gateway has seen waits of half of that itself: it is refused at once with the time after which it fits, spread over callers by their hash. Only requests that nothing in the configuration stands below.

Also: a gateway that restarts asks a seed once and then reads the store itself; only at the first start of the whole fleet does it wait.

--- a/internal/core/balance/cost.go
+++ b/internal/core/balance/cost.go
@@ -35,11 +35,12 @@
 )
 
 // engineCost is the cost at a model engine.
-func (p *pool) engineCost(now time.Time, u *upstream, r Request, c Choice, usual usual) float64 {
+func (p *pool) engineCost(now time.Time, u *upstream, r Request, c *Choice, usual usual) float64 {
 	tight := p.pauses.isTight(r.Pause)
 	perMs := p.speed.tokensPerMs() / u.slowness(now, usual.gaps, tight)
 	reading := float64(c.Unread) / perMs
 	backlog := float64(u.unread(now, p.speed.tokensPerMs())) / perMs
+	c.Wait = backlog
 	cost := waitWeight(r.Target)*backlog + readWeight*reading + slotCost*c.InFlight
 	if slots := float64(u.Slots); slots > 0 && c.InFlight >= slots {
 		// Beyond its slots a request waits for another one to end.
--- a/internal/core/balance/load.go
+++ b/internal/core/balance/load.go
@@ -31,7 +31,9 @@
 	// expected answer.
 	tokens int
 	// pause is the longest pause that its caller bears; 0 for any.
-	pause  time.Duration
+	pause time.Duration
+	// least says that no request for the pool is less urgent.
+	least  bool
 	sentAt time.Time
 	begun  bool
 	// expected is the time to its first event, in milliseconds, at an engine that
--- a/internal/core/balance/outcome.go
+++ b/internal/core/balance/outcome.go
@@ -50,6 +50,9 @@
 	}
 	r.begun = true
 	r.unread = 0
+	if r.least {
+		t.pool(u.Pool).waits.learn(now, milliseconds(now.Sub(r.sentAt)), waitsWeight)
+	}
 	if c.prompt.Tokens > 0 {
 		t.pool(u.Pool).speed.learn(c.Unread, now.Sub(r.sentAt))
 		t.tell(u, u.cache.used(now, c.prompt, c.keys, true))
--- a/internal/core/balance/pick.go
+++ b/internal/core/balance/pick.go
@@ -24,6 +24,9 @@
 	Protect bool
 	// Exclude holds the upstreams that were tried already.
 	Exclude []string
+	// Least says that no request for the pool is less urgent: it may be turned away
+	// when the pool is too busy.
+	Least bool
 	// Hash breaks ties.
 	Hash uint64
 }
@@ -47,6 +50,12 @@
 	LoadAge time.Duration
 	// Candidates is the number of upstreams that were compared.
 	Candidates int
+	// Wait is how long it is expected to wait there before its prompt is read, in
+	// milliseconds.
+	Wait float64
+	// ComeBack is above 0 if the pool is too busy for the request: it was not counted,
+	// and its caller may come back after that time.
+	ComeBack time.Duration
 	// ToldAge is the age of the other gateways' word on the upstream; below 0 if
 	// there is none.
 	ToldAge time.Duration
@@ -61,7 +70,8 @@
 }
 
 // Pick chooses an upstream and counts the request there until Ended. It
-// reports false if the pool has no upstream left to try.
+// reports false if the pool has no upstream left to try, or is too busy: the choice
+// tells when to come back then.
 func (t *Table) Pick(now time.Time, r Request) (Choice, bool) {
 	p, ok := t.pools[r.Pool]
 	if !ok {
@@ -91,6 +101,9 @@
 		best.Backup = backupFor(now, chosen, candidates, r)
 	}
 	best.Candidates = len(compared)
+	if best.ComeBack = p.tooBusy(now, r, best); best.ComeBack > 0 {
+		return best, false
+	}
 	t.send(now, p, chosen, r, &best)
 	return best, true
 }
@@ -142,7 +155,7 @@
 	}
 	c.Unread = unreadTokens(now, u, r.Prompt, keys, home)
 	if r.Prompt.Tokens > 0 {
-		c.Cost = p.engineCost(now, u, r, c, usual)
+		c.Cost = p.engineCost(now, u, r, &c, usual)
 	} else {
 		c.Cost = serviceCost(now, u, c, usual.work)
 	}
@@ -161,7 +174,7 @@
 	if u.askedAt.IsZero() {
 		u.askedAt = now
 	}
-	sent := &run{route: r.Route, unread: c.Unread, pause: r.Pause, sentAt: now}
+	sent := &run{route: r.Route, unread: c.Unread, pause: r.Pause, least: r.Least, sentAt: now}
 	if r.Prompt.Tokens > 0 {
 		sent.expected = float64(u.unread(now, p.speed.tokensPerMs())+c.Unread) / p.speed.tokensPerMs()
 		sent.tokens = p.tokensOf(r)
--- a/internal/core/balance/replay_test.go
+++ b/internal/core/balance/replay_test.go
@@ -63,6 +63,8 @@
 	came    time.Time
 	began   time.Time
 	tried   []string
+	// cameBack is true once it was turned away.
+	cameBack bool
 }
 
 // replayGateway is one gateway: the real table, and what it told last.
@@ -189,7 +191,11 @@
 // send picks an engine for the request and calls it.
 func (r *replay) send(q *replayRequest) {
 	c, ok := q.gateway.table.Pick(r.now, Request{Pool: "p", Route: q.class.name, Pause: q.class.target, Tier: q.class.tier,
-		Target: q.class.target, Prompt: q.prompt, Exclude: q.tried, Hash: r.rng.Uint64()})
+		Target: q.class.target, Prompt: q.prompt, Exclude: q.tried, Hash: r.rng.Uint64(), Least: q.class.tier == 2})
+	if c.ComeBack > 0 {
+		r.turnedAway(q, c.ComeBack)
+		return
+	}
 	if !ok || len(q.tried) == 4 {
 		r.count(q.class, refusedResult)
 		return
@@ -225,6 +231,16 @@
 	})
 }
 
+// turnedAway lets a caller come back once, if it may wait so long.
+func (r *replay) turnedAway(q *replayRequest, comeBack time.Duration) {
+	if q.cameBack || comeBack > (q.class.patient-r.now.Sub(q.came))/3 {
+		r.count(q.class, refusedResult)
+		return
+	}
+	q.cameBack = true
+	r.after(milliseconds(comeBack), func() { r.send(q) })
+}
+
 func (r *replay) began(run *replayRun) {
 	run.replayRequest.began = r.now
 	run.gateway.table.Began(r.now, run.choice)
@@ -370,6 +386,8 @@
 		{name: "words three times as old", gateways: 36, engines: 60, every: 600 * time.Millisecond, lag: 300 * time.Millisecond, checks: 2, chats: 1.8, check: 0.88, chat: 0.65},
 		// The same: 0.789 and 0.848; each gateway for itself: 648 refusals.
 		{name: "a quarter of the engines crash", gateways: 36, engines: 60, every: 200 * time.Millisecond, lag: 100 * time.Millisecond, checks: 1.3, chats: 1, crash: 0.25, check: 0.93, chat: 0.85, refusals: 150},
+		// All taken: 0.331 and 0.191.
+		{name: "far more prompts than fit", gateways: 36, engines: 60, every: 200 * time.Millisecond, lag: 100 * time.Millisecond, checks: 4, chats: 1.8, check: 0.36, chat: 0.5},
 		// Streams anywhere: 0.979 and 0.726.
 		{name: "few gateways", gateways: 3, engines: 9, every: 100 * time.Millisecond, lag: 2 * time.Millisecond, checks: 2, chats: 1.8, check: 0.97, chat: 0.95},
 	}
--- a/internal/core/balance/table.go
+++ b/internal/core/balance/table.go
@@ -71,6 +71,8 @@
 	// arrivals counts what this gateway sent, tight streams and others apart.
 	arrivals   map[bool]*arrivals
 	settlement settlement
+	// waits is the mean time to the first event of its least urgent requests.
+	waits recent
 }
 
 // Table is one gateway's view of the upstreams. It is not safe for concurrent
--- a/internal/core/fleet/start.go
+++ b/internal/core/fleet/start.go
@@ -9,9 +9,11 @@
 // each takes itself for the first of its availability zone and reads the store: 103
 // gateways made 1,000 calls in four seconds, as many as in ten minutes of calm.
 //
-// So the seeds read the store, and everybody else waits for a moment and asks them,
-// until it has heard of the fleet. Seeds may be stale or down: then the moment ends,
-// at a time of its own for each, and the first that reads serves the others.
+// So the seeds read the store, and everybody else asks them until it has heard of the
+// fleet. When the whole fleet starts for the first time, nobody is served yet, and a
+// gateway waits for a moment of its own until a seed knows something; seeds may be
+// stale or down. After a restart callers wait: a gateway that gets no answer at once
+// reads the store itself.
 
 const (
 	// introducedAfter is how long after its start a gateway does not take itself for
@@ -26,29 +28,32 @@
 
 // start is what a gateway knows of its own start.
 type start struct {
-	at    time.Time
+	at time.Time
+	// seeds are the addresses from the settings, without its own.
 	seeds []string
+	// reads is true if it reads the store from its start on: others know it from
+	// their settings, or it knows nobody.
+	reads bool
 	// aloneAt is when it reads the store if nobody has told it anything.
 	aloneAt time.Time
 }
 
-// Started notes the start of the gateway and the addresses from its settings; the
-// roll of a dice says how long it waits for others.
-func (f *Fleet) Started(now time.Time, seeds []string, roll uint64) {
+// Started notes the start of the gateway and the addresses from its settings. If the
+// whole fleet starts for the first time, the roll of a dice says how long it waits for
+// others.
+func (f *Fleet) Started(now time.Time, seeds []string, first bool, roll uint64) {
 	f.start = start{at: now, aloneAt: now}
 	for _, address := range seeds {
 		if address != f.self.Address {
 			f.start.seeds = append(f.start.seeds, address)
 		}
 	}
-	if len(f.start.seeds) == len(seeds) && len(seeds) > 0 {
+	f.start.reads = len(seeds) == 0 || len(f.start.seeds) < len(seeds)
+	if first && !f.start.reads {
 		f.start.aloneAt = now.Add(waitLeast + time.Duration(roll%uint64(waitMost-waitLeast)))
 	}
 }
 
-// isSeed reports whether others know this gateway from their settings.
-func (f *Fleet) isSeed() bool { return f.start.aloneAt.Equal(f.start.at) }
-
 // WaitsForOthers reports whether the gateway, which knows nothing of the store yet,
 // leaves the reading to others.
 func (f *Fleet) WaitsForOthers(now time.Time) bool { return now.Before(f.start.aloneAt) }
@@ -59,7 +64,7 @@
 	if f.start.at.IsZero() || now.Sub(f.start.at) > introducedAfter {
 		return f.Parent(now)
 	}
-	if f.isSeed() {
+	if f.start.reads {
 		return "", false
 	}
 	if parent, ok := f.Parent(now); ok {
--- a/internal/core/fleet/start_test.go
+++ b/internal/core/fleet/start_test.go
@@ -21,10 +21,13 @@
 		// follows are the addresses that may be followed; none means the store.
 		follows []string
 		waits   bool
+		// again is true for a restart.
+		again bool
 	}{
 		{name: "a seed reads", self: "s-1", seeds: seeds},
 		{name: "without seeds it reads", self: "x", seeds: nil},
 		{name: "others ask a seed", self: "x", seeds: seeds, follows: seeds, waits: true},
+		{name: "after a restart they ask once", self: "x", seeds: seeds, follows: seeds, again: true},
 		{name: "a seed that is down", self: "x", seeds: seeds, heard: []Member{{Address: "s-1", Zone: "b", Start: 1, Beat: 1}}, down: []string{"s-1"}, follows: []string{"s-2"}, waits: true},
 		{name: "one that it heard of goes first", self: "x", seeds: seeds, heard: []Member{{Address: "y", Zone: "a", Start: 1, Beat: 1}}, follows: []string{"y"}, waits: true},
 		{name: "after the longest wait it reads if nobody answers", self: "x", seeds: seeds, after: waitMost, follows: seeds},
@@ -37,7 +40,7 @@
 			used := make(map[string]bool)
 			for roll := range uint64(20) {
 				f := New(Member{Address: tt.self, Zone: "a"})
-				f.Started(t0, tt.seeds, roll*7919)
+				f.Started(t0, tt.seeds, !tt.again, roll*7919)
 				now := t0.Add(tt.after)
 				f.Merge(now, tt.heard)
 				for _, address := range tt.down {
--- a/internal/core/gateway/refusal.go
+++ b/internal/core/gateway/refusal.go
@@ -29,6 +29,7 @@
 	NoKey           Reason = "no_key"
 	UnknownKey      Reason = "unknown_key"
 	NoUpstream      Reason = "no_upstream"
+	PoolBusy        Reason = "pool_busy"
 	RefusedByAll    Reason = "refused_by_upstreams"
 	Unreachable     Reason = "upstreams_unreachable"
 	OutcomeUnknown  Reason = "outcome_unknown"
@@ -73,6 +74,9 @@
 // Stopping refuses a request that came too late to a process that stops.
 func Stopping() *Refusal { return notRun(StoppingProcess, comeBackSoon) }
 
+// Busy refuses a request that would wait for too long; it may come back after the time.
+func Busy(comeBack time.Duration) *Refusal { return notRun(PoolBusy, comeBack) }
+
 // Body returns the refusal of a request whose body is too large or did not
 // come. Nothing was sent to an upstream.
 func Body(tooLarge bool) *Refusal {
--- a/internal/core/ingress/ingress_test.go
+++ b/internal/core/ingress/ingress_test.go
@@ -95,3 +95,34 @@
 		is.True(!ok) // never back
 	}
 }
+
+// Only requests that nothing else stands below are least.
+func TestIsLeast(t *testing.T) {
+	route := func(name, pool string, tier int) *Route {
+		return &Route{Name: name, Prefix: "/" + name + "/", Kind: Stream, Tier: tier, Timeout: time.Second, MaxAttempts: 1, Shares: []Share{{Pool: pool, Weight: 1}}}
+	}
+	chat, check, other := route("chat", "p", 0), route("check", "p", 2), route("other", "q", 1)
+	tests := []struct {
+		name          string
+		organisations []Organisation
+		o             *Organisation
+		r             *Route
+		pool          string
+		want          bool
+	}{
+		{"the lowest route", nil, nil, check, "p", true},
+		{"a higher route", nil, nil, chat, "p", false},
+		{"the only route of a pool", nil, nil, other, "q", true},
+		{"the lowest organisation", []Organisation{{Name: "a"}, {Name: "b", Tier: 1}}, &Organisation{Tier: 1}, check, "p", true},
+		{"an organisation above another", []Organisation{{Name: "a"}, {Name: "b", Tier: 1}}, &Organisation{}, check, "p", false},
+		{"a public route beside a lower organisation", []Organisation{{Name: "b", Tier: 1}}, nil, check, "p", false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			table, faults := New(1, []*Route{chat, check, other}, []Pool{{Name: "p"}, {Name: "q"}}, tt.organisations, Limits{})
+			is.Equal(len(faults), 0)
+			is.Equal(table.IsLeast(tt.o, tt.r, tt.pool), tt.want)
+		})
+	}
+}
--- a/internal/core/ingress/table.go
+++ b/internal/core/ingress/table.go
@@ -62,6 +62,7 @@
 	organisations map[config.Key]*Organisation
 	open          bool
 	ranks         []rank
+	leasts        leasts
 }
 
 // New returns a table, or all faults of its parts. Version is positive.
@@ -94,6 +95,7 @@
 		slices.SortFunc(rs, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
 	t.ranks = ranksOf(routes, organisations)
+	t.leasts = leastsOf(routes, organisations)
 	return t, nil
 }
 
--- a/internal/core/ingress/urgency.go
+++ b/internal/core/ingress/urgency.go
@@ -47,3 +47,33 @@
 	}
 	return i * steps / (len(t.ranks) + 1)
 }
+
+// leasts are the lowest tiers of the configuration.
+type leasts struct {
+	organisation int
+	// routes is the lowest tier of the routes of each pool.
+	routes map[string]int
+}
+
+func leastsOf(routes []*Route, organisations []Organisation) leasts {
+	l := leasts{routes: make(map[string]int)}
+	for _, o := range organisations {
+		l.organisation = max(l.organisation, o.Tier)
+	}
+	for _, r := range routes {
+		for _, s := range r.Shares {
+			l.routes[s.Pool] = max(l.routes[s.Pool], r.Tier)
+		}
+	}
+	return l
+}
+
+// IsLeast reports whether no request for the pool can be less urgent. The organisation
+// is nil on public routes.
+func (t *Table) IsLeast(o *Organisation, r *Route, pool string) bool {
+	organisation := 0
+	if o != nil {
+		organisation = o.Tier
+	}
+	return organisation >= t.leasts.organisation && r.Tier >= t.leasts.routes[pool]
+}
--- a/internal/edge/gatewayd/feed.go
+++ b/internal/edge/gatewayd/feed.go
@@ -19,6 +19,9 @@
 	followWaitMost = 2 * time.Second
 	// followSlack is what an answer may take beyond its wait.
 	followSlack = 400 * time.Millisecond
+	// startSlack is what an answer may take that tells a gateway everything at its
+	// start. The store would tell it in tens of milliseconds.
+	startSlack = 200 * time.Millisecond
 )
 
 var errNothingKnown = errors.New("nothing is known of the store yet")
--- a/internal/edge/gatewayd/follow.go
+++ b/internal/edge/gatewayd/follow.go
@@ -33,9 +33,9 @@
 	// gatherFor is the pause after a watch that brought changes. Changes come
 	// in groups, and every call is paid for.
 	gatherFor = 150 * time.Millisecond
-	// startPause is the pause between two questions of a gateway that starts to
-	// others. A listing takes a few of them.
-	startPause = 50 * time.Millisecond
+	// startPause is the least pause between two questions of a gateway that starts to
+	// others, and half of the longest. A hundred gateways ask three.
+	startPause = 100 * time.Millisecond
 	// leastWatchShare is the part of the usual time that a watch waits at least when
 	// the view has become old meanwhile.
 	leastWatchShare = 0.25
@@ -79,14 +79,14 @@
 // step asks once.
 func (f *follower) step(ctx context.Context) {
 	wait := followWait
-	if f.tryPeer {
+	if f.tryPeer || f.revision == 0 {
 		wait = 0
 	}
 	if address, ok := f.source(); ok && f.askPeer(ctx, address, wait) {
 		return
 	}
 	if f.waitsForOthers(time.Now()) {
-		loop.Pause(ctx, startPause)
+		loop.Pause(ctx, startPause+rand.N(startPause)) //nolint:gosec // Jitter needs no secret randomness.
 		return
 	}
 	if f.revision == 0 || f.compacted {
--- a/internal/edge/gatewayd/lines.go
+++ b/internal/edge/gatewayd/lines.go
@@ -32,6 +32,7 @@
 		Float64("cost_ms", c.Cost).
 		Float64("in_flight", c.InFlight).
 		Int("unread", c.Unread).
+		Float64("wait_ms", c.Wait).
 		Str("fetch_from", c.FetchFrom).
 		Str("backup", c.Backup.ID).
 		Bool("continues", x.continuing).
@@ -48,6 +49,20 @@
 	line.Msg("picked")
 }
 
+// logBusy writes why the request was turned away: at the best upstream it would wait
+// for so long.
+func (x *request) logBusy(c balance.Choice) {
+	x.log().
+		Str("route", x.admission.Route.Name).
+		Str("upstream", c.ID).
+		Float64("wait_ms", c.Wait).
+		Dur("target", x.admission.Route.Target).
+		Int("candidates", c.Candidates).
+		Dur("told_age", c.ToldAge).
+		Dur("come_back", c.ComeBack).
+		Msg("pool is too busy")
+}
+
 // logFailure writes how an attempt failed and whether another one follows.
 func (x *request) logFailure(c balance.Choice, f gateway.Failure, step gateway.Step, err error) {
 	x.log().
--- a/internal/edge/gatewayd/peers_test.go
+++ b/internal/edge/gatewayd/peers_test.go
@@ -33,13 +33,19 @@
 
 // startPeerIn starts one in the availability zone.
 func startPeerIn(t *testing.T, store *standin.Store, zone string, seeds ...string) *testPeer {
+	t.Helper()
+	return startPeerWith(t, store, zone, true, seeds...)
+}
+
+// startPeerWith starts one for the first time, or again.
+func startPeerWith(t *testing.T, store *standin.Store, zone string, first bool, seeds ...string) *testPeer {
 	t.Helper()
 	is := is.New(t)
 	s := New(&Options{
 		Settings: platform.Settings{
 			Host: "h", Zone: zone, IP: "127.0.0.1",
 			Callers: "127.0.0.1:0", Readiness: "127.0.0.1:0", Peers: "127.0.0.1:0",
-			Seeds: seeds, Store: store.Address(), Bounds: boundsOfTests(),
+			Seeds: seeds, FirstStart: first, Store: store.Address(), Bounds: boundsOfTests(),
 		},
 		Stop: StopTimes{LastCallAfter: time.Hour},
 		Log:  zerolog.Nop(),
@@ -249,6 +255,26 @@
 	w.is.True(store.Lists() >= 1)
 }
 
+// A gateway that restarts learns everything from a seed that knows it, and does not
+// wait for one that does not.
+func TestRestart(t *testing.T) {
+	w := &world{t: t, is: is.New(t)}
+	store := standin.NewStore(t)
+	store.PutConfig(configuration(1))
+	seed := startPeer(t, store)
+	w.await(func() bool { return seed.version() == 1 })
+	listed := store.Lists()
+	restart := func(seed string) *testPeer {
+		return startPeerWith(t, store, "a", false, seed)
+	}
+	told := restart(seed.PeersAddress())
+	w.await(func() bool { return told.version() == 1 })
+	w.is.Equal(store.Lists(), listed)
+	alone := restart(closedAddress(t).String())
+	w.await(func() bool { return alone.version() == 1 })
+	w.is.Equal(store.Lists(), 2*listed)
+}
+
 // A watch that follows one with changes ends before the view is too old for those who
 // follow this gateway.
 func TestWatchAfterChanges(t *testing.T) {
--- a/internal/edge/gatewayd/pick.go
+++ b/internal/edge/gatewayd/pick.go
@@ -52,6 +52,7 @@
 		Prompt:  x.call.Prompt,
 		Protect: route.Kind == ingress.Stream && !route.Resumable,
 		Exclude: x.tried,
+		Least:   x.view.Table.IsLeast(x.admission.Organisation, route, x.admission.Pool),
 		Hash:    uint64(x.began.UnixNano()),
 	}
 }
--- a/internal/edge/gatewayd/request.go
+++ b/internal/edge/gatewayd/request.go
@@ -116,6 +116,11 @@
 	next := x.pick
 	for {
 		choice, ok := next()
+		if choice.ComeBack > 0 {
+			x.logBusy(choice)
+			x.end(gateway.Busy(choice.ComeBack))
+			return
+		}
 		if !ok {
 			x.end(gateway.NothingLeft(time.Now(), x.admission, x.progress))
 			return
--- a/internal/edge/gatewayd/server.go
+++ b/internal/edge/gatewayd/server.go
@@ -137,7 +137,8 @@
 	if listeners == nil {
 		return errors.AssertionFailedf("Run needs Listen first")
 	}
-	s.fleet.Started(time.Now(), s.o.Settings.Seeds, rand.Uint64()) //nolint:gosec // Jitter needs no secret randomness.
+	//nolint:gosec // Jitter needs no secret randomness.
+	s.fleet.Started(time.Now(), s.o.Settings.Seeds, s.o.Settings.FirstStart, rand.Uint64())
 	group, work := errgroup.WithContext(work)
 	group.Go(func() error { return s.control.Run(work) })
 	group.Go(func() error { return s.follow(work) })
--- a/internal/edge/gatewayd/source.go
+++ b/internal/edge/gatewayd/source.go
@@ -47,7 +47,11 @@
 // askPeer asks the gateway at the address for what it knows. It reports false if
 // there was no answer.
 func (f *follower) askPeer(ctx context.Context, address string, wait time.Duration) bool {
-	ctx, cancel := context.WithTimeout(ctx, wait+followSlack)
+	slack := followSlack
+	if f.revision == 0 {
+		slack = startSlack
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+slack)
 	defer cancel()
 	asked := time.Now()
 	resp, err := f.server.peer(address).Follow(ctx, connect.NewRequest(&gladegaugev1.FollowRequest{
