Gateway: metrics tell which availability zones take the work, and how old the view is

Operators asked which halls take the work when empty replicas are added or settings change: zone_upstreams{zone,state}, zone_attempts_total{zone,outcome} and view_age_milliseconds beside configuration_version. Zones are few, so that the series are bounded.

--- a/internal/edge/gatewayd/apply.go
+++ b/internal/edge/gatewayd/apply.go
@@ -60,7 +60,7 @@
 		s.table.SetPools(v.Table)
 	}
 	s.forgetLapsed(now)
-	s.metrics.upstreams.Set(float64(len(list)))
+	s.metrics.list(list)
 	if changes.Any() {
 		s.log.Info().Strs("came", changes.Came).Strs("went", changes.Went).Strs("leaving", changes.Leaving).
 			Int("upstreams", len(list)).Int("lapsed", s.roster.Lapsed()).Msg("upstreams: list changed")
--- a/internal/edge/gatewayd/attempt.go
+++ b/internal/edge/gatewayd/attempt.go
@@ -54,7 +54,7 @@
 	if p, ok := x.view.Table.Pool(x.admission.Pool); ok && p.Engine != nil {
 		tokens = x.events * p.Engine.EventTokens
 	}
-	x.server.metrics.attempts.WithLabelValues(o.String()).Inc()
+	x.server.metrics.attempt(choice, o)
 	x.server.control.Must(func(now time.Time) {
 		x.server.table.Ended(now, choice, o, balance.Answer{Tokens: tokens, LongestGap: x.longestGap})
 		if load != nil {
--- a/internal/edge/gatewayd/meters.go
+++ b/internal/edge/gatewayd/meters.go
@@ -5,6 +5,8 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/gladegauge/gladegauge/internal/core/balance"
+	"github.com/gladegauge/gladegauge/internal/core/ingress"
 	"github.com/gladegauge/gladegauge/internal/edge/metrics"
 )
 
@@ -32,11 +34,15 @@
 	faults      prometheus.Counter
 	version     prometheus.Gauge
 	upstreams   prometheus.Gauge
-	peerCalls   *prometheus.CounterVec
-	gateways    prometheus.Gauge
+	// zoneAttempts and zoneUpstreams tell from outside which availability zones take
+	// the work.
+	zoneAttempts  *prometheus.CounterVec
+	zoneUpstreams *prometheus.GaugeVec
+	peerCalls     *prometheus.CounterVec
+	gateways      prometheus.Gauge
 }
 
-func newMeters(logsDropped func() uint64) *meters {
+func newMeters(logsDropped, viewAge func() uint64) *meters {
 	m := &meters{
 		registry:    prometheus.NewRegistry(),
 		requests:    family.Counters("requests_total", "Requests by kind and result.", "kind", "result"),
@@ -52,11 +58,16 @@
 		faults:      family.Counter("store_faults_total", "Published values that could not be read."),
 		version:     family.Gauge("configuration_version", "Version of the configuration in force."),
 		upstreams:   family.Gauge("upstreams", "Upstreams on the list."),
-		peerCalls:   family.Counters("peer_calls_total", "Calls to other gateways by kind and result.", "call", "result"),
-		gateways:    family.Gauge("gateways", "Gateways that the retry budget is split over."),
+		zoneAttempts: family.Counters("zone_attempts_total", "Attempts by availability zone of the upstream and outcome.",
+			"zone", "outcome"),
+		zoneUpstreams: family.Gauges("zone_upstreams", "Upstreams on the list by availability zone and state.", "zone", "state"),
+		peerCalls:     family.Counters("peer_calls_total", "Calls to other gateways by kind and result.", "call", "result"),
+		gateways:      family.Gauge("gateways", "Gateways that the retry budget is split over."),
 	}
 	m.registry.MustRegister(m.requests, m.refusals, m.attempts, m.storeCalls, m.inTime, m.firstByte,
-		m.completion, m.connections, m.resumes, m.continues, m.faults, m.version, m.upstreams, m.peerCalls, m.gateways)
+		m.completion, m.connections, m.resumes, m.continues, m.faults, m.version, m.upstreams, m.peerCalls, m.gateways,
+		m.zoneAttempts, m.zoneUpstreams)
+	m.registry.MustRegister(family.GaugeOf("view_age_milliseconds", "Time since the configuration in force was proved to be the newest.", viewAge))
 	if logsDropped != nil {
 		m.registry.MustRegister(family.CounterOf("log_lines_dropped_total", "Log lines that did not fit the buffer.", logsDropped))
 	}
@@ -76,6 +87,40 @@
 	m.peerCalls.WithLabelValues(call, result).Inc()
 }
 
+// States of the upstreams that are counted by zone.
+const (
+	stateReady   = "ready"
+	stateLeaving = "leaving"
+)
+
+// attempt counts one that ended.
+func (m *meters) attempt(c balance.Choice, o balance.Outcome) {
+	m.attempts.WithLabelValues(o.String()).Inc()
+	m.zoneAttempts.WithLabelValues(c.Zone, o.String()).Inc()
+}
+
+// list counts the upstreams that are listed.
+func (m *meters) list(list []balance.Instance) {
+	m.upstreams.Set(float64(len(list)))
+	m.zoneUpstreams.Reset()
+	for _, in := range list {
+		state := stateReady
+		if in.Leaving {
+			state = stateLeaving
+		}
+		m.zoneUpstreams.WithLabelValues(in.Zone, state).Inc()
+	}
+}
+
+// ageOf is the age of what the configuration in force was proved to be the newest at,
+// in whole milliseconds; 0 without a proof.
+func ageOf(v *ingress.View, now time.Time) uint64 {
+	if v.Table == nil || v.NewestAt.IsZero() {
+		return 0
+	}
+	return uint64(max(0, v.Age(now).Milliseconds()))
+}
+
 // observe takes the time of one answer.
 func observe(h *prometheus.HistogramVec, kind string, d time.Duration) {
 	h.WithLabelValues(kind).Observe(d.Seconds())
--- a/internal/edge/gatewayd/server.go
+++ b/internal/edge/gatewayd/server.go
@@ -103,7 +103,6 @@
 		o:           o,
 		log:         o.Log,
 		control:     loop.New(time.Now),
-		metrics:     newMeters(o.LogsDropped),
 		table:       balance.New(o.Settings.Zone),
 		roster:      roster.New(),
 		budget:      retry.NewBudget(budgetBounds(o.Settings.Bounds, assumedGateways)),
@@ -119,6 +118,7 @@
 	bounds := boundsOf(o.Settings.Bounds)
 	s.bounds.Store(&bounds)
 	s.view.Store(&ingress.View{})
+	s.metrics = newMeters(o.LogsDropped, func() uint64 { return ageOf(s.view.Load(), time.Now()) })
 	s.addresses.Store(&map[string]bool{})
 	s.client = exchange.New(exchange.Options{
 		KeepFor: func(h http.Header) time.Duration { return platform.DecodeAnswer(0, h).KeepFor },
--- a/internal/edge/metrics/family.go
+++ b/internal/edge/metrics/family.go
@@ -31,6 +31,12 @@
 	return prometheus.NewGauge(prometheus.GaugeOpts{Namespace: f.Namespace, Name: name, Help: help})
 }
 
+// GaugeOf returns a gauge whose value is asked for when it is read.
+func (f Family) GaugeOf(name, help string, value func() uint64) prometheus.GaugeFunc {
+	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: f.Namespace, Name: name, Help: help},
+		func() float64 { return float64(value()) })
+}
+
 // Gauges returns a gauge for each set of label values.
 func (f Family) Gauges(name, help string, labels ...string) *prometheus.GaugeVec {
 	return prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: f.Namespace, Name: name, Help: help}, labels)
