Gateways: retries by the requests of the same span, callers are accepted after the proof

Change: retry.Window counts requests and retries of the last span for each pool.

A relay's answer carries the kept parts of its zone too.

--- a/internal/core/balance/replay_test.go
+++ b/internal/core/balance/replay_test.go
@@ -103,7 +103,7 @@
 // newReplay returns a replay of as many gateways and engines.
 func newReplay(gateways, engines int, every, lag time.Duration, classes []replayClass) *replay {
 	r := &replay{
-		now: t0, rng: rand.New(rand.NewPCG(1, 2)), //nolint:gosec // A fixed seed is the point.
+		now: t0, rng: rand.New(rand.NewPCG(1, 2)),
 		engines: make(map[string]*replayEngine), classes: classes, every: every, lag: lag,
 		total: make(occupancy.Loads), results: make(map[string]map[replayResult]int),
 	}
@@ -247,13 +247,13 @@
 }
 
 func (r *replay) began(run *replayRun) {
-	run.replayRequest.began = r.now
+	run.began = r.now
 	run.gateway.table.Began(r.now, run.choice)
 }
 
 func (r *replay) completed(run *replayRun) {
 	run.gateway.table.Ended(r.now, run.choice, Completed, Answer{Tokens: run.made, LongestGap: run.longest})
-	first := run.replayRequest.began.Sub(run.came)
+	first := run.began.Sub(run.came)
 	switch {
 	case first > run.class.patient:
 		r.count(run.class, goneResult)
--- a/internal/core/retry/budget.go
+++ b/internal/core/retry/budget.go
@@ -10,6 +10,12 @@
 //	if b.Spend() {
 //		tryAgain()
 //	}
+//
+//	w := retry.NewWindow(share, reserve, 10*time.Second)
+//	w.Request(now)
+//	if w.Spend(now) {
+//		tryAgain()
+//	}
 package retry
 
 // Defaults of a budget.
--- a/internal/edge/gatewayd/bounds.go
+++ b/internal/edge/gatewayd/bounds.go
@@ -14,6 +14,9 @@
 	// retryMargin is the part of the budget that is used: requests of the same
 	// window that other gateways refuse are not known here.
 	retryMargin = 0.8
+	// defaultRetryWindow is the span in which retries are counted if the settings name
+	// none.
+	defaultRetryWindow = 10 * time.Second
 	// keyMargin is taken off the time within which a revoked key must be
 	// refused: a watch may hear nothing for a second before it is cut off, and
 	// a check needs a moment to take effect.
@@ -38,8 +41,12 @@
 	return g
 }
 
-// budgetBounds returns the share and the reserve of this gateway's part of the
-// retry budget.
-func budgetBounds(b platform.Bounds, gateways int) (share, reserve float64) {
-	return retryMargin * b.RetryShare, retryMargin * b.RetryReserve / float64(gateways)
+// budgetBounds returns the share, the reserve and the span of this gateway's part of
+// the retry budget of a pool.
+func budgetBounds(b platform.Bounds, gateways int) (share, reserve float64, span time.Duration) {
+	span = b.RetryWindow
+	if span <= 0 {
+		span = defaultRetryWindow
+	}
+	return retryMargin * b.RetryShare, retryMargin * b.RetryReserve / float64(gateways), span
 }
--- a/internal/edge/gatewayd/loads.go
+++ b/internal/edge/gatewayd/loads.go
@@ -77,11 +77,19 @@
 		}
 		s.control.Must(func(now time.Time) {
 			s.occupancy.TakeZone(now, resp.GetZone(), decodeLoads(resp.GetLoads()))
+			s.takePartsOfZone(now, decodeParts(resp.GetParts()))
 			s.takeOthers(now, true)
 		})
 	}
 }
 
+// takePartsOfZone takes the parts that another availability zone told of, and passes
+// them on. It runs in the control goroutine.
+func (s *Server) takePartsOfZone(now time.Time, parts []occupancy.Part) {
+	s.table.OthersRead(now, parts)
+	s.kept.Add("", parts)
+}
+
 // tell calls one gateway. It reports false if there was no answer.
 func (s *Server) tell(ctx context.Context, address string, req *gladegaugev1.TellLoadsRequest) (*gladegaugev1.TellLoadsResponse, bool) {
 	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
@@ -117,13 +125,14 @@
 	parts := decodeParts(req.Msg.GetParts())
 	s.control.Must(func(now time.Time) {
 		s.occupancy.Own(s.table.Loads(now))
-		s.table.OthersRead(now, parts)
 		if zone := req.Msg.GetZone(); zone != "" {
 			s.occupancy.TakeZone(now, zone, loads)
-			s.kept.Add("", parts)
+			s.takePartsOfZone(now, parts)
 			resp.Loads = encodeLoads(s.occupancy.Zone(now))
+			resp.Parts = encodeParts(s.kept.Beyond(from))
 			return
 		}
+		s.table.OthersRead(now, parts)
 		s.occupancy.TakeMember(now, from, loads)
 		s.kept.Add(from, parts)
 		resp.Loads = encodeLoads(s.occupancy.For(now, from))
--- a/internal/edge/gatewayd/peers.go
+++ b/internal/edge/gatewayd/peers.go
@@ -11,6 +11,7 @@
 	"connectrpc.com/connect"
 
 	"github.com/gladegauge/gladegauge/internal/core/fleet"
+	"github.com/gladegauge/gladegauge/internal/core/retry"
 	"github.com/gladegauge/gladegauge/internal/edge/loop"
 	gladegaugev1 "github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1"
 	"github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1/gladegaugev1connect"
@@ -90,7 +91,7 @@
 	s.control.Must(func(now time.Time) {
 		s.fleet.Beat()
 		known := s.fleet.Known(now)
-		req.Known = uint32(min(known, math.MaxUint32)) //nolint:gosec // It is bounded.
+		req.Known = uint32(min(known, math.MaxUint32))
 		req.Members = s.share(now, known)
 	})
 	resp, err := s.peer(address).Exchange(ctx, connect.NewRequest(req))
@@ -134,7 +135,26 @@
 	s.log.Info().Int("gateways", n).Int("before", s.gateways).Msg("fleet: size changed")
 	s.gateways = n
 	s.metrics.gateways.Set(float64(n))
-	s.budget = s.budget.With(budgetBounds(s.promised, n))
+	s.boundBudgets()
+}
+
+// budget returns that of the pool, which is made if it is not there. It runs in the
+// control goroutine.
+func (s *Server) budget(pool string) *retry.Window {
+	w, ok := s.budgets[pool]
+	if !ok {
+		w = retry.NewWindow(budgetBounds(s.promised, s.gateways))
+		s.budgets[pool] = w
+	}
+	return w
+}
+
+// boundBudgets brings new bounds of the retries into force. It runs in the control
+// goroutine.
+func (s *Server) boundBudgets() {
+	for pool, w := range s.budgets {
+		s.budgets[pool] = w.With(budgetBounds(s.promised, s.gateways))
+	}
 }
 
 // Exchange answers another gateway's swap.
--- a/internal/edge/gatewayd/peers_test.go
+++ b/internal/edge/gatewayd/peers_test.go
@@ -194,18 +194,15 @@
 	w := newWorld(t, 1, nil)
 	more := boundsOfTests()
 	more.RetryReserve *= 10
-	w.server.control.Must(func(time.Time) {
+	w.server.control.Must(func(now time.Time) {
 		w.server.promised = more
 		w.server.setGateways(2)
-		_, reserve := budgetBounds(more, 2)
-		for w.server.budget.Left() < reserve-1 {
-			before := w.server.budget.Left()
-			w.server.budget.Success()
-			if w.server.budget.Left() == before {
-				break
-			}
+		_, reserve, _ := budgetBounds(more, 2)
+		n := 0
+		for w.server.budget("app").Spend(now) {
+			n++
 		}
-		is.True(w.server.budget.Left() >= reserve-1)
+		is.Equal(n, int(reserve))
 	})
 }
 
--- a/internal/edge/gatewayd/pick.go
+++ b/internal/edge/gatewayd/pick.go
@@ -13,7 +13,7 @@
 	var ok bool
 	x.server.control.Must(func(now time.Time) {
 		if len(x.tried) == 0 {
-			x.server.budget.Success()
+			x.server.budget(x.admission.Pool).Request(now)
 		}
 		choice, ok = x.server.table.Pick(now, x.wants())
 	})
@@ -57,9 +57,9 @@
 	}
 }
 
-// spend takes a retry from the budget.
-func (s *Server) spend() bool {
+// spend takes a retry from the budget of the request's pool.
+func (x *request) spend() bool {
 	ok := false
-	s.control.Must(func(time.Time) { ok = s.budget.Spend() })
+	x.server.control.Must(func(now time.Time) { ok = x.server.budget(x.admission.Pool).Spend(now) })
 	return ok
 }
--- a/internal/edge/gatewayd/reload.go
+++ b/internal/edge/gatewayd/reload.go
@@ -54,7 +54,7 @@
 	s.bounds.Store(&bounds)
 	s.control.Must(func(time.Time) {
 		s.promised = next.Bounds
-		s.budget = s.budget.With(budgetBounds(s.promised, s.gateways))
+		s.boundBudgets()
 	})
 	s.log.Info().Str("cause", cause).Msg("settings: taken")
 }
--- a/internal/edge/gatewayd/request.go
+++ b/internal/edge/gatewayd/request.go
@@ -134,7 +134,7 @@
 		}
 		now := time.Now()
 		x.progress = x.progress.With(failure)
-		step := gateway.Next(now, x.admission, x.progress, failure, x.server.spend)
+		step := gateway.Next(now, x.admission, x.progress, failure, x.spend)
 		x.logFailure(choice, failure, step, err)
 		switch step.Do {
 		case gateway.Again:
--- a/internal/edge/gatewayd/server.go
+++ b/internal/edge/gatewayd/server.go
@@ -80,8 +80,9 @@
 	roster *roster.Roster
 	// lapseTimer ends the time of the first lapsed entry; nil if there is none.
 	lapseTimer *time.Timer
-	budget     *retry.Budget
-	fleet      *fleet.Fleet
+	// budgets bound the retries of each pool.
+	budgets map[string]*retry.Window
+	fleet   *fleet.Fleet
 	// occupancy is what other gateways told that they have at the upstreams.
 	occupancy *occupancy.Book
 	// kept is what gateways told of the prompts that engines keep.
@@ -105,7 +106,7 @@
 		control:     loop.New(time.Now),
 		table:       balance.New(o.Settings.Zone),
 		roster:      roster.New(),
-		budget:      retry.NewBudget(budgetBounds(o.Settings.Bounds, assumedGateways)),
+		budgets:     make(map[string]*retry.Window),
 		peerClient:  newPeerClient(),
 		fleet:       fleet.New(fleet.Member{Zone: o.Settings.Zone}),
 		occupancy:   occupancy.New(),
--- a/internal/edge/gatewayd/slow_test.go
+++ b/internal/edge/gatewayd/slow_test.go
@@ -63,10 +63,15 @@
 	is.NoErr(err)
 	is.NoErr(os.WriteFile(path, text, 0o600))
 	w.server.o.SettingsPath = path
-	for w.server.spend() {
+	spend := func() bool {
+		ok := false
+		w.server.control.Must(func(now time.Time) { ok = w.server.budget("app").Spend(now) })
+		return ok
+	}
+	for spend() {
 	}
 	w.server.reload("test")
-	is.True(!w.server.spend())
+	is.True(!spend())
 }
 
 // While the newest configuration cannot be read, nothing proves the old one: a
--- a/internal/edge/gatewayd/state_test.go
+++ b/internal/edge/gatewayd/state_test.go
@@ -2,15 +2,19 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/gladegauge/gladegauge/internal/core/balance"
+	"github.com/gladegauge/gladegauge/internal/core/ingress"
 	"github.com/gladegauge/gladegauge/platform"
 	"github.com/gladegauge/gladegauge/platform/standin"
 )
@@ -267,3 +271,23 @@
 	w.await(func() bool { return strings.Contains(w.logs.String(), "planned stop: out of time") })
 	is.NoErr(group.Wait())
 }
+
+// Callers are accepted once the configuration is proved to be the newest, or after a
+// moment: before, they would be told to come back.
+func TestCallersWaitForTheProof(t *testing.T) {
+	for _, proved := range []bool{true, false} {
+		t.Run(fmt.Sprint(proved), func(t *testing.T) {
+			is := is.New(t)
+			s := New(&Options{Log: zerolog.Nop()})
+			s.view.Store(&ingress.View{Table: &ingress.Table{Limits: ingress.Limits{HeaderBytes: 77}}})
+			if proved {
+				view := s.view.Load().WithProof(time.Now())
+				time.AfterFunc(proofPatience/4, func() { s.view.Store(&view) })
+			}
+			server := &http.Server{ReadHeaderTimeout: time.Second}
+			s.awaitLimits(context.Background(), server)
+			is.Equal(!s.view.Load().NewestAt.IsZero(), proved)
+			is.Equal(server.MaxHeaderBytes, 77)
+		})
+	}
+}
