Balance: places count less where streams need more than half of a pool

Cause: on the archive's sites chats need one and a half to two times the pool at a fifth of its slots.

Change: the costs of places fade from where streams need half of the pool to nothing where they need all of it.

--- a/internal/core/balance/settle.go
+++ b/internal/core/balance/settle.go
@@ -11,7 +11,8 @@
 // prompts keep away from as many engines as the streams need. Both are costs and no
 // walls: an engine that is free takes anything. All gateways agree on the order without
 // a word, and the number of streams changes slowly, so that an old picture does little
-// harm.
+// harm. Where streams need more than half of the pool there is no part to keep for
+// them, and the places count less and less.
 
 const (
 	// settleWeight is what the last engine in the order costs a tight stream more
@@ -35,22 +36,28 @@
 // streams settle.
 type settlement struct {
 	part float64
-	at   time.Time
+	// strength is how much the places count: 1 while the streams need at most that part.
+	strength float64
+	at       time.Time
 }
 
-// settled returns the part of the pool that its tight streams need.
-func (p *pool) settled(now time.Time) float64 {
+// settled returns where the pool's tight streams settle now.
+func (p *pool) settled(now time.Time) settlement {
 	if now.Sub(p.settlement.at) < settledFor {
-		return p.settlement.part
+		return p.settlement
 	}
 	streams, slots := 0, 0
 	for _, u := range p.members {
 		streams += u.tight(now, p.pauses.limit)
 		slots += u.Slots
 	}
-	part := float64(streams) / (comfortShare * float64(max(slots, 1)))
-	p.settlement = settlement{part: min(part, settledMost), at: now}
-	return p.settlement.part
+	need := float64(streams) / (comfortShare * float64(max(slots, 1)))
+	p.settlement = settlement{
+		part:     min(need, settledMost),
+		strength: min(1, max(0, (1-need)/(1-settledMost))),
+		at:       now,
+	}
+	return p.settlement
 }
 
 // placeCost is what the place of the engine in the order costs the request.
@@ -58,12 +65,13 @@
 	if p.pauses.limit == 0 {
 		return 0
 	}
-	if tight {
-		return settleWeight * u.place
-	}
-	part := p.settled(now)
-	if u.place >= part {
+	s := p.settled(now)
+	switch {
+	case tight:
+		return settleWeight * s.strength * u.place
+	case u.place >= s.part:
 		return 0
+	default:
+		return giveWayWeight * s.strength * p.pauses.yield(tier) * (1 - u.place/s.part)
 	}
-	return giveWayWeight * p.pauses.yield(tier) * (1 - u.place/part)
 }
