Gateways: polls of a parent end before the view is too old

Change: a poll is held, and may take, no longer than until the view is late; late counts the time for configurations like that for leaving upstreams, with 0.25 s in hand for the last poll and the call to the store.

Ruled out: shorter watches for all (more calls; the reader's own timeout is what took the time).

TestFollowersDoNotWaitForALostParent has the cases; those of configurations failed first.

--- a/internal/core/gateway/admit.go
+++ b/internal/core/gateway/admit.go
@@ -24,8 +24,9 @@
 	// DenyAge is the age of the view up to which the lack of a route or a key
 	// is certain. An older view may just not know them yet.
 	DenyAge time.Duration
-	// ListAge is the age of the view up to which its list of upstreams is relied on:
-	// a leaving one must get nothing new by then. 0 means any age.
+	// ListAge is the age of the view up to which it is relied on without asking the
+	// store: a leaving upstream must get nothing new by then, and a configuration must
+	// be in force. 0 means any age.
 	ListAge time.Duration
 	// UrgencySteps is the number of urgency classes of the upstreams.
 	UrgencySteps int
--- a/internal/edge/gatewayd/bounds.go
+++ b/internal/edge/gatewayd/bounds.go
@@ -22,8 +22,9 @@
 	// a check needs a moment to take effect.
 	keyMargin = 1200 * time.Millisecond
 	// listMargin is taken off the time within which a leaving upstream must get
-	// nothing new: to ask the store and to take its answer.
-	listMargin = 150 * time.Millisecond
+	// nothing new, and a configuration be in force: for the last poll of a parent, and
+	// to ask the store and to take its answer.
+	listMargin = 250 * time.Millisecond
 	// leastKeyPart divides the time within which a revoked key must be refused:
 	// keys are honoured for at least that part of it, however short it is.
 	leastKeyPart = 4
@@ -32,8 +33,13 @@
 // boundsOf returns the bounds of admission.
 func boundsOf(b platform.Bounds) gateway.Bounds {
 	g := gateway.Bounds{DenyAge: b.ConfigWithin, UrgencySteps: platform.UrgencySteps}
-	if b.DrainWithin > 0 {
-		g.ListAge = max(b.DrainWithin-listMargin, b.DrainWithin/leastKeyPart)
+	for _, within := range []time.Duration{b.DrainWithin, b.ConfigWithin} {
+		if within <= 0 {
+			continue
+		}
+		if age := max(within-listMargin, within/leastKeyPart); g.ListAge == 0 || age < g.ListAge {
+			g.ListAge = age
+		}
 	}
 	if b.StrictRevocation {
 		g.KeyAge = max(b.RevokeWithin-keyMargin, b.RevokeWithin/leastKeyPart)
--- a/internal/edge/gatewayd/feed.go
+++ b/internal/edge/gatewayd/feed.go
@@ -15,6 +15,8 @@
 	// followWait is how long a poll of the parent waits for news; each answer
 	// proves the age of the view anew.
 	followWait = 500 * time.Millisecond
+	// leastFollowWait is the least such wait, when the view will soon be late.
+	leastFollowWait = 100 * time.Millisecond
 	// followWaitMost bounds what another gateway may ask for.
 	followWaitMost = 2 * time.Second
 	// followSlack is what an answer may take beyond its wait.
--- a/internal/edge/gatewayd/follow.go
+++ b/internal/edge/gatewayd/follow.go
@@ -78,11 +78,8 @@
 
 // step asks once.
 func (f *follower) step(ctx context.Context) {
-	wait := followWait
-	if f.tryPeer || f.revision == 0 {
-		wait = 0
-	}
-	if address, ok := f.source(); ok && f.askPeer(ctx, address, wait) {
+	wait, timeout := f.poll(time.Now())
+	if address, ok := f.source(); ok && f.askPeer(ctx, address, wait, timeout) {
 		return
 	}
 	if f.waitsForOthers(time.Now()) {
--- a/internal/edge/gatewayd/peers_test.go
+++ b/internal/edge/gatewayd/peers_test.go
@@ -304,33 +304,38 @@
 // A parent that has lost the store answers without news until its watch has timed
 // out. Its followers ask the store before a leaving upstream must get nothing new.
 func TestFollowersDoNotWaitForALostParent(t *testing.T) {
-	bounds := func(drain time.Duration) platform.Bounds {
-		b := boundsOfTests()
-		b.DrainWithin = drain
-		return b
-	}
 	now := time.Now()
 	tests := []struct {
-		name  string
-		drain time.Duration
-		age   time.Duration
-		late  bool
+		name string
+		// drain and config are the times in which a leaving upstream must be left and a
+		// configuration be in force; 0 for none.
+		drain, config time.Duration
+		age           time.Duration
+		late          bool
 	}{
-		{"a view as old as a watch and a poll", 2 * time.Second, 1700 * time.Millisecond, false},
-		{"just before upstreams must be left", 2 * time.Second, 1900 * time.Millisecond, true},
-		{"more time to leave them", 4 * time.Second, 1900 * time.Millisecond, false},
-		{"more time, but the watches are late", 4 * time.Second, 2500 * time.Millisecond, true},
-		{"no such bound", 0, 1900 * time.Millisecond, false},
+		{"a view as old as a watch and a poll", 2 * time.Second, 2 * time.Second, 1700 * time.Millisecond, false},
+		{"just before upstreams must be left", 2 * time.Second, 4 * time.Second, 1900 * time.Millisecond, true},
+		{"just before a configuration must be in force", 4 * time.Second, 2 * time.Second, 1900 * time.Millisecond, true},
+		{"more time for both", 4 * time.Second, 4 * time.Second, 1900 * time.Millisecond, false},
+		{"just before the watches are late", 3 * time.Second, 3 * time.Second, 2650 * time.Millisecond, false},
+		{"the watches are late", 4 * time.Second, 4 * time.Second, 2900 * time.Millisecond, true},
+		{"no such bounds", 0, 0, 1900 * time.Millisecond, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			s := New(&Options{Settings: platform.Settings{Bounds: bounds(tt.drain)}, Log: zerolog.Nop()})
+			b := boundsOfTests()
+			b.DrainWithin, b.ConfigWithin = tt.drain, tt.config
+			s := New(&Options{Settings: platform.Settings{Bounds: b}, Log: zerolog.Nop()})
 			s.view.Store(&ingress.View{Table: &ingress.Table{}, NewestAt: now.Add(-tt.age)})
 			f := &follower{server: s, revision: 1, contact: contact{goodAt: now}}
 			is.Equal(f.late(now), tt.late)
+			// No poll, answered or not, makes the view as old as a bound allows.
+			_, timeout := f.poll(now)
+			within := min(tt.drain, tt.config)
+			is.True(tt.late || within == 0 || tt.age+timeout < within)
 			// What is usual is not late.
-			is.True(f.usualWait()+followWait <= 2*time.Second)
+			is.True(within == 0 || f.usualWait()+followWait < within)
 		})
 	}
 }
--- a/internal/edge/gatewayd/source.go
+++ b/internal/edge/gatewayd/source.go
@@ -36,22 +36,37 @@
 // late reports whether the view is too old to wait for a parent. A parent that has
 // lost the store goes on answering until its own watch has timed out.
 func (f *follower) late(now time.Time) bool {
-	view := f.server.view.Load()
+	return f.server.view.Load().Table != nil && f.untilLate(now) < 0
+}
+
+// untilLate is the time until the view is too old to wait for a parent.
+func (f *follower) untilLate(now time.Time) time.Duration {
 	limit := time.Duration(lateFactor * float64(f.usualWait()))
 	if age := f.server.bounds.Load().ListAge; age > 0 {
 		limit = min(limit, age)
 	}
-	return view.Table != nil && view.Age(now) > limit
+	return limit - f.server.view.Load().Age(now)
+}
+
+// poll is how long a poll of a parent may be held, and how long it may take. Near the
+// time when the view is late both are short: a parent that is held up, or that says
+// nothing, must not make it later.
+func (f *follower) poll(now time.Time) (wait, timeout time.Duration) {
+	switch {
+	case f.revision == 0:
+		return 0, startSlack
+	case f.tryPeer:
+		return 0, followSlack
+	}
+	left := f.untilLate(now)
+	wait = min(followWait, max(left-followSlack, leastFollowWait))
+	return wait, min(wait+followSlack, max(left, leastFollowWait)+leastFollowWait/2)
 }
 
 // askPeer asks the gateway at the address for what it knows. It reports false if
 // there was no answer.
-func (f *follower) askPeer(ctx context.Context, address string, wait time.Duration) bool {
-	slack := followSlack
-	if f.revision == 0 {
-		slack = startSlack
-	}
-	ctx, cancel := context.WithTimeout(ctx, wait+slack)
+func (f *follower) askPeer(ctx context.Context, address string, wait, timeout time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	asked := time.Now()
 	resp, err := f.server.peer(address).Follow(ctx, connect.NewRequest(&gladegaugev1.FollowRequest{
