--- a/internal/core/balance/parts.go
+++ b/internal/core/balance/parts.go
@@ -40,13 +40,3 @@
 		}
 	}
 }
-
-// Kept is the part of the prompt, in tokens, that the upstream is believed to keep by
-// the time that it reads the next one.
-func (t *Table) Kept(now time.Time, id string, p Prompt) int {
-	u, ok := t.upstreams[id]
-	if !ok {
-		return 0
-	}
-	return u.cache.held(now, p, p.chain())
-}
--- a/internal/core/balance/pick.go
+++ b/internal/core/balance/pick.go
@@ -93,6 +93,10 @@
 			best, chosen = c, u
 		}
 	}
+	best.Candidates = len(compared)
+	if best.ComeBack = p.tooBusy(now, r, best); best.ComeBack > 0 {
+		return best, false
+	}
 	if from := p.sourceFor(now, chosen, candidates, r.Prompt, keys); from.tokens > 0 {
 		best.FetchFrom = from.upstream.Address
 		best.Unread = max(0, min(best.Unread, r.Prompt.Tokens-from.tokens))
@@ -100,10 +104,6 @@
 	if r.Protect && p.worthBackup(r) {
 		best.Backup = backupFor(now, chosen, candidates, r)
 	}
-	best.Candidates = len(compared)
-	if best.ComeBack = p.tooBusy(now, r, best); best.ComeBack > 0 {
-		return best, false
-	}
 	t.send(now, p, chosen, r, &best)
 	return best, true
 }
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -166,7 +166,7 @@
 // Size returns the number of gateways that share what is counted over all of
 // them: the largest one of the last minute.
 func (f *Fleet) Size(now time.Time) int {
-	n := 1 + len(f.alive(now))
+	n := f.Known(now)
 	if n >= f.peak || now.Sub(f.peakAt) > sizeMemory {
 		f.peak, f.peakAt = n, now
 	}
--- a/internal/core/gateway/admit.go
+++ b/internal/core/gateway/admit.go
@@ -16,7 +16,8 @@
 	Patience time.Duration
 }
 
-// Bounds are the times that admission keeps to.
+// Bounds are the times that admission, and those who follow the store for it, keep
+// to.
 type Bounds struct {
 	// KeyAge is the age of the view up to which keys are honoured; 0 means
 	// any age.
--- a/internal/edge/gatewayd/follow.go
+++ b/internal/edge/gatewayd/follow.go
@@ -96,8 +96,11 @@
 // waitsForOthers reports whether a gateway that starts lets others read the store
 // first.
 func (f *follower) waitsForOthers(now time.Time) bool {
+	if f.revision != 0 {
+		return false
+	}
 	waits := false
-	f.server.control.Must(func(time.Time) { waits = f.revision == 0 && f.server.fleet.WaitsForOthers(now) })
+	f.server.control.Must(func(time.Time) { waits = f.server.fleet.WaitsForOthers(now) })
 	return waits
 }
 
--- a/internal/edge/gatewayd/lines.go
+++ b/internal/edge/gatewayd/lines.go
@@ -25,40 +25,41 @@
 
 // logPick writes why the upstream was picked.
 func (x *request) logPick(c balance.Choice) {
-	line := x.log().
+	line := x.logChoice(c).
 		Int("attempt", len(x.tried)).
-		Str("route", x.admission.Route.Name).
-		Str("upstream", c.ID).
 		Float64("cost_ms", c.Cost).
 		Float64("in_flight", c.InFlight).
 		Int("unread", c.Unread).
-		Float64("wait_ms", c.Wait).
 		Str("fetch_from", c.FetchFrom).
 		Str("backup", c.Backup.ID).
 		Bool("continues", x.continuing).
-		Int("candidates", c.Candidates).
 		Int("urgency", x.admission.Urgency).
 		Int64("version", x.admission.Version).
 		Dur("view_age", x.admission.Age)
 	if c.LoadAge >= 0 {
 		line = line.Dur("load_age", c.LoadAge)
 	}
+	line.Msg("picked")
+}
+
+// logChoice begins a line about a choice, with what it rests on.
+func (x *request) logChoice(c balance.Choice) *zerolog.Event {
+	line := x.log().
+		Str("route", x.admission.Route.Name).
+		Str("upstream", c.ID).
+		Float64("wait_ms", c.Wait).
+		Int("candidates", c.Candidates)
 	if c.ToldAge >= 0 {
 		line = line.Dur("told_age", c.ToldAge)
 	}
-	line.Msg("picked")
+	return line
 }
 
 // logBusy writes why the request was turned away: at the best upstream it would wait
 // for so long.
 func (x *request) logBusy(c balance.Choice) {
-	x.log().
-		Str("route", x.admission.Route.Name).
-		Str("upstream", c.ID).
-		Float64("wait_ms", c.Wait).
+	x.logChoice(c).
 		Dur("target", x.admission.Route.Target).
-		Int("candidates", c.Candidates).
-		Dur("told_age", c.ToldAge).
 		Dur("come_back", c.ComeBack).
 		Msg("pool is too busy")
 }
--- a/internal/edge/gatewayd/loads_test.go
+++ b/internal/edge/gatewayd/loads_test.go
@@ -45,18 +45,13 @@
 	return w, peers
 }
 
-// promptOf is a prompt with a shared part and one of its own.
-func promptOf(own uint64) balance.Prompt {
-	return balance.Prompt{
-		Model: 1, Tokens: 9000,
-		Parts: []balance.Part{{ID: 5, Tokens: 6000}, {ID: own, Tokens: 3000}},
-	}
-}
-
 // pickOn lets the gateway send a prompt somewhere.
 func pickOn(p *testPeer, own uint64) balance.Choice {
 	var c balance.Choice
-	r := balance.Request{Pool: "app", Route: "note", Prompt: promptOf(own)}
+	r := balance.Request{Pool: "app", Route: "note", Prompt: balance.Prompt{
+		Model: 1, Tokens: 9000,
+		Parts: []balance.Part{{ID: 5, Tokens: 6000}, {ID: own, Tokens: 3000}},
+	}}
 	p.control.Must(func(now time.Time) { c, _ = p.table.Pick(now, r) })
 	return c
 }
@@ -81,11 +76,12 @@
 	for _, p := range peers[1:] {
 		w.await(func() bool { return othersAt(p, c) == 1 })
 	}
-	// Two words may overtake each other: the load of one, the part of the other.
+	// Two words may overtake each other: the load of one, the part of the other. A
+	// relay passes on what it was told, also to a gateway that is not there.
 	w.await(func() bool {
-		kept := 0
-		peers[2].control.Must(func(now time.Time) { kept = peers[2].table.Kept(now, c.ID, promptOf(200)) })
-		return kept == 6000
+		told := 0
+		peers[2].control.Must(func(time.Time) { told = len(peers[2].kept.For("nobody")) })
+		return told > 0
 	})
 	next := pickOn(peers[2], 200)
 	w.is.Equal(next.ID, c.ID) // the shared part is on its way there
--- a/internal/edge/gatewayd/peers.go
+++ b/internal/edge/gatewayd/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -91,7 +90,7 @@
 	s.control.Must(func(now time.Time) {
 		s.fleet.Beat()
 		known := s.fleet.Known(now)
-		req.Known = uint32(min(known, math.MaxUint32))
+		req.Known = count32(known)
 		req.Members = s.share(now, known)
 	})
 	resp, err := s.peer(address).Exchange(ctx, connect.NewRequest(req))
