Gateways follow evacuations: nothing new goes to the upstreams of such a zone

Evacuations are read, passed on to followers and kept by the roster like the list of upstreams: only the store ends one, so that an outage changes nothing. The upstreams of the zone get no requests, no retries, no backups and no continued runs; what runs there ends in peace. Streams that settle at the beginning of the order move out together, as places are given to open upstreams only. With all zones evacuated requests are refused as not run, with a time to come back.

Ruled out: a set of zones beside the list in the table of upstreams; each of its readers would have had to ask it.

--- a/internal/core/balance/pick.go
+++ b/internal/core/balance/pick.go
@@ -124,7 +124,7 @@
 	believes := p.believesGone(now)
 	for _, u := range p.members {
 		switch {
-		case u.Leaving || u.gone(now) || slices.Contains(r.Exclude, u.ID):
+		case !u.open() || u.gone(now) || slices.Contains(r.Exclude, u.ID):
 		case u.health.ejected(now) || (believes && u.toldGone(now)):
 			doubted = append(doubted, u)
 		default:
--- a/internal/core/balance/settle.go
+++ b/internal/core/balance/settle.go
@@ -48,6 +48,9 @@
 	}
 	streams, slots := 0, 0
 	for _, u := range p.members {
+		if !u.open() {
+			continue
+		}
 		streams += u.tight(now, p.pauses.limit)
 		slots += u.Slots
 	}
--- a/internal/core/balance/table.go
+++ b/internal/core/balance/table.go
@@ -21,6 +21,8 @@
 	// Slots is the number of requests that run at once.
 	Slots   int
 	Leaving bool
+	// Evacuated upstreams get nothing new: their availability zone is emptied.
+	Evacuated bool
 	// Created is the platform's revision at which the entry was made. It tells
 	// entries apart that lapsed and came back; 0 if the platform does not say.
 	Created int64
@@ -62,8 +64,10 @@
 // pool is the upstreams that serve the same requests.
 type pool struct {
 	members []*upstream
-	engine  *ingress.Engine
-	speed   speed
+	// open is the number of members that may get anything new.
+	open   int
+	engine *ingress.Engine
+	speed  speed
 	// meanTokens is the mean memory of a request, in tokens; 0 before the first.
 	meanTokens float64
 	pauses     pauses
@@ -111,6 +115,9 @@
 // Any reports whether anything changed.
 func (c Changes) Any() bool { return len(c.Came)+len(c.Went)+len(c.Leaving) > 0 }
 
+// open reports whether the upstream may get anything new.
+func (in Instance) open() bool { return !in.Leaving && !in.Evacuated }
+
 // SetInstances takes the list of upstreams. What is known of those that stay
 // is kept.
 func (t *Table) SetInstances(list []Instance) Changes {
@@ -168,13 +175,30 @@
 	}
 	for _, p := range t.pools {
 		slices.SortFunc(p.members, func(a, b *upstream) int { return cmp.Compare(a.hash, b.hash) })
-		for i, u := range p.members {
-			u.place = float64(i) / float64(len(p.members))
-		}
+		p.order()
 	}
 	t.limitCaches()
 }
 
+// order gives each open upstream its place: the streams that settle at the beginning
+// move out of an evacuated availability zone together.
+func (p *pool) order() {
+	p.open = 0
+	for _, u := range p.members {
+		if u.open() {
+			p.open++
+		}
+	}
+	i := 0
+	for _, u := range p.members {
+		u.place = 1
+		if u.open() {
+			u.place = float64(i) / float64(p.open)
+			i++
+		}
+	}
+}
+
 // pool returns the pool, which is made if it is not there.
 func (t *Table) pool(name string) *pool {
 	p, ok := t.pools[name]
@@ -208,15 +232,10 @@
 	}
 }
 
-// Size returns the number of upstreams of the pool that do not leave.
+// Size returns the number of upstreams of the pool that may get anything new.
 func (t *Table) Size(name string) int {
-	n := 0
 	if p, ok := t.pools[name]; ok {
-		for _, u := range p.members {
-			if !u.Leaving {
-				n++
-			}
-		}
+		return p.open
 	}
-	return n
+	return 0
 }
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -6,12 +6,17 @@
 // then they are kept. A gateway that was cut off by itself finds the list as it
 // was, but for what really came and went; there nothing lapsed.
 //
+// Nothing new may be sent to the upstreams of an availability zone that is evacuated,
+// until it is taken back. Only the list's keeper ends an evacuation: while it is away,
+// what was evacuated stays so.
+//
 // # Usage
 //
 //	r := roster.New()
 //	r.Replace(now, listed)
 //	r.Change(now, changed, removed)
 //	r.Recovered(lastFailure) // the keeper answers again after an outage
+//	r.Evacuate("zone-a")
 //	instances := r.Current(now)
 package roster
 
@@ -46,6 +51,8 @@
 	// lapseSeen is true once something shows that entries lapsed in the latest
 	// outage.
 	lapseSeen bool
+	// evacuated are the availability zones that are emptied.
+	evacuated map[string]bool
 }
 
 // New returns an empty roster.
@@ -53,6 +60,8 @@
 	return &Roster{
 		listed: make(map[string]balance.Instance),
 		lapsed: make(map[string]time.Time),
+
+		evacuated: make(map[string]bool),
 	}
 }
 
@@ -147,6 +156,7 @@
 	}
 	list := make([]balance.Instance, 0, len(r.listed))
 	for _, in := range r.listed {
+		in.Evacuated = r.evacuated[in.Zone]
 		list = append(list, in)
 	}
 	slices.SortFunc(list, func(a, b balance.Instance) int { return cmp.Compare(a.ID, b.ID) })
--- a/internal/edge/gatewayd/apply.go
+++ b/internal/edge/gatewayd/apply.go
@@ -1,8 +1,10 @@
 package gatewayd
 
 import (
+	"slices"
 	"time"
 
+	"github.com/gladegauge/gladegauge/internal/core/balance"
 	"github.com/gladegauge/gladegauge/internal/core/ingress"
 	"github.com/gladegauge/gladegauge/platform"
 )
@@ -46,6 +48,38 @@
 	s.log.Info().Int64("version", t.Version).Int("routes", t.Routes()).Msg("configuration: in force")
 }
 
+// replaceRoster takes a whole list of upstreams, and all availability zones that are
+// evacuated. It runs in the control goroutine.
+func (s *Server) replaceRoster(now time.Time, list []balance.Instance, evacuated []string) {
+	before := s.roster.Evacuated()
+	s.roster.Replace(now, list)
+	s.roster.ReplaceEvacuated(evacuated)
+	s.logEvacuated(before)
+	s.applyRoster(now)
+}
+
+// changeRoster takes upstreams that came, changed or went, and availability zones whose
+// evacuation began or ended. It runs in the control goroutine.
+func (s *Server) changeRoster(now time.Time, c platform.Changes) {
+	before := s.roster.Evacuated()
+	s.roster.Change(now, c.Changed, c.Removed)
+	for _, zone := range c.Evacuated {
+		s.roster.Evacuate(zone)
+	}
+	for _, zone := range c.TakenBack {
+		s.roster.TakeBack(zone)
+	}
+	s.logEvacuated(before)
+	s.applyRoster(now)
+}
+
+// logEvacuated writes which availability zones are evacuated, if others were before.
+func (s *Server) logEvacuated(before []string) {
+	if zones := s.roster.Evacuated(); !slices.Equal(zones, before) {
+		s.log.Info().Strs("zones", zones).Strs("before", before).Msg("upstreams: evacuated zones changed")
+	}
+}
+
 // applyRoster brings the list of upstreams into force. It runs in the control
 // goroutine.
 func (s *Server) applyRoster(now time.Time) {
--- a/internal/edge/gatewayd/bounds.go
+++ b/internal/edge/gatewayd/bounds.go
@@ -33,7 +33,7 @@
 // boundsOf returns the bounds of admission.
 func boundsOf(b platform.Bounds) gateway.Bounds {
 	g := gateway.Bounds{DenyAge: b.ConfigWithin, UrgencySteps: platform.UrgencySteps}
-	for _, within := range []time.Duration{b.DrainWithin, b.ConfigWithin} {
+	for _, within := range []time.Duration{b.DrainWithin, b.ConfigWithin, b.EvacuateWithin} {
 		if within <= 0 {
 			continue
 		}
--- a/internal/edge/gatewayd/follow.go
+++ b/internal/edge/gatewayd/follow.go
@@ -123,8 +123,7 @@
 	f.server.report(l.Faults)
 	f.server.control.Must(func(now time.Time) {
 		f.server.feedFrom(l.Revision, platform.Changes{Entries: l.Entries}, true)
-		f.server.roster.Replace(now, l.Instances)
-		f.server.applyRoster(now)
+		f.server.replaceRoster(now, l.Instances, l.Evacuated)
 		f.server.applyTable(l.Table, !l.ConfigFaulty(), asked)
 	})
 }
@@ -160,9 +159,8 @@
 		if len(c.Entries) > 0 {
 			f.server.feedFrom(c.Revision, c, false)
 		}
-		if len(c.Changed)+len(c.Removed) > 0 {
-			f.server.roster.Change(now, c.Changed, c.Removed)
-			f.server.applyRoster(now)
+		if c.AnyUpstreams() {
+			f.server.changeRoster(now, c)
 		}
 		f.server.applyTable(c.Table, !c.ConfigFaulty(), proof)
 	})
--- a/internal/edge/gatewayd/meters.go
+++ b/internal/edge/gatewayd/meters.go
@@ -91,6 +91,8 @@
 const (
 	stateReady   = "ready"
 	stateLeaving = "leaving"
+	// stateEvacuated is of those that get nothing new, as their zone is emptied.
+	stateEvacuated = "evacuated"
 )
 
 // attempt counts one that ended.
@@ -105,8 +107,11 @@
 	m.zoneUpstreams.Reset()
 	for _, in := range list {
 		state := stateReady
-		if in.Leaving {
+		switch {
+		case in.Leaving:
 			state = stateLeaving
+		case in.Evacuated:
+			state = stateEvacuated
 		}
 		m.zoneUpstreams.WithLabelValues(in.Zone, state).Inc()
 	}
--- a/internal/edge/gatewayd/source.go
+++ b/internal/edge/gatewayd/source.go
@@ -120,11 +120,10 @@
 	}
 	s.feedFrom(resp.GetRevision(), c, resp.GetWhole())
 	if resp.GetWhole() {
-		s.roster.Replace(now, c.Changed)
+		s.replaceRoster(now, c.Changed, c.Evacuated)
 	} else {
-		s.roster.Change(now, c.Changed, c.Removed)
+		s.changeRoster(now, c)
 	}
-	s.applyRoster(now)
 }
 
 // takeProof takes what another gateway proves: that its version was the newest
