Cold upstreams get paced requests from a few holders each

The rate that a cold upstream handles stands in the configuration and how long it is cold in its entry; neither was read.

Package warmup: only the first gateways in rendezvous order of all that are remembered send anything to a cold upstream, each at a pace, so that the sum of any second stays below what it bears, also for two sets of gateways that never met. An entry tells when it was read from the store, so that a follower does not take old words for news. An upstream that could not be reached, or whose zone was taken back, counts as cold for a start's time. Retries, continued runs and backups count alike.

--- a/internal/core/balance/backup_test.go
+++ b/internal/core/balance/backup_test.go
@@ -47,7 +47,7 @@
 			is.Equal(next.ID, c.Backup.ID)
 			is.Equal(next.Backup.Any(), false)
 			table.Ended(at(20), next, Completed, Answer{Tokens: 100})
-			table.SetInstances(nil)
+			table.SetInstances(t0, nil)
 			_, ok = table.Continue(at(30), tt.r, c.Backup)
 			is.True(!ok) // it has gone
 		})
--- a/internal/core/balance/balance_test.go
+++ b/internal/core/balance/balance_test.go
@@ -21,7 +21,7 @@
 	for i := range list {
 		list[i] = Instance{ID: fmt.Sprintf("i-%d", i), Address: fmt.Sprintf("10.0.0.%d:80", i), Zone: "a", Pool: "p", Slots: 8}
 	}
-	table.SetInstances(list)
+	table.SetInstances(t0, list)
 	return table
 }
 
@@ -156,7 +156,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			table := New("a")
-			table.SetInstances(tt.list)
+			table.SetInstances(t0, tt.list)
 			for i := range 10 {
 				c, ok := table.Pick(t0, Request{Pool: "p", Exclude: tt.not, Hash: uint64(i)})
 				is.Equal(ok, tt.want != "")
--- a/internal/core/balance/doc.go
+++ b/internal/core/balance/doc.go
@@ -32,7 +32,7 @@
 // # Usage
 //
 //	t := balance.New(zone)
-//	t.SetInstances(instances)
+//	t.SetInstances(now, instances)
 //	c, ok := t.Pick(now, balance.Request{Pool: "judge", Prompt: prompt})
 //	if c.ComeBack > 0 {
 //		refuse(c.ComeBack)
--- a/internal/core/balance/draw.go
+++ b/internal/core/balance/draw.go
@@ -89,6 +89,12 @@
 	if home != nil {
 		drawn = append(drawn, home)
 	}
+	// A cold one that this gateway holds gets nothing from the others.
+	for _, u := range list {
+		if u != home && p.isCold(now, u) {
+			drawn = append(drawn, u)
+		}
+	}
 	for i := range n {
 		drawn = append(drawn, list[rendezvous.Mix(r.Hash, uint64(i))%uint64(len(list))])
 	}
--- a/internal/core/balance/outcome.go
+++ b/internal/core/balance/outcome.go
@@ -132,7 +132,10 @@
 		u.goneUntil = now.Add(goneFor)
 	case Unreachable:
 		u.health.failed()
-		if p := t.pools[u.Pool]; p.mayEject(now) {
+		// It may come back cold, and says so only with its next heartbeat.
+		p := t.pools[u.Pool]
+		u.warmup = u.warmup.With(now.Add(p.cold.For))
+		if p.mayEject(now) {
 			u.health.eject(now, unreachableFor)
 		}
 	case Abandoned:
--- a/internal/core/balance/pick.go
+++ b/internal/core/balance/pick.go
@@ -77,7 +77,7 @@
 	if !ok {
 		return Choice{}, false
 	}
-	candidates := p.withRoom(now, p.usable(now, r))
+	candidates := p.withRoom(now, t.usable(now, p, r))
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
@@ -111,7 +111,7 @@
 // MayPick reports whether there is an upstream left to try.
 func (t *Table) MayPick(now time.Time, r Request) bool {
 	p, ok := t.pools[r.Pool]
-	return ok && len(p.usable(now, r)) > 0
+	return ok && len(t.usable(now, p, r)) > 0
 }
 
 // tie decides between upstreams of the same cost.
@@ -119,12 +119,12 @@
 
 // usable returns the upstreams that may be tried, in order of rank. Ejected
 // ones, and those that others found gone, are left out while there are others.
-func (p *pool) usable(now time.Time, r Request) []*upstream {
+func (t *Table) usable(now time.Time, p *pool, r Request) []*upstream {
 	var good, doubted []*upstream
 	believes := p.believesGone(now)
 	for _, u := range p.members {
 		switch {
-		case !u.open() || u.gone(now) || slices.Contains(r.Exclude, u.ID):
+		case !u.open() || u.gone(now) || slices.Contains(r.Exclude, u.ID) || !t.mayGet(now, p, u):
 		case u.health.ejected(now) || (believes && u.toldGone(now)):
 			doubted = append(doubted, u)
 		default:
@@ -181,6 +181,9 @@
 		p.learnTokens(sent.tokens)
 		t.tell(u, u.cache.used(now, r.Prompt, c.keys, false))
 	}
+	if p.isCold(now, u) {
+		u.warmup = u.warmup.Sent(now, p.cold.split)
+	}
 	u.running[c.run] = sent
 	p.sent.of(p.pauses.isTight(r.Pause)).note(now)
 }
--- a/internal/core/balance/replay_service_test.go
+++ b/internal/core/balance/replay_service_test.go
@@ -36,7 +36,7 @@
 	}
 	for _, g := range r.gateways {
 		g.table = New(g.table.zone)
-		g.table.SetInstances(list)
+		g.table.SetInstances(r.now, list)
 	}
 	r.end = t0.Add(6 * time.Second)
 	n, late := 0, 0
--- a/internal/core/balance/replay_world_test.go
+++ b/internal/core/balance/replay_world_test.go
@@ -87,7 +87,7 @@
 	}
 	for i := range gateways {
 		g := &replayGateway{table: New(fmt.Sprint(i % 5)), loads: make(occupancy.Loads)}
-		g.table.SetInstances(r.listed)
+		g.table.SetInstances(r.now, r.listed)
 		g.table.SetPools(cfg)
 		r.gateways = append(r.gateways, g)
 		r.after(milliseconds(every)*float64(i)/float64(gateways), func() { r.tell(i) })
@@ -311,7 +311,7 @@
 		r.listed = left
 		r.after(3600, func() {
 			for _, g := range r.gateways {
-				g.table.SetInstances(r.listed)
+				g.table.SetInstances(r.now, r.listed)
 			}
 		})
 	})
--- a/internal/core/balance/silent_test.go
+++ b/internal/core/balance/silent_test.go
@@ -51,6 +51,6 @@
 	is := is.New(t)
 	table := tableWith(1)
 	c, _ := table.Pick(at(100), plainRequest(1))
-	table.SetInstances(nil)
+	table.SetInstances(t0, nil)
 	is.Equal(table.SilentFor(at(600), c), 500*time.Millisecond)
 }
--- a/internal/core/balance/table.go
+++ b/internal/core/balance/table.go
@@ -9,6 +9,7 @@
 
 	"github.com/gladegauge/gladegauge/internal/core/ingress"
 	"github.com/gladegauge/gladegauge/internal/core/occupancy"
+	"github.com/gladegauge/gladegauge/internal/core/warmup"
 )
 
 // Instance is one start of an upstream, as the platform lists it.
@@ -23,6 +24,8 @@
 	Leaving bool
 	// Evacuated upstreams get nothing new: their availability zone is emptied.
 	Evacuated bool
+	// ColdUntil is until when it is cold at least, by what it said itself.
+	ColdUntil time.Time
 	// Created is the platform's revision at which the entry was made. It tells
 	// entries apart that lapsed and came back; 0 if the platform does not say.
 	Created int64
@@ -36,6 +39,7 @@
 	place  float64
 	health health
 	cache  *cache
+	warmup warmup.State
 	load   load
 	pace   pace
 	tempo  tempo
@@ -66,6 +70,7 @@
 	members []*upstream
 	// open is the number of members that may get anything new.
 	open   int
+	cold   coldPool
 	engine *ingress.Engine
 	speed  speed
 	// meanTokens is the mean memory of a request, in tokens; 0 before the first.
@@ -90,6 +95,10 @@
 	toldAt   time.Time
 	toldAge  time.Duration
 	gateways int
+	// coldLimits are the operators', and holds tells whether this gateway is one of the
+	// first n in the order of all of them for the key.
+	coldLimits ColdLimits
+	holds      func(now time.Time, key uint64, n int) bool
 	// news are parts that other gateways may not know of yet.
 	news []occupancy.Part
 }
@@ -101,6 +110,7 @@
 		upstreams: make(map[string]*upstream),
 		pools:     make(map[string]*pool),
 		gateways:  1,
+		holds:     func(time.Time, uint64, int) bool { return true },
 	}
 }
 
@@ -120,7 +130,7 @@
 
 // SetInstances takes the list of upstreams. What is known of those that stay
 // is kept.
-func (t *Table) SetInstances(list []Instance) Changes {
+func (t *Table) SetInstances(now time.Time, list []Instance) Changes {
 	var c Changes
 	seen := make(map[string]bool, len(list))
 	for _, in := range list {
@@ -138,6 +148,7 @@
 		if in.Leaving && !u.Leaving {
 			c.Leaving = append(c.Leaving, in.ID)
 		}
+		t.warm(now, u, in)
 		u.Instance = in
 	}
 	for id := range t.upstreams {
@@ -214,6 +225,7 @@
 	for name := range t.pools {
 		if p, ok := table.Pool(name); ok {
 			t.pools[name].engine = p.Engine
+			t.pools[name].cold = t.coldPool(p.Cold)
 			t.pools[name].pauses.set(table.Pauses(name))
 		}
 	}
--- a/internal/core/feed/feed.go
+++ b/internal/core/feed/feed.go
@@ -20,6 +20,7 @@
 	"bytes"
 	"cmp"
 	"slices"
+	"time"
 )
 
 // removedMost is the number of removed entries that are remembered. When there
@@ -35,6 +36,9 @@
 	Removed bool
 	// Created is the revision at which the entry was made.
 	Created int64
+	// ReadAt is when it was read from the store, by whichever gateway: some of what
+	// it says holds for a while only.
+	ReadAt time.Time
 }
 
 // same reports whether both say the same.
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -72,6 +72,8 @@
 	peak   int
 	peakAt time.Time
 	start  start
+	// joinedAt is when the first other gateway was heard of; zero before.
+	joinedAt time.Time
 }
 
 // New returns a fleet of the gateway alone.
@@ -107,6 +109,9 @@
 			held.at = now
 		}
 	}
+	if len(f.others) > 0 && f.joinedAt.IsZero() {
+		f.joinedAt = now
+	}
 	f.forget(now)
 	f.Size(now)
 }
--- a/internal/core/ingress/table.go
+++ b/internal/core/ingress/table.go
@@ -24,6 +24,17 @@
 	MaxConnections int
 	// Engine describes the model engines of the pool; nil for plain services.
 	Engine *Engine
+	Cold   Cold
+}
+
+// Cold is what the operator says of a pool's upstreams that have just started, or lost
+// what they had warmed up. The zero value asks for no care.
+type Cold struct {
+	// For is how long one is cold after its start.
+	For time.Duration
+	// PerSecond is the number of requests that it handles in a second meanwhile; 0
+	// for as many as a warm one.
+	PerSecond float64
 }
 
 // Engine is what the operator says of a pool's model engines.
--- a/internal/edge/gatewayd/apply.go
+++ b/internal/edge/gatewayd/apply.go
@@ -84,7 +84,7 @@
 // goroutine.
 func (s *Server) applyRoster(now time.Time) {
 	list := s.roster.Current(now)
-	changes := s.table.SetInstances(list)
+	changes := s.table.SetInstances(now, list)
 	addresses := make(map[string]bool, len(list))
 	for _, in := range list {
 		addresses[in.Address] = !in.Leaving || addresses[in.Address]
--- a/internal/edge/gatewayd/bounds.go
+++ b/internal/edge/gatewayd/bounds.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/gladegauge/gladegauge/internal/core/balance"
 	"github.com/gladegauge/gladegauge/internal/core/gateway"
 	"github.com/gladegauge/gladegauge/platform"
 )
@@ -47,6 +48,11 @@
 	return g
 }
 
+// coldLimits returns the limits of what cold upstreams get.
+func coldLimits(b platform.Bounds) balance.ColdLimits {
+	return balance.ColdLimits{Overrun: b.ColdOverrun, Slack: b.ColdSlack}
+}
+
 // budgetBounds returns the share, the reserve and the span of this gateway's part of
 // the retry budget of a pool.
 func budgetBounds(b platform.Bounds, gateways int) (share, reserve float64, span time.Duration) {
--- a/internal/edge/gatewayd/feed.go
+++ b/internal/edge/gatewayd/feed.go
@@ -79,7 +79,7 @@
 		resp.OutageAgeMs = wholeMilliseconds(now.Sub(at))
 	}
 	for _, e := range batch.Entries {
-		resp.Entries = append(resp.Entries, encodeEntry(e))
+		resp.Entries = append(resp.Entries, encodeEntry(now, e))
 	}
 	return resp, s.feedChanged
 }
--- a/internal/edge/gatewayd/messages.go
+++ b/internal/edge/gatewayd/messages.go
@@ -27,15 +27,20 @@
 }
 
 // encodeEntry returns the message of an entry of the store.
-func encodeEntry(e feed.Entry) *gladegaugev1.StoreEntry {
-	return &gladegaugev1.StoreEntry{Key: e.Key, Value: e.Value, Created: e.Created, Removed: e.Removed}
+func encodeEntry(now time.Time, e feed.Entry) *gladegaugev1.StoreEntry {
+	return &gladegaugev1.StoreEntry{
+		Key: e.Key, Value: e.Value, Created: e.Created, Removed: e.Removed, AgeMs: wholeMilliseconds(now.Sub(e.ReadAt)),
+	}
 }
 
-// entriesOf returns the entries of an answer.
-func entriesOf(resp *gladegaugev1.FollowResponse) []feed.Entry {
+// entriesOf returns the entries of an answer that came now.
+func entriesOf(now time.Time, resp *gladegaugev1.FollowResponse) []feed.Entry {
 	list := make([]feed.Entry, len(resp.GetEntries()))
 	for i, e := range resp.GetEntries() {
-		list[i] = feed.Entry{Key: e.GetKey(), Value: e.GetValue(), Created: e.GetCreated(), Removed: e.GetRemoved()}
+		list[i] = feed.Entry{
+			Key: e.GetKey(), Value: e.GetValue(), Created: e.GetCreated(), Removed: e.GetRemoved(),
+			ReadAt: now.Add(-time.Duration(e.GetAgeMs()) * time.Millisecond),
+		}
 	}
 	return list
 }
--- a/internal/edge/gatewayd/reload.go
+++ b/internal/edge/gatewayd/reload.go
@@ -54,6 +54,10 @@
 	s.bounds.Store(&bounds)
 	s.control.Must(func(time.Time) {
 		s.promised = next.Bounds
+		s.table.SetColdLimits(coldLimits(next.Bounds), s.holds)
+		if t := s.view.Load().Table; t != nil {
+			s.table.SetPools(t)
+		}
 		s.boundBudgets()
 	})
 	s.log.Info().Str("cause", cause).Msg("settings: taken")
--- a/internal/edge/gatewayd/server.go
+++ b/internal/edge/gatewayd/server.go
@@ -118,6 +118,7 @@
 	}
 	bounds := boundsOf(o.Settings.Bounds)
 	s.bounds.Store(&bounds)
+	s.table.SetColdLimits(coldLimits(o.Settings.Bounds), s.holds)
 	s.view.Store(&ingress.View{})
 	s.metrics = newMeters(o.LogsDropped, func() uint64 { return ageOf(s.view.Load(), time.Now()) })
 	s.addresses.Store(&map[string]bool{})
@@ -162,6 +163,10 @@
 	return group.Wait()
 }
 
+// holds reports whether this gateway is one of the first n for the key. It runs in the
+// control goroutine.
+func (s *Server) holds(now time.Time, key uint64, n int) bool { return s.fleet.Holds(now, key, n) }
+
 // sweep forgets what is no longer used. It runs in the control goroutine.
 func (s *Server) sweep(time.Time) {
 	wanted := *s.addresses.Load()
--- a/internal/edge/gatewayd/source.go
+++ b/internal/edge/gatewayd/source.go
@@ -97,7 +97,7 @@
 // way makes what it proves look younger.
 func (f *follower) takeFrom(asked time.Time, resp *gladegaugev1.FollowResponse) {
 	made := asked.Add(time.Duration(resp.GetHeldMs()) * time.Millisecond)
-	c := platform.DecodeEntries(entriesOf(resp))
+	c := platform.DecodeEntries(entriesOf(time.Now(), resp))
 	f.server.report(c.Faults)
 	f.revision = max(f.revision, resp.GetRevision())
 	f.listed = false
