--- a/internal/core/balance/draw_test.go
+++ b/internal/core/balance/draw_test.go
@@ -52,8 +52,8 @@
 				loads[u.hash] = occupancy.Load{Unread: tt.unread}
 			}
 			picture.Loads, picture.Age = loads, 0
+			now = now.Add(settledFor + time.Millisecond)
 			table.OthersHave(now, picture)
-			picture.Age = tt.age
 			table.toldAge = tt.age
 			got := table.toDraw(now, p, tt.engines, false)
 			is.True(float64(got) >= 0.8*float64(tt.want) && float64(got) <= 1.2*float64(tt.want))
