--- a/internal/core/overload/overload_test.go
+++ b/internal/core/overload/overload_test.go
@@ -18,7 +18,7 @@
 
 // long is one whose answer takes the time, for a caller that waits for four seconds.
 func long(end time.Duration) Ask {
-	a := ask(0, time.Second)
+	a := ask(300*time.Millisecond, time.Second)
 	a.End, a.Left = end, 4*time.Second
 	return a
 }
