Overload: organisations share what is taken by max-min fairness

Cause: while a queue stands, all organisations were turned away alike: one that sends many times its usual displaced those that send little.

Each gateway follows, per pool, the tokens that organisations asked for and got in the last seconds. While a queue stands, those that got less than the common level may wait as if none stood. Retries count against who sends them.

--- a/internal/core/balance/pick.go
+++ b/internal/core/balance/pick.go
@@ -19,6 +19,8 @@
 	Tier int
 	// Target is the time to the first event that is still in time; 0 for none.
 	Target time.Duration
+	// Organisation is the hash of who sends it; 0 for nobody known.
+	Organisation uint64
 	// Deadline is when its caller leaves; zero for never.
 	Deadline time.Time
 	Prompt   Prompt
@@ -118,10 +120,12 @@
 		return 0
 	}
 	ask := overload.Ask{
-		Target:  r.Target,
-		Wait:    duration(c.Wait),
-		Pending: p.pendingLeast(now),
-		Hash:    r.Hash,
+		Target:       r.Target,
+		Wait:         duration(c.Wait),
+		Pending:      p.pendingLeast(now),
+		Organisation: r.Organisation,
+		Tokens:       c.Unread,
+		Hash:         r.Hash,
 	}
 	if !r.Deadline.IsZero() {
 		ask.Left = r.Deadline.Sub(now)
--- a/internal/core/overload/overload.go
+++ b/internal/core/overload/overload.go
@@ -29,7 +29,8 @@
 //
 // Engines that read without a pause make tokens slowly. A long answer that cannot be
 // complete before its caller leaves is turned away before others are: its reading would
-// be for nothing, and takes the place of two or three that can be.
+// be for nothing, and takes the place of two or three that can be. Among the rest, the
+// organisations that ask for the most go first (shares.go).
 //
 // # Usage
 //
@@ -101,6 +102,9 @@
 	// its caller waits; both 0 if nothing is known of that.
 	End  time.Duration
 	Left time.Duration
+	// Organisation is who asks, Tokens what the engine would have to read.
+	Organisation uint64
+	Tokens       int
 	// Hash spreads the times after which callers come back.
 	Hash uint64
 }
@@ -114,6 +118,7 @@
 	// seen is the mean time to the first event.
 	seen   time.Duration
 	seenAt time.Time
+	shares shares
 }
 
 // Began notes that the first event of one of the least urgent requests came after the
@@ -133,8 +138,10 @@
 		return 0
 	}
 	q.meet(now, a)
-	over := max(a.Wait-part(q.share(), a.Target), q.tooLong(a))
+	q.shares.ask(now, a.Organisation, a.Tokens)
+	over := max(a.Wait-part(q.share(now, a), a.Target), q.tooLong(a))
 	if over <= 0 || q.waitSeen(now, a) < part(seenShare*standingShare, a.Target) {
+		q.shares.take(now, a.Organisation, a.Tokens)
 		return 0
 	}
 	spread := comeBackLeast + (comeBackMost-comeBackLeast)*float64(a.Hash%comeBackSteps)/comeBackSteps
@@ -154,8 +161,8 @@
 func (q *Queue) Standing() bool { return q.mean > standingFrom }
 
 // share is the part of its target that a request may wait.
-func (q *Queue) share() float64 {
-	if q.Standing() {
+func (q *Queue) share(now time.Time, a Ask) float64 {
+	if q.Standing() && q.shares.heavy(now, a.Organisation) {
 		return standingShare
 	}
 	return burstShare
--- a/internal/core/overload/overload_test.go
+++ b/internal/core/overload/overload_test.go
@@ -13,7 +13,7 @@
 
 // ask is a request with a target of a second.
 func ask(wait, pending time.Duration) Ask {
-	return Ask{Target: time.Second, Wait: wait, Pending: pending}
+	return Ask{Target: time.Second, Wait: wait, Pending: pending, Tokens: 1000}
 }
 
 // long is one whose answer takes the time, for a caller that waits for four seconds.
--- a/internal/edge/gatewayd/pick.go
+++ b/internal/edge/gatewayd/pick.go
@@ -43,6 +43,10 @@
 // wants is the request as the choice of an upstream sees it.
 func (x *request) wants() balance.Request {
 	route := x.admission.Route
+	organisation := uint64(0)
+	if o := x.admission.Organisation; o != nil {
+		organisation = ingress.HashID(o.Name)
+	}
 	return balance.Request{
 		Route:  route.Name,
 		Pool:   x.admission.Pool,
@@ -51,11 +55,12 @@
 		Tier:   route.Tier,
 		Prompt: x.call.Prompt,
 
-		Deadline: x.admission.Deadline,
-		Protect:  route.Kind == ingress.Stream && !route.Resumable,
-		Exclude:  x.tried,
-		Least:    x.view.Table.IsLeast(x.admission.Organisation, route, x.admission.Pool),
-		Hash:     uint64(x.began.UnixNano()),
+		Organisation: organisation,
+		Deadline:     x.admission.Deadline,
+		Protect:      route.Kind == ingress.Stream && !route.Resumable,
+		Exclude:      x.tried,
+		Least:        x.view.Table.IsLeast(x.admission.Organisation, route, x.admission.Pool),
+		Hash:         uint64(x.began.UnixNano()),
 	}
 }
 
