--- a/internal/core/balance/cold.go
+++ b/internal/core/balance/cold.go
@@ -43,13 +43,16 @@
 // bounded reports whether the pool's cold upstreams bear less than warm ones.
 func (c coldPool) bounded() bool { return c.PerSecond > 0 }
 
-// warm takes what an entry says of an upstream. One whose availability zone was taken
-// back may have become cold just before, without a word yet.
-func (t *Table) warm(now time.Time, u *upstream, in Instance) {
+// becomesCold takes what an entry says of an upstream, and reports whether it was warm
+// and is cold. One whose availability zone was taken back may have become cold just
+// before, without a word yet.
+func (t *Table) becomesCold(now time.Time, u *upstream, in Instance) bool {
+	before := u.warmup.Cold(now)
 	u.warmup = u.warmup.With(in.ColdUntil)
 	if u.Evacuated && !in.Evacuated {
 		u.warmup = u.warmup.With(now.Add(t.pool(in.Pool).cold.For))
 	}
+	return !before && u.warmup.Cold(now)
 }
 
 // isCold reports whether the upstream bears less than a warm one now.
--- a/internal/core/balance/pick.go
+++ b/internal/core/balance/pick.go
@@ -61,6 +61,10 @@
 	// ComeBack is above 0 if the pool is too busy for the request: it was not counted,
 	// and its caller may come back after that time.
 	ComeBack time.Duration
+	// Standing is true if a queue stands at the pool then.
+	Standing bool
+	// Cold is true if the upstream is cold: this gateway is one of its holders.
+	Cold bool
 	// ToldAge is the age of the other gateways' word on the upstream; below 0 if
 	// there is none.
 	ToldAge time.Duration
@@ -100,6 +104,7 @@
 	}
 	best.Candidates = len(compared)
 	if best.ComeBack = p.turnAway(now, chosen, r, best); best.ComeBack > 0 {
+		best.Standing = p.queue.Standing()
 		return best, false
 	}
 	if from := p.sourceFor(now, chosen, candidates, r.Prompt, keys); from.tokens > 0 {
@@ -219,6 +224,7 @@
 		t.tell(u, u.cache.used(now, r.Prompt, c.keys, false))
 	}
 	if p.isCold(now, u) {
+		c.Cold = true
 		u.warmup = u.warmup.Sent(now, p.cold.split)
 	}
 	u.running[c.run] = sent
--- a/internal/core/balance/table.go
+++ b/internal/core/balance/table.go
@@ -115,16 +115,17 @@
 	}
 }
 
-// Changes are the identities of upstreams that came and went, and of those that
-// began to leave.
+// Changes are the identities of upstreams that came and went, of those that began to
+// leave, and of those that became cold.
 type Changes struct {
+	Cold    []string
 	Came    []string
 	Went    []string
 	Leaving []string
 }
 
 // Any reports whether anything changed.
-func (c Changes) Any() bool { return len(c.Came)+len(c.Went)+len(c.Leaving) > 0 }
+func (c Changes) Any() bool { return len(c.Came)+len(c.Went)+len(c.Leaving)+len(c.Cold) > 0 }
 
 // open reports whether the upstream may get anything new.
 func (in Instance) open() bool { return !in.Leaving && !in.Evacuated }
@@ -149,7 +150,9 @@
 		if in.Leaving && !u.Leaving {
 			c.Leaving = append(c.Leaving, in.ID)
 		}
-		t.warm(now, u, in)
+		if t.becomesCold(now, u, in) {
+			c.Cold = append(c.Cold, in.ID)
+		}
 		u.Instance = in
 	}
 	for id := range t.upstreams {
--- a/internal/core/overload/overload.go
+++ b/internal/core/overload/overload.go
@@ -44,20 +44,20 @@
 
 const (
 	// burstShare is the part of its target that a request may wait while no queue
-	// stands. In eight replays of a burst that three gateways can carry, 0.99 of the
+	// stands. In eight replays of a burst that three gateways can carry, 0.98 of the
 	// checks were in time, and 0.95 at 0.6 with queues that stand from 0.4 on: what was
 	// turned away would have been in time.
 	burstShare = 0.8
 	// lightShare is that of organisations that got less than others (shares.go).
 	lightShare = 1.0
 	// standingFrom is the mean wait, as a part of the target, from which on a queue
-	// stands.
-	standingFrom = 0.6
+	// stands. From 0.6 on streams were hurt more, and those three gateways had 0.99.
+	standingFrom = 0.45
 	// standingShare is the part of its target that a request may wait while a queue
 	// stands. It is about two long prompts: enough that engines have something to read
 	// until the next ones come. In the replay of more than fits, 0.79 of the worth was
 	// in time with it and 0.68 without a queue that stands.
-	standingShare = 0.2
+	standingShare = 0.15
 	// memory is the time over which waits are averaged: longer than a word of the other
 	// gateways takes, and shorter than the bursts that are to be told from it.
 	memory = time.Second
@@ -69,7 +69,7 @@
 	// answers would end later than fitShare of the time that their callers have left.
 	// With smaller limits of the wait it added 0.02 to the worth in time of the replay
 	// of more than fits.
-	growingFrom = 0.4
+	growingFrom = 0.3
 	// fitShare is below one as callers' guesses of their answers are far off.
 	fitShare = 0.8
 	// seenShare is the part of standingShare that this gateway must have seen itself:
--- a/internal/edge/gatewayd/forward.go
+++ b/internal/edge/gatewayd/forward.go
@@ -23,9 +23,7 @@
 	if x.continuing {
 		f.ContinueAt = choice.Address
 	}
-	if x.admission.Organisation != nil {
-		f.Organisation = x.admission.Organisation.Name
-	}
+	f.Organisation = x.organisation()
 	req := &http.Request{
 		Method: x.r.Method,
 		URL:    targetOf(x.r),
--- a/internal/edge/gatewayd/lines.go
+++ b/internal/edge/gatewayd/lines.go
@@ -33,6 +33,7 @@
 		Str("fetch_from", c.FetchFrom).
 		Str("backup", c.Backup.ID).
 		Bool("continues", x.continuing).
+		Bool("cold", c.Cold).
 		Int("urgency", x.admission.Urgency).
 		Int64("version", x.admission.Version).
 		Dur("view_age", x.admission.Age)
@@ -60,6 +61,8 @@
 func (x *request) logBusy(c balance.Choice) {
 	x.logChoice(c).
 		Dur("target", x.admission.Route.Target).
+		Bool("standing", c.Standing).
+		Str("organisation", x.organisation()).
 		Dur("come_back", c.ComeBack).
 		Msg("pool is too busy")
 }
--- a/internal/edge/gatewayd/pick.go
+++ b/internal/edge/gatewayd/pick.go
@@ -43,10 +43,6 @@
 // wants is the request as the choice of an upstream sees it.
 func (x *request) wants() balance.Request {
 	route := x.admission.Route
-	organisation := uint64(0)
-	if o := x.admission.Organisation; o != nil {
-		organisation = ingress.HashID(o.Name)
-	}
 	return balance.Request{
 		Route:  route.Name,
 		Pool:   x.admission.Pool,
@@ -55,7 +51,7 @@
 		Tier:   route.Tier,
 		Prompt: x.call.Prompt,
 
-		Organisation: organisation,
+		Organisation: ingress.HashID(x.organisation()),
 		Deadline:     x.admission.Deadline,
 		Protect:      route.Kind == ingress.Stream && !route.Resumable,
 		Exclude:      x.tried,
@@ -64,6 +60,14 @@
 	}
 }
 
+// organisation is the name of who sends the request; empty on public routes.
+func (x *request) organisation() string {
+	if o := x.admission.Organisation; o != nil {
+		return o.Name
+	}
+	return ""
+}
+
 // spend takes a retry from the budget of the request's pool.
 func (x *request) spend() bool {
 	ok := false
