Soak: zones are evacuated one after the other beside the faults

Nothing may reach a replica of a zone that was evacuated three seconds before, by gateways that nothing disturbed. Cold upstreams and an organisation that floods are not among its faults yet.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -37,6 +37,7 @@
 	{"revoked keys are refused", revokedRefused},
 	{"configuration never goes back", neverBack},
 	{"leaving replicas get nothing new", leavingLeft},
+	{"evacuated zones get nothing new", evacuatedLeft},
 	{"planned stops cut nothing", stopsCutNothing},
 	{"full service is back", serviceIsBack},
 }
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -19,6 +19,8 @@
 	r.Versions[1] = at(0)
 	r.Revoked["old"] = at(1)
 	r.Left["i-9"] = at(1)
+	r.Zones["i-1"] = "z0"
+	r.Evacuations = []Evacuation{{Zone: "z1", At: at(1), Until: at(50)}, {Zone: "z0", At: at(8), Until: at(11)}, {Zone: "z0", At: at(35), Until: at(39)}}
 	add := func(id, kind string, sent float64) {
 		r.Calls = append(r.Calls, Call{
 			ID: id, Kind: kind, Key: lastingKey, Life: 1, Sent: at(sent), Done: at(sent + 0.1),
@@ -61,6 +63,11 @@
 		{"configuration never goes back", func(r *Record) { r.Versions[2] = at(1) }},
 		{"", func(r *Record) { r.Runs[0].Organisation, r.Calls[0].Life = organisationPrefix+"2", 0 }},
 		{"leaving replicas get nothing new", func(r *Record) { r.Runs[0].Replica = "i-9" }},
+		{"evacuated zones get nothing new", func(r *Record) { r.Evacuations[1].At = at(5) }},
+		{"", func(r *Record) {
+			r.Evacuations[1].At = at(5)
+			r.Events = append(r.Events, Event{At: at(9), What: "store", Gateway: everyGateway, Until: at(12)})
+		}},
 		{"planned stops cut nothing", func(r *Record) {
 			r.Calls = append(r.Calls, Call{ID: "x", Kind: kindWrite, Sent: at(19.9), Done: at(20.5)})
 		}},
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -68,6 +68,9 @@
 	Revoked  map[string]time.Time
 	Versions map[int64]time.Time
 	Left     map[string]time.Time
+	// Zones maps a replica to its zone.
+	Zones       map[string]string
+	Evacuations []Evacuation
 }
 
 func newRecord() *Record {
@@ -75,6 +78,7 @@
 		Revoked:  make(map[string]time.Time),
 		Versions: make(map[int64]time.Time),
 		Left:     make(map[string]time.Time),
+		Zones:    make(map[string]string),
 	}
 }
 
@@ -116,3 +120,17 @@
 	defer r.mu.Unlock()
 	r.Left[replica] = at
 }
+
+// listed notes the zone of a replica.
+func (r *Record) listed(replica, zone string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Zones[replica] = zone
+}
+
+// evacuated notes an evacuation that has ended.
+func (r *Record) evacuated(e Evacuation) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Evacuations = append(r.Evacuations, e)
+}
--- a/internal/soak/replicas.go
+++ b/internal/soak/replicas.go
@@ -22,6 +22,7 @@
 	r := &replica{}
 	r.Replica = standin.NewReplica(w.t, id, func(_ int, req standin.Request) standin.Reply { return w.reply(id, req) })
 	r.Zone = zoneOf(w.nextN)
+	w.record.listed(id, r.Zone)
 	r.link = w.link(r.Address())
 	w.replicas = append(w.replicas, r)
 	w.store.PutReplica(r.At(r.link.Address()), pool, false)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -50,6 +50,10 @@
 	})
 	failing, endFaults := context.WithTimeout(context.Background(), *length)
 	defer endFaults()
+	group.Go(func() error {
+		w.Evacuate(failing, seed)
+		return nil
+	})
 	w.Faults(failing, seed)
 	time.Sleep(calmLength)
 	endLoad()
