--- a/internal/core/balance/cold.go
+++ b/internal/core/balance/cold.go
@@ -18,8 +18,8 @@
 	Slack   float64
 }
 
-// coldPool is how the cold upstreams of a pool are shared out.
-type coldPool struct {
+// coldSplit is how the cold upstreams of a pool are shared out.
+type coldSplit struct {
 	warmup.Bounds
 	split warmup.Split
 }
@@ -30,18 +30,18 @@
 	t.coldLimits, t.holds = l, holds
 }
 
-// coldPool works out the split of a pool.
-func (t *Table) coldPool(c ingress.Cold) coldPool {
+// coldSplitOf works out the split of a pool.
+func (t *Table) coldSplitOf(c ingress.Cold) coldSplit {
 	b := warmup.Bounds{
 		PerSecond: c.PerSecond,
 		Most:      max(1, t.coldLimits.Overrun)*c.PerSecond + t.coldLimits.Slack,
 		For:       c.For,
 	}
-	return coldPool{Bounds: b, split: warmup.SplitOf(b)}
+	return coldSplit{Bounds: b, split: warmup.SplitOf(b)}
 }
 
 // bounded reports whether the pool's cold upstreams bear less than warm ones.
-func (c coldPool) bounded() bool { return c.PerSecond > 0 }
+func (c coldSplit) bounded() bool { return c.PerSecond > 0 }
 
 // becomesCold takes what an entry says of an upstream, and reports whether it was warm
 // and is cold. One whose availability zone was taken back may have become cold just
--- a/internal/core/balance/table.go
+++ b/internal/core/balance/table.go
@@ -71,7 +71,7 @@
 	members []*upstream
 	// open is the number of members that may get anything new.
 	open   int
-	cold   coldPool
+	cold   coldSplit
 	engine *ingress.Engine
 	speed  speed
 	// meanTokens is the mean memory of a request, in tokens; 0 before the first.
@@ -229,7 +229,7 @@
 	for name := range t.pools {
 		if p, ok := table.Pool(name); ok {
 			t.pools[name].engine = p.Engine
-			t.pools[name].cold = t.coldPool(p.Cold)
+			t.pools[name].cold = t.coldSplitOf(p.Cold)
 			t.pools[name].pauses.set(table.Pauses(name))
 		}
 	}
