--- a/internal/core/balance/doc.go
+++ b/internal/core/balance/doc.go
@@ -21,6 +21,9 @@
 // The least urgent requests of a pool are turned away, and told when to come
 // back, if they would wait for longer than their target (package overload).
 //
+// Nothing goes to the upstreams of an evacuated availability zone, and to cold ones
+// only paced requests of the few gateways that hold them (cold.go, package warmup).
+//
 // Engines that can, copy the beginning of a prompt from the engine that is
 // believed to keep the most of it, and keep a copy of a run that may not be
 // repeated on another engine, from which it goes on if its own breaks.
