--- a/internal/core/balance/doc.go
+++ b/internal/core/balance/doc.go
@@ -19,7 +19,7 @@
 // engines as they need (settle.go).
 //
 // The least urgent requests of a pool are turned away, and told when to come
-// back, if they would wait for longer than their target (package overload).
+// back, while the pool has more to read than it can (package overload).
 //
 // Nothing goes to the upstreams of an evacuated availability zone, and to cold ones
 // only paced requests of the few gateways that hold them (cold.go, package warmup).
--- a/internal/core/balance/pick.go
+++ b/internal/core/balance/pick.go
@@ -19,7 +19,7 @@
 	Tier int
 	// Target is the time to the first event that is still in time; 0 for none.
 	Target time.Duration
-	// Organisation is the hash of who sends it; 0 for nobody known.
+	// Organisation is the hash of the name of who sends it.
 	Organisation uint64
 	// Deadline is when its caller leaves; zero for never.
 	Deadline time.Time
@@ -127,7 +127,7 @@
 	ask := overload.Ask{
 		Target:       r.Target,
 		Wait:         duration(c.Wait),
-		Pending:      p.pendingLeast(now),
+		Pending:      func() time.Duration { return p.pendingLeast(now) },
 		Organisation: r.Organisation,
 		Tokens:       c.Unread,
 		Hash:         r.Hash,
--- a/internal/core/balance/table.go
+++ b/internal/core/balance/table.go
@@ -118,10 +118,10 @@
 // Changes are the identities of upstreams that came and went, of those that began to
 // leave, and of those that became cold.
 type Changes struct {
-	Cold    []string
 	Came    []string
 	Went    []string
 	Leaving []string
+	Cold    []string
 }
 
 // Any reports whether anything changed.
--- a/internal/core/overload/overload.go
+++ b/internal/core/overload/overload.go
@@ -30,7 +30,7 @@
 // Engines that read without a pause make tokens slowly. A long answer that cannot be
 // complete before its caller leaves is turned away before others are: its reading would
 // be for nothing, and takes the place of two or three that can be. Among the rest, the
-// organisations that ask for the most go first (shares.go).
+// organisations that got the most are turned away first (shares.go).
 //
 // # Usage
 //
@@ -95,10 +95,10 @@
 	// Target is the time to its first event that is still in time.
 	Target time.Duration
 	// Wait is how long it is expected to wait before it is read, at the best upstream
-	// that was found, and Pending the longest time that such a request of this gateway
-	// has waited until now.
+	// that was found, and Pending tells the longest time that such a request of this
+	// gateway has waited until now. It is asked only where it decides.
 	Wait    time.Duration
-	Pending time.Duration
+	Pending func() time.Duration
 	// End is how long its whole answer is expected to take from now, and Left how long
 	// its caller waits; both 0 if nothing is known of that.
 	End  time.Duration
@@ -141,7 +141,7 @@
 	q.meet(now, a)
 	q.shares.ask(now, a.Organisation, a.Tokens)
 	over := max(a.Wait-part(q.share(now, a), a.Target), q.tooLong(a))
-	if over <= 0 || q.waitSeen(now, a) < part(seenShare*standingShare, a.Target) {
+	if over <= 0 || !q.sawWaits(now, a) {
 		q.shares.take(now, a.Organisation, a.Tokens)
 		return 0
 	}
@@ -184,13 +184,12 @@
 	q.at = now
 }
 
-// waitSeen is how long such requests of this gateway wait for their first event, by
-// those that had it lately and those that wait for it.
-func (q *Queue) waitSeen(now time.Time, a Ask) time.Duration {
-	if q.seenAt.IsZero() || now.Sub(q.seenAt) > seenKeep {
-		return a.Pending
-	}
-	return max(q.seen, a.Pending)
+// sawWaits reports whether such requests of this gateway wait long enough for their
+// first event, by those that had it lately or by those that wait for it.
+func (q *Queue) sawWaits(now time.Time, a Ask) bool {
+	enough := part(seenShare*standingShare, a.Target)
+	recent := !q.seenAt.IsZero() && now.Sub(q.seenAt) <= seenKeep
+	return (recent && q.seen >= enough) || a.Pending() >= enough
 }
 
 // part returns a part of a time.
--- a/internal/core/overload/overload_test.go
+++ b/internal/core/overload/overload_test.go
@@ -13,7 +13,7 @@
 
 // ask is a request with a target of a second.
 func ask(wait, pending time.Duration) Ask {
-	return Ask{Target: time.Second, Wait: wait, Pending: pending, Tokens: 1000}
+	return Ask{Target: time.Second, Wait: wait, Pending: func() time.Duration { return pending }, Tokens: 1000}
 }
 
 // long is one whose answer takes the time, for a caller that waits for four seconds.
@@ -50,7 +50,7 @@
 		{name: "a long answer while a queue grows", met: repeat(20, 420*ms), ask: long(3300 * ms), away: true},
 		{name: "a short answer while a queue grows", met: repeat(20, 420*ms), ask: long(3100 * ms)},
 		{name: "a long answer in a burst", ask: long(9 * time.Second)},
-		{name: "no target", ask: Ask{Wait: time.Minute, Pending: time.Minute}},
+		{name: "no target", ask: Ask{Wait: time.Minute, Pending: func() time.Duration { return time.Minute }}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/core/overload/shares_test.go
+++ b/internal/core/overload/shares_test.go
@@ -27,7 +27,7 @@
 			for range n {
 				asked[kind]++
 				a := Ask{
-					Target: time.Second, Pending: time.Second, Organisation: uint64(o), Tokens: 1000,
+					Target: time.Second, Pending: func() time.Duration { return time.Second }, Organisation: uint64(o), Tokens: 1000,
 					Wait: time.Duration(backlog[0] / readPerS * float64(time.Second)),
 				}
 				if q.TurnAway(now, a) == 0 {
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -58,9 +58,8 @@
 // New returns an empty roster.
 func New() *Roster {
 	return &Roster{
-		listed: make(map[string]balance.Instance),
-		lapsed: make(map[string]time.Time),
-
+		listed:    make(map[string]balance.Instance),
+		lapsed:    make(map[string]time.Time),
 		evacuated: make(map[string]bool),
 	}
 }
--- a/internal/edge/gatewayd/forward.go
+++ b/internal/edge/gatewayd/forward.go
@@ -13,17 +13,17 @@
 // upstreamRequest is the request as the upstream gets it.
 func (x *request) upstreamRequest(choice balance.Choice, now time.Time) *http.Request {
 	f := platform.Forward{
-		Upstream:  choice.ID,
-		Left:      x.admission.Deadline.Sub(now),
-		Urgency:   x.admission.Urgency,
-		LastEvent: x.lastEvent,
-		FetchFrom: choice.FetchFrom,
-		BackupAt:  choice.Backup.Address,
+		Upstream:     choice.ID,
+		Organisation: x.organisation(),
+		Left:         x.admission.Deadline.Sub(now),
+		Urgency:      x.admission.Urgency,
+		LastEvent:    x.lastEvent,
+		FetchFrom:    choice.FetchFrom,
+		BackupAt:     choice.Backup.Address,
 	}
 	if x.continuing {
 		f.ContinueAt = choice.Address
 	}
-	f.Organisation = x.organisation()
 	req := &http.Request{
 		Method: x.r.Method,
 		URL:    targetOf(x.r),
--- a/internal/edge/gatewayd/pick.go
+++ b/internal/edge/gatewayd/pick.go
@@ -44,13 +44,12 @@
 func (x *request) wants() balance.Request {
 	route := x.admission.Route
 	return balance.Request{
-		Route:  route.Name,
-		Pool:   x.admission.Pool,
-		Pause:  route.PauseTarget,
-		Target: route.Target,
-		Tier:   route.Tier,
-		Prompt: x.call.Prompt,
-
+		Route:        route.Name,
+		Pool:         x.admission.Pool,
+		Pause:        route.PauseTarget,
+		Target:       route.Target,
+		Tier:         route.Tier,
+		Prompt:       x.call.Prompt,
 		Organisation: ingress.HashID(x.organisation()),
 		Deadline:     x.admission.Deadline,
 		Protect:      route.Kind == ingress.Stream && !route.Resumable,
--- a/internal/soak/answers.go
+++ b/internal/soak/answers.go
@@ -16,6 +16,15 @@
 	return runs
 }
 
+// callsOf returns the calls by the identity of their requests.
+func (r *Record) callsOf() map[string]Call {
+	calls := make(map[string]Call, len(r.Calls))
+	for _, c := range r.Calls {
+		calls[c.ID] = c
+	}
+	return calls
+}
+
 // atMostOnce: a request that may run once has one run, going on from copies aside.
 func atMostOnce(r *Record) []string {
 	var broken []string
--- a/internal/soak/changes.go
+++ b/internal/soak/changes.go
@@ -61,10 +61,7 @@
 // before.
 func leavingLeft(r *Record) []string {
 	var broken []string
-	calls := make(map[string]Call)
-	for _, c := range r.Calls {
-		calls[c.ID] = c
-	}
+	calls := r.callsOf()
 	for _, n := range r.Runs {
 		at, ok := r.Left[n.Replica]
 		c, known := calls[n.ID]
--- a/internal/soak/evacuations.go
+++ b/internal/soak/evacuations.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"math/rand/v2"
 	"time"
+
+	"github.com/gladegauge/gladegauge/internal/edge/loop"
 )
 
 const (
@@ -31,32 +33,21 @@
 func (w *World) Evacuate(ctx context.Context, seed uint64) {
 	rng := rand.New(rand.NewPCG(seed, 78)) //nolint:gosec // Seeded on purpose.
 	for ctx.Err() == nil {
-		pause(ctx, upTo(rng, evacuationGap))
+		loop.Pause(ctx, upTo(rng, evacuationGap))
 		zone := zoneOf(rng.IntN(zones))
 		w.store.Evacuate(zone)
 		at := time.Now()
-		pause(ctx, evacuationLeast+upTo(rng, evacuationMost-evacuationLeast))
+		loop.Pause(ctx, evacuationLeast+upTo(rng, evacuationMost-evacuationLeast))
 		until := time.Now()
 		w.store.TakeBack(zone)
 		w.record.evacuated(Evacuation{Zone: zone, At: at, Until: until})
 	}
 }
 
-// pause waits for the time, or until the context ends.
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
-
 // evacuatedLeft: nothing reaches a replica whose zone was evacuated long enough before.
 func evacuatedLeft(r *Record) []string {
 	var broken []string
-	calls := make(map[string]Call)
-	for _, c := range r.Calls {
-		calls[c.ID] = c
-	}
+	calls := r.callsOf()
 	for _, n := range r.Runs {
 		c, known := calls[n.ID]
 		for _, e := range r.Evacuations {
