Sight: lost requests have a print, and the end of an upstream is a line and a count

Change: a print of what a request asks for and for whom (organisation, method, host, path, body) on the attempt failed line of lost requests, with the time since the head of the answer; upstream has ended, once, by whoever finds it; upstream_ends_total. No decision changes.

--- a/internal/core/balance/gone.go
+++ b/internal/core/balance/gone.go
@@ -25,6 +25,12 @@
 	return u.superseded || now.Before(u.goneUntil)
 }
 
+// IsGone reports whether the gateway itself found that the upstream has ended.
+func (t *Table) IsGone(now time.Time, id string) bool {
+	u, ok := t.upstreams[id]
+	return ok && u.gone(now)
+}
+
 // toldGone reports whether enough other gateways found the upstream gone, and it
 // has said nothing to this one since.
 func (u *upstream) toldGone(now time.Time) bool {
--- /dev/null
+++ b/internal/core/suspect/doc.go
@@ -0,0 +1,2 @@
+// Package suspect follows requests under which upstreams end.
+package suspect
--- a/internal/edge/gatewayd/attempt.go
+++ b/internal/edge/gatewayd/attempt.go
@@ -16,6 +16,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	x.loadTold = false
+	x.headAt = time.Time{}
 	x.patience = x.newPatience(choice, cancel)
 	defer x.patience.stop()
 	got, err := x.server.client.Do(ctx, choice.Address, x.upstreamRequest(choice, time.Now()), x.owns)
@@ -24,6 +25,7 @@
 		x.settle(choice, outcomeOf(failure, err), nil)
 		return failure, err
 	}
+	x.headAt = time.Now()
 	a := answer{Answer: got, choice: choice, head: platform.DecodeAnswer(got.StatusCode, got.Header)}
 	failure, err := x.take(ctx, a)
 	switch failure {
@@ -56,6 +58,9 @@
 	}
 	x.server.metrics.attempt(choice, o)
 	x.server.control.Must(func(now time.Time) {
+		if o == balance.Dead || o == balance.Replaced {
+			x.server.foundEnded(now, choice, o)
+		}
 		x.server.table.Ended(now, choice, o, balance.Answer{Tokens: tokens, LongestGap: x.longestGap})
 		if load != nil {
 			x.server.table.Reported(now, choice.ID, *load)
@@ -63,6 +68,17 @@
 	})
 }
 
+// foundEnded writes that an upstream has ended, when this gateway finds it out. It
+// runs in the control goroutine.
+func (s *Server) foundEnded(now time.Time, c balance.Choice, o balance.Outcome) {
+	if s.table.IsGone(now, c.ID) {
+		return
+	}
+	s.metrics.ends.Inc()
+	s.log.Warn().Str("upstream", c.ID).Str("address", c.Address).Str("zone", c.Zone).Str("pool", c.Pool).
+		Stringer("outcome", o).Msg("upstream has ended")
+}
+
 // answerBegan notes the first event of a stream, or the head of another answer.
 func (x *request) answerBegan(a answer) {
 	x.patience.answerBegan()
--- a/internal/edge/gatewayd/lines.go
+++ b/internal/edge/gatewayd/lines.go
@@ -69,7 +69,13 @@
 
 // logFailure writes how an attempt failed and whether another one follows.
 func (x *request) logFailure(c balance.Choice, f gateway.Failure, step gateway.Step, err error) {
-	x.log().
+	line := x.log()
+	if f == gateway.Lost {
+		// It may be why the upstream broke off: the print tells whether it was there
+		// at other breaks, as another request by its identity.
+		line = line.Stringer("print", x.printed()).Dur("since_head", x.sinceHead())
+	}
+	line.
 		Int("attempt", len(x.tried)).
 		Str("upstream", c.ID).
 		Stringer("failure", f).
@@ -80,6 +86,15 @@
 		Msg("attempt failed")
 }
 
+// sinceHead is how long ago the head of the present attempt's answer came; 0 if it did
+// not.
+func (x *request) sinceHead() time.Duration {
+	if x.headAt.IsZero() {
+		return 0
+	}
+	return time.Since(x.headAt)
+}
+
 // logEnd writes the last line of a request and counts it.
 func (x *request) logEnd(result string, refusal *gateway.Refusal) {
 	kind := "none"
--- a/internal/edge/gatewayd/request.go
+++ b/internal/edge/gatewayd/request.go
@@ -11,6 +11,7 @@
 	"github.com/gladegauge/gladegauge/internal/core/balance"
 	"github.com/gladegauge/gladegauge/internal/core/gateway"
 	"github.com/gladegauge/gladegauge/internal/core/ingress"
+	"github.com/gladegauge/gladegauge/internal/core/suspect"
 	"github.com/gladegauge/gladegauge/platform"
 )
 
@@ -55,6 +56,10 @@
 	loadTold bool
 	// faulty is an upstream's own error that may yet be passed on.
 	faulty *errorAnswer
+	// headAt is when the head of the present attempt's answer came; zero before.
+	headAt time.Time
+	// print is the zero value until it is asked for.
+	print suspect.Print
 }
 
 // serve carries one request from its caller to an upstream and back.
@@ -95,14 +100,10 @@
 
 // admit holds the request against the configuration.
 func (x *request) admit(now time.Time) *gateway.Refusal {
-	host := x.r.Host
-	if h, _, err := net.SplitHostPort(host); err == nil {
-		host = h
-	}
 	x.view = *x.server.view.Load()
 	a, refusal := gateway.Admit(now, x.view, gateway.Call{
 		ID:       x.call.ID,
-		Host:     host,
+		Host:     hostOf(x.r),
 		Path:     x.r.URL.EscapedPath(),
 		Key:      x.call.Key,
 		Patience: x.call.Patience,
@@ -111,6 +112,14 @@
 	return refusal
 }
 
+// hostOf is the host that the caller asks, without a port.
+func hostOf(r *http.Request) string {
+	if h, _, err := net.SplitHostPort(r.Host); err == nil {
+		return h
+	}
+	return r.Host
+}
+
 // attempts tries upstreams until the request has its answer.
 func (x *request) attempts(ctx context.Context) {
 	next := x.pick
