Requests under which upstreams end one after the other are known again, and blocked by all gateways

Change: package suspect. A gateway whose request breaks off looks at once whether the upstream still listens; if not, the request's print and the start that ended are evidence. Two starts, one after the other, make a suspect: it runs alone, where the fewest others are, once, with no copies. Three block it: 400, ends_upstreams. An answer clears it; so does another request that was at all of its ends and at more. Gateways tell each other what they saw with the words on loads, with positions that both sides confirm. Ruled out: an end by a reset of one connection as evidence (answers that are lost in transit would count); ends at the same moment as several (a rack); the word of one other gateway as enough to block.

--- /dev/null
+++ b/internal/core/balance/alone_test.go
@@ -0,0 +1,55 @@
+package balance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// A request that may end its engine goes where the fewest others are, whatever is kept
+// of its prompt elsewhere, and has nothing copied for it.
+func TestAlone(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	table := New("a")
+	table.SetInstances(now, []Instance{
+		{ID: "busy", Address: "1:1", Zone: "a", Pool: "p", Slots: 8},
+		{ID: "idle", Address: "2:1", Zone: "b", Pool: "p", Slots: 8},
+	})
+	shared := Prompt{Model: 1, Tokens: 9000, Parts: []Part{{ID: 5, Tokens: 9000}}}
+	for range 4 {
+		c, ok := table.Pick(now, Request{Pool: "p", Prompt: shared})
+		is.True(ok)
+		table.Began(now, c)
+		if c.ID == "idle" {
+			table.Ended(now, c, Completed, Answer{})
+		}
+	}
+	c, ok := table.Pick(now, Request{Pool: "p", Prompt: shared, Alone: true, Protect: true})
+	is.True(ok)
+	is.Equal(c.ID, "idle")
+	is.Equal(c.FetchFrom, "")
+	is.True(!c.Backup.Any())
+}
+
+// The end of an upstream that was leaving says nothing about what it ran.
+func TestLeaves(t *testing.T) {
+	is := is.New(t)
+	table := New("a")
+	table.SetInstances(time.Unix(1000, 0), []Instance{
+		{ID: "ready", Pool: "p"}, {ID: "leaving", Pool: "p", Leaving: true}, {ID: "evacuated", Pool: "p", Evacuated: true},
+	})
+	is.True(!table.Leaves("ready"))
+	is.True(table.Leaves("leaving"))
+	is.True(table.Leaves("evacuated"))
+	is.True(table.Leaves("gone from the list"))
+}
+
+// A start that begins anew under its identity is told apart from the one before.
+func TestStart(t *testing.T) {
+	is := is.New(t)
+	is.Equal(Instance{ID: "a", Born: 1}.Start(), Instance{ID: "a", Born: 1, Leaving: true}.Start())
+	is.True(Instance{ID: "a", Born: 1}.Start() != Instance{ID: "a", Born: 2}.Start())
+	is.True(Instance{ID: "a", Born: 1}.Start() != Instance{ID: "b", Born: 1}.Start())
+}
--- a/internal/core/balance/gone.go
+++ b/internal/core/balance/gone.go
@@ -25,12 +25,26 @@
 	return u.superseded || now.Before(u.goneUntil)
 }
 
+// FoundGone notes that the gateway found that the upstream has ended.
+func (t *Table) FoundGone(now time.Time, id string) {
+	if u, ok := t.upstreams[id]; ok {
+		u.goneUntil = now.Add(goneFor)
+	}
+}
+
 // IsGone reports whether the gateway itself found that the upstream has ended.
 func (t *Table) IsGone(now time.Time, id string) bool {
 	u, ok := t.upstreams[id]
 	return ok && u.gone(now)
 }
 
+// Leaves reports whether the end of the upstream is no surprise: it has said that it
+// leaves, its availability zone is emptied, or it is on the list no more.
+func (t *Table) Leaves(id string) bool {
+	u, ok := t.upstreams[id]
+	return !ok || !u.open()
+}
+
 // toldGone reports whether enough other gateways found the upstream gone, and it
 // has said nothing to this one since.
 func (u *upstream) toldGone(now time.Time) bool {
--- a/internal/core/balance/pick.go
+++ b/internal/core/balance/pick.go
@@ -32,6 +32,9 @@
 	// Least says that no request for the pool is less urgent: it may be turned away
 	// when the pool is too busy.
 	Least bool
+	// Alone asks for the upstream where the request harms fewest if that one ends: it
+	// is a suspect of having ended others, and nothing is copied for it.
+	Alone bool
 	// Hash breaks ties.
 	Hash uint64
 }
@@ -107,6 +110,10 @@
 		best.Standing = p.queue.Standing()
 		return best, false
 	}
+	if r.Alone {
+		t.send(now, p, chosen, r, &best)
+		return best, true
+	}
 	if from := p.sourceFor(now, chosen, candidates, r.Prompt, keys); from.tokens > 0 {
 		best.FetchFrom = from.upstream.Address
 		best.Unread = max(0, min(best.Unread, r.Prompt.Tokens-from.tokens))
@@ -205,6 +212,9 @@
 		c.Cost += zoneCost
 	}
 	c.Cost += silenceCost(now, u)
+	if r.Alone {
+		c.Cost = c.InFlight
+	}
 	return c
 }
 
--- a/internal/core/balance/table.go
+++ b/internal/core/balance/table.go
@@ -10,6 +10,7 @@
 	"github.com/gladegauge/gladegauge/internal/core/ingress"
 	"github.com/gladegauge/gladegauge/internal/core/occupancy"
 	"github.com/gladegauge/gladegauge/internal/core/overload"
+	"github.com/gladegauge/gladegauge/internal/core/rendezvous"
 	"github.com/gladegauge/gladegauge/internal/core/warmup"
 )
 
@@ -27,6 +28,9 @@
 	Evacuated bool
 	// ColdUntil is until when it is cold at least, by what it said itself.
 	ColdUntil time.Time
+	// Born is when this start began, in milliseconds since 1970, by its own word; 0 if
+	// it does not say. A later start under the same identity has a later one.
+	Born int64
 	// Created is the platform's revision at which the entry was made. It tells
 	// entries apart that lapsed and came back; 0 if the platform does not say.
 	Created int64
@@ -124,6 +128,12 @@
 	Cold    []string
 }
 
+// Start tells this start of an upstream from all others, also from later ones under
+// the same identity.
+func (in Instance) Start() uint64 {
+	return rendezvous.Mix(xxhash.Sum64String(in.ID), uint64(in.Born))
+}
+
 // Any reports whether anything changed.
 func (c Changes) Any() bool { return len(c.Came)+len(c.Went)+len(c.Leaving)+len(c.Cold) > 0 }
 
--- a/internal/core/gateway/gateway_test.go
+++ b/internal/core/gateway/gateway_test.go
@@ -80,6 +80,7 @@
 		fixed    bool
 		answered bool
 		backed   bool
+		suspect  bool
 		do       Action
 		refusal  Kind
 		notRun   bool
@@ -118,13 +119,18 @@
 		{name: "backed, its copy's engine is unreachable", kind: ingress.Stream, failures: []Failure{Lost, Unsent}, answered: true, do: Cut},
 		{name: "backed, its copy's engine was replaced", kind: ingress.Stream, failures: []Failure{Lost, Replaced}, answered: true, do: Cut},
 		{name: "backed, no time", kind: ingress.Stream, failures: []Failure{Lost}, answered: true, backed: true, now: t0.Add(999 * time.Millisecond), do: Cut},
+		{name: "suspect, lost", kind: ingress.Repeatable, suspect: true, failures: []Failure{Lost}, do: Refuse, refusal: Unknown},
+		{name: "suspect, lost in the middle", kind: ingress.Stream, resume: true, suspect: true, failures: []Failure{Lost}, answered: true, do: Cut},
+		{name: "suspect with a copy, lost in the middle", kind: ingress.Stream, suspect: true, failures: []Failure{Lost}, answered: true, backed: true, do: Cut},
+		{name: "suspect, unreachable", kind: ingress.Repeatable, suspect: true, failures: []Failure{Unsent}, do: Again},
+		{name: "suspect, refused", kind: ingress.Stream, suspect: true, failures: []Failure{NotRun}, do: Again},
 		{name: "the caller left", kind: ingress.Repeatable, failures: []Failure{CallerGone}, do: Cut},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			a := Admission{Deadline: t0.Add(time.Second), Route: &ingress.Route{Kind: tt.kind, Resumable: tt.resume, MaxAttempts: 2}}
-			p := Progress{Replayable: !tt.fixed, Answering: tt.answered, Backed: tt.backed}
+			p := Progress{Replayable: !tt.fixed, Answering: tt.answered, Backed: tt.backed, Suspect: tt.suspect}
 			for _, f := range tt.failures {
 				p = p.With(f)
 			}
--- a/internal/core/gateway/next.go
+++ b/internal/core/gateway/next.go
@@ -58,6 +58,9 @@
 	Answering bool
 	// Backed is true while another engine keeps a copy of the run's memory.
 	Backed bool
+	// Suspect is true if upstreams ended under the request more than once: it runs
+	// once, as each further run may end another upstream.
+	Suspect bool
 	// Replayable is false if the body was passed on without being kept.
 	Replayable bool
 }
@@ -126,7 +129,7 @@
 // mayContinue reports whether the run may go on from its copy. Before its first
 // event there may be none yet.
 func mayContinue(now time.Time, a Admission, p Progress, f Failure) bool {
-	return p.Backed && p.Answering && p.Replayable &&
+	return p.Backed && p.Answering && p.Replayable && !p.Suspect &&
 		(f == Lost || f == Silent) && a.Deadline.Sub(now) >= leastLeft
 }
 
@@ -134,7 +137,7 @@
 	if a.Deadline.Sub(now) < leastLeft || p.Sent >= a.Route.MaxAttempts {
 		return false
 	}
-	if p.MayHaveRun && !a.Route.MayRepeat() {
+	if p.MayHaveRun && (p.Suspect || !a.Route.MayRepeat()) {
 		return false
 	}
 	switch f {
--- a/internal/core/gateway/refusal.go
+++ b/internal/core/gateway/refusal.go
@@ -13,6 +13,8 @@
 	Unauthorised
 	TooLarge
 	TimedOutReading
+	// Harmful requests end the upstreams that run them: coming back is useless.
+	Harmful
 	// Unknown and TimedOut promise nothing.
 	Unknown
 	TimedOut
@@ -37,6 +39,8 @@
 	BodyTooLarge    Reason = "body_too_large"
 	BodyNotRead     Reason = "body_not_read"
 	StoppingProcess Reason = "stopping"
+	EndsUpstreams   Reason = "ends_upstreams"
+	SuspectRuns     Reason = "suspect_runs"
 )
 
 // Times after which a refused caller should come back.
@@ -77,6 +81,16 @@
 // Busy refuses a request that would wait for too long; it may come back after the time.
 func Busy(comeBack time.Duration) *Refusal { return notRun(PoolBusy, comeBack) }
 
+// Ends refuses a request under which upstreams ended, one after the other. It is not
+// tried again here, and its caller should not come back with it. Ran is true if the
+// last of them ended under this very attempt.
+func Ends(ran bool) *Refusal {
+	return &Refusal{Kind: Harmful, Reason: EndsUpstreams, NotRun: !ran}
+}
+
+// Occupied refuses a suspect request while another run of it is under way.
+func Occupied() *Refusal { return notRun(SuspectRuns, comeBackLater) }
+
 // Body returns the refusal of a request whose body is too large or did not
 // come. Nothing was sent to an upstream.
 func Body(tooLarge bool) *Refusal {
--- a/internal/edge/exchange/pool.go
+++ b/internal/edge/exchange/pool.go
@@ -36,6 +36,11 @@
 	if cn := c.take(address); cn != nil {
 		return cn, nil
 	}
+	return c.open(ctx, address)
+}
+
+// open opens a connection.
+func (c *Client) open(ctx context.Context, address string) (*conn, error) {
 	nc, err := c.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.WithStack(err)
--- a/internal/edge/gatewayd/attempt.go
+++ b/internal/edge/gatewayd/attempt.go
@@ -16,7 +16,9 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	x.loadTold = false
+	x.sentAt = time.Now()
 	x.headAt = time.Time{}
+	x.firstAt = time.Time{}
 	x.patience = x.newPatience(choice, cancel)
 	defer x.patience.stop()
 	got, err := x.server.client.Do(ctx, choice.Address, x.upstreamRequest(choice, time.Now()), x.owns)
@@ -57,9 +59,13 @@
 		tokens = x.events * p.Engine.EventTokens
 	}
 	x.server.metrics.attempt(choice, o)
+	survived := x.survived(o)
 	x.server.control.Must(func(now time.Time) {
 		if o == balance.Dead || o == balance.Replaced {
-			x.server.foundEnded(now, choice, o)
+			x.server.foundEnded(now, choice.Instance, o)
+		}
+		if survived {
+			x.server.clear(now, x)
 		}
 		x.server.table.Ended(now, choice, o, balance.Answer{Tokens: tokens, LongestGap: x.longestGap})
 		if load != nil {
@@ -68,17 +74,6 @@
 	})
 }
 
-// foundEnded writes that an upstream has ended, when this gateway finds it out. It
-// runs in the control goroutine.
-func (s *Server) foundEnded(now time.Time, c balance.Choice, o balance.Outcome) {
-	if s.table.IsGone(now, c.ID) {
-		return
-	}
-	s.metrics.ends.Inc()
-	s.log.Warn().Str("upstream", c.ID).Str("address", c.Address).Str("zone", c.Zone).Str("pool", c.Pool).
-		Stringer("outcome", o).Msg("upstream has ended")
-}
-
 // answerBegan notes the first event of a stream, or the head of another answer.
 func (x *request) answerBegan(a answer) {
 	x.patience.answerBegan()
--- a/internal/edge/gatewayd/crash_test.go
+++ b/internal/edge/gatewayd/crash_test.go
@@ -3,11 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	dto "github.com/prometheus/client_model/go"
 
+	"github.com/gladegauge/gladegauge/internal/core/suspect"
 	"github.com/gladegauge/gladegauge/platform/standin"
 )
 
@@ -113,3 +117,75 @@
 	}
 	w.is.Equal(w.ended(), 3)
 }
+
+// The caller of a request that is blocked gets an error that ordinary clients do not
+// repeat, at any gateway, and is not told that coming back helps. It keeps nobody else
+// out, and the logs of its gateways name it.
+func TestBlockedRequest(t *testing.T) {
+	w := newCrashWorld(t, 8)
+	for i := range 3 {
+		w.send(i, "/chat/1", killer)
+		w.awaitWords()
+	}
+	for i := range w.peers {
+		a := w.send(i, "/chat/1", killer)
+		w.is.Equal(a.Status, http.StatusBadRequest)
+		w.is.Equal(a.ComeBack(), time.Duration(0))
+		w.is.True(!a.Sealed())
+		w.is.Equal(w.send(i, "/chat/1", "another body").Status, http.StatusOK)
+		w.is.Equal(w.send(i, "/chat/2", "hello").Status, http.StatusOK)
+	}
+	w.is.Equal(w.ended(), 3)
+}
+
+// Answers that break off without an end of their upstream say nothing about the
+// request, however often.
+func TestBrokenAnswersAreNoEvidence(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 3, func(n int, _ standin.Request) standin.Reply {
+		return standin.Reply{Events: []string{"a", "b", "c"}, CutAfter: 1}
+	})
+	for range 6 {
+		w.call("/chat/1")
+	}
+	is.Equal(len(w.ran()), 6)
+	is.Equal(w.server.suspected.Load(), int64(0))
+}
+
+// An innocent request meets an end, comes again, and is served: nothing is left of the
+// suspicion.
+func TestInnocentBesideAnEnd(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 3, func(n int, _ standin.Request) standin.Reply {
+		return standin.Reply{Crash: n < 2, Events: []string{"a", "b"}}
+	})
+	w.call("/chat/1")
+	w.call("/chat/1")
+	is.Equal(w.server.suspected.Load(), int64(1))
+	verdict := func() (v suspect.Verdict) {
+		w.server.control.Must(func(now time.Time) {
+			for p := range w.server.suspects.Prints() {
+				v = w.server.suspects.Look(now, p)
+			}
+		})
+		return v
+	}
+	is.Equal(verdict(), suspect.Quarantined)
+	is.Equal(w.call("/chat/1").Status, http.StatusOK)
+	is.Equal(verdict(), suspect.Free)
+	is.True(strings.Contains(w.logs.String(), "suspect is cleared"))
+}
+
+// The gateway does not itself repeat a request under which two upstreams ended.
+func TestSuspectIsSentOnce(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 6, func(_ int, r standin.Request) standin.Reply {
+		return standin.Reply{Crash: r.Body == killer}
+	})
+	a := w.caller.Call(context.Background(), standin.Request{ID: "r-1", Host: "x.example", URI: "/read/1", Key: "key-a", Body: killer, DeadlineMs: 1500})
+	is.Equal(a.Status, http.StatusBadGateway)
+	is.Equal(len(w.ran()), 2) // both attempts of the route
+	a = w.caller.Call(context.Background(), standin.Request{ID: "r-2", Host: "x.example", URI: "/read/1", Key: "key-a", Body: killer, DeadlineMs: 1500})
+	is.Equal(len(w.ran()), 3)
+	is.Equal(a.Status, http.StatusBadRequest)
+}
--- a/internal/edge/gatewayd/lines.go
+++ b/internal/edge/gatewayd/lines.go
@@ -34,6 +34,7 @@
 		Str("backup", c.Backup.ID).
 		Bool("continues", x.continuing).
 		Bool("cold", c.Cold).
+		Bool("alone", x.progress.Suspect).
 		Int("urgency", x.admission.Urgency).
 		Int64("version", x.admission.Version).
 		Dur("view_age", x.admission.Age)
@@ -117,6 +118,9 @@
 		Dur("longest_gap", x.longestGap).
 		Int("events", x.events).
 		Int("sent", x.progress.Sent)
+	if refusal != nil && refusal.Kind == gateway.Harmful {
+		line = line.Stringer("print", x.printed())
+	}
 	if refusal != nil {
 		line = line.Str("reason", string(refusal.Reason)).
 			Int("status", statusOf(refusal.Kind)).
--- a/internal/edge/gatewayd/pick.go
+++ b/internal/edge/gatewayd/pick.go
@@ -52,9 +52,10 @@
 		Prompt:       x.call.Prompt,
 		Organisation: ingress.HashID(x.organisation()),
 		Deadline:     x.admission.Deadline,
-		Protect:      route.Kind == ingress.Stream && !route.Resumable,
+		Protect:      route.Kind == ingress.Stream && !route.Resumable && !x.progress.Suspect,
 		Exclude:      x.tried,
 		Least:        x.view.Table.IsLeast(x.admission.Organisation, route, x.admission.Pool),
+		Alone:        x.progress.Suspect,
 		Hash:         uint64(x.began.UnixNano()),
 	}
 }
--- a/internal/edge/gatewayd/request.go
+++ b/internal/edge/gatewayd/request.go
@@ -56,10 +56,18 @@
 	loadTold bool
 	// faulty is an upstream's own error that may yet be passed on.
 	faulty *errorAnswer
+	// sentAt is when the present attempt began.
+	sentAt time.Time
 	// headAt is when the head of the present attempt's answer came; zero before.
 	headAt time.Time
 	// print is the zero value until it is asked for.
 	print suspect.Print
+	// firstAt is when the first event of the present attempt came; zero before.
+	firstAt time.Time
+	// quarantined is true while it is counted as a suspect that runs.
+	quarantined bool
+	// sound is true once the request was answered with success.
+	sound bool
 }
 
 // serve carries one request from its caller to an upstream and back.
@@ -94,6 +102,11 @@
 	}
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.admission.Deadline.Add(answerSlack))
 	defer cancel()
+	if refusal := x.enter(); refusal != nil {
+		x.refuse(refusal)
+		return nil
+	}
+	defer x.leave()
 	x.attempts(ctx)
 	return nil
 }
@@ -143,6 +156,11 @@
 		}
 		now := time.Now()
 		x.progress = x.progress.With(failure)
+		if failure == gateway.Lost && x.lostAt(ctx, choice) == suspect.Blocked && !x.progress.Answering {
+			x.logFailure(choice, failure, gateway.Step{Do: gateway.Refuse}, err)
+			x.refuse(gateway.Ends(true))
+			return
+		}
 		step := gateway.Next(now, x.admission, x.progress, failure, x.spend)
 		x.logFailure(choice, failure, step, err)
 		switch step.Do {
--- a/internal/edge/gatewayd/respond.go
+++ b/internal/edge/gatewayd/respond.go
@@ -17,6 +17,9 @@
 		return http.StatusNotFound
 	case gateway.Unauthorised:
 		return http.StatusUnauthorized
+	case gateway.Harmful:
+		// Ordinary clients do not repeat what got this answer.
+		return http.StatusBadRequest
 	case gateway.TooLarge:
 		return http.StatusRequestEntityTooLarge
 	case gateway.TimedOutReading:
--- a/internal/edge/gatewayd/server.go
+++ b/internal/edge/gatewayd/server.go
@@ -32,6 +32,7 @@
 	"github.com/gladegauge/gladegauge/internal/core/occupancy"
 	"github.com/gladegauge/gladegauge/internal/core/retry"
 	"github.com/gladegauge/gladegauge/internal/core/roster"
+	"github.com/gladegauge/gladegauge/internal/core/suspect"
 	"github.com/gladegauge/gladegauge/internal/edge/exchange"
 	"github.com/gladegauge/gladegauge/internal/edge/loop"
 	"github.com/gladegauge/gladegauge/platform"
@@ -72,6 +73,8 @@
 	// lastSeen is when the latest request came, in nanoseconds since 1970; 0
 	// before the first.
 	lastSeen atomic.Int64
+	// suspected is the number of requests in suspects.
+	suspected atomic.Int64
 	// stoppingAt is when the planned stop began; nil before.
 	stoppingAt atomic.Pointer[time.Time]
 
@@ -91,6 +94,10 @@
 	promised platform.Bounds
 	// gateways is the number of gateways that the retry budget is split over.
 	gateways int
+	// suspects are the requests under which upstreams ended, and lost those that broke
+	// off a moment ago.
+	suspects *suspect.Register
+	lost     []lostRequest
 	feed     *feed.Feed
 	// feedChanged is closed when there is news for followers.
 	feedChanged chan struct{}
@@ -139,6 +146,7 @@
 	if listeners == nil {
 		return errors.AssertionFailedf("Run needs Listen first")
 	}
+	s.suspects = suspect.NewRegister(s.hash(), rand.Uint64()) //nolint:gosec // Only tells starts apart.
 	//nolint:gosec // Jitter needs no secret randomness.
 	s.fleet.Started(time.Now(), s.o.Settings.Seeds, s.o.Settings.FirstStart, rand.Uint64())
 	group, work := errgroup.WithContext(work)
@@ -168,7 +176,8 @@
 func (s *Server) holds(now time.Time, key uint64, n int) bool { return s.fleet.Holds(now, key, n) }
 
 // sweep forgets what is no longer used. It runs in the control goroutine.
-func (s *Server) sweep(time.Time) {
+func (s *Server) sweep(now time.Time) {
+	s.sweepSuspects(now)
 	wanted := *s.addresses.Load()
 	s.client.Sweep(func(address string) bool { return wanted[address] })
 }
--- a/internal/edge/gatewayd/stream.go
+++ b/internal/edge/gatewayd/stream.go
@@ -31,6 +31,7 @@
 		e, err := readEvent(br)
 		if errors.Is(err, io.EOF) {
 			x.commitStream(a)
+			x.sound = true
 			return gateway.None, nil
 		}
 		if err != nil {
@@ -40,6 +41,7 @@
 		x.patience.eventCame()
 		if !began {
 			began = true
+			x.firstAt = now
 			x.answerBegan(a)
 			heard = now
 			last = now
--- a/internal/edge/gatewayd/take.go
+++ b/internal/edge/gatewayd/take.go
@@ -98,6 +98,7 @@
 	if err != nil {
 		return x.failureOf(ctx, err), errors.Wrap(err, "body cut short")
 	}
+	x.sound = isSuccess(a.StatusCode)
 	x.commit(a.StatusCode, a.Header, a.ContentLength)
 	if _, err := x.w.Write(data); err != nil {
 		return gateway.CallerGone, errors.WithStack(err)
