Entries and agents know requests under which engines end, and block them

An agent that finds nothing listening at its engine says so now, with the start that ended; the entry lays it to the request, and entries and agents tell each other at once with the exchange that they have. Change: package suspects of the edge carries the register and its words, for gateways and for the other shape. A suspect is not resumed; a blocked request gets 400 ends_upstreams. Ruled out: placing suspects where the fewest others run, which agents cannot tell before they grant a slot.

--- a/internal/core/dispatch/request.go
+++ b/internal/core/dispatch/request.go
@@ -275,6 +275,9 @@
 	return r.widen(now, r.options.Width)
 }
 
+// RunOnce ends the resumes: each further run may end another upstream.
+func (r *Request) RunOnce() { r.options.Resumes = 0 }
+
 // HungUp tells that the caller left: what waits or runs is cancelled.
 func (r *Request) HungUp() []Effect {
 	if r.done {
--- a/internal/edge/agentd/answer.go
+++ b/internal/edge/agentd/answer.go
@@ -1,6 +1,7 @@
 package agentd
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -11,9 +12,9 @@
 )
 
 // onPiece passes on a part of the answer, or ends the attempt.
-func (x *session) onPiece(p piece) (bool, error) {
+func (x *session) onPiece(ctx context.Context, p piece) (bool, error) {
 	if p.end != nil {
-		return x.onEnd(*p.end)
+		return x.onEnd(ctx, *p.end)
 	}
 	if p.Head != nil {
 		return false, x.onHead(p.Head)
@@ -36,6 +37,7 @@
 		x.cancelRun()
 		return nil
 	}
+	x.s.loop.Must(func(time.Time) { x.s.ends.alive() })
 	head := &gladegaugev1.Head{Status: uint32(h.Status)}
 	for name, values := range h.Headers {
 		for _, v := range values {
@@ -47,7 +49,7 @@
 }
 
 // onEnd takes the end of a call to the upstream.
-func (x *session) onEnd(end upstream.End) (bool, error) {
+func (x *session) onEnd(ctx context.Context, end upstream.End) (bool, error) {
 	x.running = false
 	x.cancelRun()
 	if x.failing {
@@ -71,7 +73,9 @@
 	}
 	if end.Ending != upstream.Complete {
 		x.s.metrics.Wasted.WithLabelValues(x.offer.GetClass()).Add(float64(x.tokens.Load()))
-		return true, x.fail(&gladegaugev1.Failed{NotRun: end.Ending == upstream.NotTaken, Detail: text(end.Err), Load: load})
+		return true, x.fail(&gladegaugev1.Failed{
+			NotRun: end.Ending == upstream.NotTaken, Detail: text(end.Err), Load: load, EndedStart: x.endedStart(ctx, end),
+		})
 	}
 	ended := &gladegaugev1.End{Length: uint64(end.Length), Tokens: uint32(produced), Load: load}
 	return true, x.send(&gladegaugev1.AttemptEvent{Event: &gladegaugev1.AttemptEvent_End{End: ended}})
--- a/internal/edge/agentd/server.go
+++ b/internal/edge/agentd/server.go
@@ -69,6 +69,7 @@
 	// configuredAt is when the configuration in force was taken.
 	configuredAt time.Time
 	agent        *agent.Agent
+	ends         upstreamEnds
 	sessions     map[string]*session
 }
 
@@ -261,6 +262,7 @@
 		failures++
 		if healthy {
 			failures = 0
+			s.loop.Must(func(time.Time) { s.ends.alive() })
 		}
 		if next := failures >= probeFailures; next != down && (next || healthy) {
 			down = next
--- a/internal/edge/agentd/session.go
+++ b/internal/edge/agentd/session.go
@@ -143,7 +143,7 @@
 			runs = nil
 			ended = x.leave()
 		case p := <-x.pieces:
-			ended, err = x.onPiece(p)
+			ended, err = x.onPiece(ctx, p)
 		case <-heartbeat.C:
 			err = x.heartbeat()
 		case <-left:
--- a/internal/edge/entryd/account.go
+++ b/internal/edge/entryd/account.go
@@ -47,6 +47,7 @@
 	}
 	x.s.loop.Must(func(now time.Time) {
 		x.settleAll(now)
+		x.leave(now)
 		x.s.burn.Add(now, class.Name, x.call.Organisation.Name, kind)
 	})
 }
--- a/internal/edge/entryd/attempt.go
+++ b/internal/edge/entryd/attempt.go
@@ -95,6 +95,7 @@
 func (x *call) claim(e dispatch.Claim) {
 	a := x.attempts[e.Attempt]
 	x.claimedBy = a.agent
+	x.claimedAt = time.Now()
 	if e.Offset > 0 {
 		x.s.metrics.Resumes.Inc()
 	}
--- a/internal/edge/entryd/call.go
+++ b/internal/edge/entryd/call.go
@@ -12,6 +12,7 @@
 
 	"github.com/gladegauge/gladegauge/internal/core/dispatch"
 	"github.com/gladegauge/gladegauge/internal/core/entry"
+	"github.com/gladegauge/gladegauge/internal/core/suspect"
 	gladegaugev1 "github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1"
 )
 
@@ -41,6 +42,14 @@
 	outcome   dispatch.Outcome
 	// status is that of the upstream's answer.
 	status int
+	// claimedAt is when the latest run began.
+	claimedAt time.Time
+	// print is the zero value until it is asked for.
+	print suspect.Print
+	// verdict is what was known of the request when it came; harmful is true once that
+	// is enough to block it.
+	verdict suspect.Verdict
+	harmful bool
 }
 
 // responder writes the answer to the caller.
@@ -65,18 +74,15 @@
 // serve carries the request to its outcome and answers the caller.
 func (x *call) serve(ctx context.Context) error {
 	var effects []dispatch.Effect
-	var rejection *entry.Rejection
+	var refusal *problem
 	x.s.loop.Must(func(now time.Time) {
 		x.arrived = now
-		x.ticket, rejection = x.s.entry.Admit(now, x.call)
-		if rejection == nil {
-			effects = x.ticket.Start(now)
-		}
+		effects, refusal = x.begin(now)
 	})
-	if rejection != nil {
+	if refusal != nil {
 		x.outcome = dispatch.Outcome{Result: dispatch.NotRun}
 		x.account()
-		return x.out.problem(rejectionProblem(rejection))
+		return x.out.problem(refusal)
 	}
 	x.events = make(chan attemptEvent)
 	streamCtx, cancel := context.WithCancel(ctx)
@@ -90,6 +96,22 @@
 	return err
 }
 
+// begin takes the request in, or tells why not. It runs in the control loop.
+func (x *call) begin(now time.Time) ([]dispatch.Effect, *problem) {
+	if p := x.enter(now); p != nil {
+		return nil, p
+	}
+	ticket, rejection := x.s.entry.Admit(now, x.call)
+	if rejection != nil {
+		return nil, rejectionProblem(rejection)
+	}
+	x.ticket = ticket
+	if x.verdict == suspect.Quarantined {
+		ticket.RunOnce()
+	}
+	return ticket.Start(now), nil
+}
+
 func rejectionProblem(r *entry.Rejection) *problem {
 	p := &problem{
 		status:     http.StatusServiceUnavailable,
@@ -179,5 +201,8 @@
 		return nil
 	case dispatch.NotRun, dispatch.Unknown, dispatch.Incomplete, dispatch.AlreadyRun:
 	}
+	if x.harmful {
+		return x.out.problem(endsUpstreams(true))
+	}
 	return x.out.problem(problemOf(o))
 }
--- a/internal/edge/entryd/errors.go
+++ b/internal/edge/entryd/errors.go
@@ -35,6 +35,7 @@
 	CodeOutcomeUnknown  Code = "outcome_unknown"
 	CodeIncomplete      Code = "answer_incomplete"
 	CodeAlreadyRun      Code = "already_run"
+	CodeEndsUpstreams   Code = "ends_upstreams"
 	CodeNotFound        Code = "not_found"
 	CodeInternal        Code = "internal"
 )
--- a/internal/edge/entryd/events.go
+++ b/internal/edge/entryd/events.go
@@ -96,6 +96,7 @@
 	if f.GetAlreadyRun() {
 		return x.ticket.AlreadyRun(n)
 	}
+	x.underEnd(now, a, f)
 	return x.broken(now, n, a, f.GetNotRun())
 }
 
--- a/internal/edge/gatewayd/attempt.go
+++ b/internal/edge/gatewayd/attempt.go
@@ -65,7 +65,7 @@
 			x.server.foundEnded(now, choice.Instance, o)
 		}
 		if survived {
-			x.server.clear(now, x)
+			x.server.suspects.Clear(now, x.printed(), x.call.ID)
 		}
 		x.server.table.Ended(now, choice, o, balance.Answer{Tokens: tokens, LongestGap: x.longestGap})
 		if load != nil {
--- a/internal/edge/gatewayd/crash_test.go
+++ b/internal/edge/gatewayd/crash_test.go
@@ -149,7 +149,7 @@
 		w.call("/chat/1")
 	}
 	is.Equal(len(w.ran()), 6)
-	is.Equal(w.server.suspected.Load(), int64(0))
+	is.True(!w.server.suspects.Any())
 }
 
 // An innocent request meets an end, comes again, and is served: nothing is left of the
@@ -161,7 +161,7 @@
 	})
 	w.call("/chat/1")
 	w.call("/chat/1")
-	is.Equal(w.server.suspected.Load(), int64(1))
+	is.True(w.server.suspects.Any())
 	verdict := func() (v suspect.Verdict) {
 		w.server.control.Must(func(now time.Time) {
 			for p := range w.server.suspects.Prints() {
@@ -173,7 +173,7 @@
 	is.Equal(verdict(), suspect.Quarantined)
 	is.Equal(w.call("/chat/1").Status, http.StatusOK)
 	is.Equal(verdict(), suspect.Free)
-	is.True(strings.Contains(w.logs.String(), "suspect is cleared"))
+	is.True(strings.Contains(w.logs.String(), "suspect: cleared"))
 }
 
 // The gateway does not itself repeat a request under which two upstreams ended.
--- a/internal/edge/gatewayd/loads.go
+++ b/internal/edge/gatewayd/loads.go
@@ -44,7 +44,7 @@
 	s.control.Must(func(now time.Time) {
 		req.Loads = encodeLoads(s.table.Loads(now))
 		req.Parts = encodeParts(s.table.News())
-		req.Suspects = encodeSuspects(now, s.suspects.Tell(address, true))
+		req.Suspects = s.suspects.Tell(now, address, true)
 	})
 	resp, ok := s.tell(ctx, address, req)
 	if !ok {
@@ -53,7 +53,7 @@
 	s.control.Must(func(now time.Time) {
 		s.occupancy.TakeAll(now, decodeLoads(resp.GetLoads()))
 		s.table.OthersRead(now, decodeParts(resp.GetParts()))
-		s.hearSuspects(now, address, resp.GetSuspects(), 0)
+		s.suspects.Hear(now, address, resp.GetSuspects(), 0)
 		s.takeOthers(now, false)
 	})
 }
@@ -73,7 +73,7 @@
 		s.control.Must(func(now time.Time) {
 			req.Loads = encodeLoads(s.occupancy.Zone(now))
 			req.Parts = encodeParts(s.kept.Beyond(address))
-			req.Suspects = encodeSuspects(now, s.suspects.Tell(address, false))
+			req.Suspects = s.suspects.Tell(now, address, false)
 		})
 		resp, ok := s.tell(ctx, address, req)
 		if !ok {
@@ -82,7 +82,7 @@
 		s.control.Must(func(now time.Time) {
 			s.occupancy.TakeZone(now, resp.GetZone(), decodeLoads(resp.GetLoads()))
 			s.takePartsOfZone(now, decodeParts(resp.GetParts()))
-			s.hearSuspects(now, address, resp.GetSuspects(), 0)
+			s.suspects.Hear(now, address, resp.GetSuspects(), 0)
 			s.takeOthers(now, true)
 		})
 	}
@@ -133,8 +133,8 @@
 		if zone := req.Msg.GetZone(); zone != "" {
 			s.occupancy.TakeZone(now, zone, loads)
 			s.takePartsOfZone(now, parts)
-			s.hearSuspects(now, from, req.Msg.GetSuspects(), 0)
-			resp.Suspects = encodeSuspects(now, s.suspects.Tell(from, false))
+			s.suspects.Hear(now, from, req.Msg.GetSuspects(), 0)
+			resp.Suspects = s.suspects.Tell(now, from, false)
 			resp.Loads = encodeLoads(s.occupancy.Zone(now))
 			resp.Parts = encodeParts(s.kept.Beyond(from))
 			return
@@ -142,8 +142,8 @@
 		s.table.OthersRead(now, parts)
 		s.occupancy.TakeMember(now, from, loads)
 		s.kept.Add(from, parts)
-		s.hearSuspects(now, from, req.Msg.GetSuspects(), xxhash.Sum64String(from))
-		resp.Suspects = encodeSuspects(now, s.suspects.Tell(from, false))
+		s.suspects.Hear(now, from, req.Msg.GetSuspects(), xxhash.Sum64String(from))
+		resp.Suspects = s.suspects.Tell(now, from, false)
 		resp.Loads = encodeLoads(s.occupancy.For(now, from))
 		resp.Parts = encodeParts(s.kept.For(from))
 	})
--- a/internal/edge/gatewayd/server.go
+++ b/internal/edge/gatewayd/server.go
@@ -35,6 +35,7 @@
 	"github.com/gladegauge/gladegauge/internal/core/suspect"
 	"github.com/gladegauge/gladegauge/internal/edge/exchange"
 	"github.com/gladegauge/gladegauge/internal/edge/loop"
+	"github.com/gladegauge/gladegauge/internal/edge/suspects"
 	"github.com/gladegauge/gladegauge/platform"
 )
 
@@ -73,8 +74,6 @@
 	// lastSeen is when the latest request came, in nanoseconds since 1970; 0
 	// before the first.
 	lastSeen atomic.Int64
-	// suspected is the number of requests in suspects.
-	suspected atomic.Int64
 	// stoppingAt is when the planned stop began; nil before.
 	stoppingAt atomic.Pointer[time.Time]
 
@@ -96,8 +95,8 @@
 	gateways int
 	// suspects are the requests under which upstreams ended, and lost those that broke
 	// off a moment ago.
-	suspects *suspect.Register
-	lost     []lostRequest
+	suspects *suspects.Book
+	lost     []suspects.Lost
 	feed     *feed.Feed
 	// feedChanged is closed when there is news for followers.
 	feedChanged chan struct{}
@@ -146,7 +145,8 @@
 	if listeners == nil {
 		return errors.AssertionFailedf("Run needs Listen first")
 	}
-	s.suspects = suspect.NewRegister(s.hash(), rand.Uint64()) //nolint:gosec // Only tells starts apart.
+	//nolint:gosec // The number only tells starts apart.
+	s.suspects = suspects.New(suspect.NewRegister(s.hash(), rand.Uint64()), s.log)
 	//nolint:gosec // Jitter needs no secret randomness.
 	s.fleet.Started(time.Now(), s.o.Settings.Seeds, s.o.Settings.FirstStart, rand.Uint64())
 	group, work := errgroup.WithContext(work)
@@ -177,7 +177,7 @@
 
 // sweep forgets what is no longer used. It runs in the control goroutine.
 func (s *Server) sweep(now time.Time) {
-	s.sweepSuspects(now)
+	s.suspects.Sweep(now, s.metrics.suspects)
 	wanted := *s.addresses.Load()
 	s.client.Sweep(func(address string) bool { return wanted[address] })
 }
--- a/internal/edge/metrics/metrics.go
+++ b/internal/edge/metrics/metrics.go
@@ -45,12 +45,14 @@
 	Conflicts     prometheus.Counter
 	PlatformCalls *prometheus.CounterVec
 	PeerCalls     *prometheus.CounterVec
-	Watching      prometheus.Gauge
-	Hosts         *prometheus.GaugeVec
-	Orders        *prometheus.CounterVec
-	CertExpiry    prometheus.Gauge
-	UpstreamDown  prometheus.Gauge
-	Leaving       prometheus.Gauge
+	// Suspects are the requests under which upstreams ended, by verdict.
+	Suspects     *prometheus.GaugeVec
+	Watching     prometheus.Gauge
+	Hosts        *prometheus.GaugeVec
+	Orders       *prometheus.CounterVec
+	CertExpiry   prometheus.Gauge
+	UpstreamDown prometheus.Gauge
+	Leaving      prometheus.Gauge
 }
 
 // New declares the metrics in a registry, with those of the runtime.
@@ -72,6 +74,7 @@
 		Rejected:      family.Counter("configuration_rejected_total", "Published configurations that were rejected."),
 		Conflicts:     family.Counter("configuration_conflicts_total", "Documents with a revision in force and other content."),
 		PlatformCalls: family.Counters("platform_calls_total", "Calls to the platform by kind and result.", "kind", "result"),
+		Suspects:      family.Gauges("suspects", "Requests under which upstreams ended one after the other, by verdict.", "verdict"),
 		PeerCalls:     family.Counters("peer_calls_total", "Calls to other processes by kind and result.", "kind", "result"),
 		Watching:      family.Gauge("watching", "1 if the process watches the platform for its zone."),
 		Hosts:         family.Gauges("hosts_known", "Hosts on the list in force, by role.", "role"),
@@ -85,7 +88,7 @@
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 		m.Requests, m.TargetMissed, m.FirstToken, m.Completion, m.Attempts, m.Resumes,
 		m.Tokens, m.Wasted, m.Preemptions, m.Queued, m.Running, m.Revision, m.Rejected,
-		m.Conflicts, m.PlatformCalls, m.PeerCalls, m.Watching, m.Hosts, m.Orders,
+		m.Conflicts, m.PlatformCalls, m.PeerCalls, m.Suspects, m.Watching, m.Hosts, m.Orders,
 		m.CertExpiry, m.UpstreamDown, m.Leaving,
 	)
 	return m
--- a/internal/edge/spread/peers.go
+++ b/internal/edge/spread/peers.go
@@ -65,7 +65,11 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	req := &gladegaugev1.ExchangeRequest{From: s.o.Self.ID}
-	if s.o.Loop.Do(ctx, func(time.Time) { req.State = s.state() }) != nil {
+	tell := func(now time.Time) {
+		req.State = s.state()
+		req.Suspects = s.suspects.Tell(now, address, false)
+	}
+	if s.o.Loop.Do(ctx, tell) != nil {
 		return false
 	}
 	resp, err := s.peer(address).Exchange(ctx, connect.NewRequest(req))
@@ -75,6 +79,7 @@
 	}
 	want := &gladegaugev1.FetchRequest{}
 	err = s.o.Loop.Do(ctx, func(now time.Time) {
+		s.hearSuspects(now, address, resp.Msg.GetSuspects())
 		want.Manifest = s.newer(resp.Msg.GetState().GetVersion(), address)
 		want.Zones = s.newerZones(resp.Msg.GetState())
 		if !want.GetManifest() && len(want.GetZones()) == 0 {
--- a/internal/edge/spread/sync.go
+++ b/internal/edge/spread/sync.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
@@ -26,9 +27,11 @@
 	"github.com/gladegauge/gladegauge/internal/core/member"
 	"github.com/gladegauge/gladegauge/internal/core/revision"
 	core "github.com/gladegauge/gladegauge/internal/core/spread"
+	"github.com/gladegauge/gladegauge/internal/core/suspect"
 	"github.com/gladegauge/gladegauge/internal/edge/loop"
 	"github.com/gladegauge/gladegauge/internal/edge/metrics"
 	"github.com/gladegauge/gladegauge/internal/edge/platform"
+	"github.com/gladegauge/gladegauge/internal/edge/suspects"
 	gladegaugev1 "github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1"
 	"github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1/gladegaugev1connect"
 )
@@ -67,6 +70,7 @@
 	holder   *revision.Holder
 	set      *member.Set
 	fresh    core.Freshness
+	suspects *suspects.Book
 	pulls    chan string
 	notices  chan struct{}
 	rewatch  chan struct{}
@@ -79,12 +83,14 @@
 // New returns a Sync that knows nothing yet.
 func New(o Options) *Sync {
 	return &Sync{
-		o:       o,
-		holder:  revision.NewHolder(),
-		set:     member.NewSet(),
-		pulls:   make(chan string, pullBacklog),
-		notices: make(chan struct{}, 1),
-		rewatch: make(chan struct{}, 1),
+		o:      o,
+		holder: revision.NewHolder(),
+		set:    member.NewSet(),
+		//nolint:gosec // The number only tells starts apart.
+		suspects: suspects.New(suspect.NewRegister(xxhash.Sum64String(o.Self.ID), rand.Uint64()), o.Log),
+		pulls:    make(chan string, pullBacklog),
+		notices:  make(chan struct{}, 1),
+		rewatch:  make(chan struct{}, 1),
 	}
 }
 
@@ -109,7 +115,10 @@
 }
 
 // Tick lets time pass. It runs in the control loop.
-func (s *Sync) Tick(now time.Time) { s.fresh.Tick(now) }
+func (s *Sync) Tick(now time.Time) {
+	s.fresh.Tick(now)
+	s.suspects.Sweep(now, s.o.Metrics.Suspects)
+}
 
 // Config returns the configuration in force, or nil. It runs in the control
 // loop.
@@ -290,6 +299,8 @@
 	err := s.o.Loop.Do(ctx, func(now time.Time) {
 		resp.State = s.state()
 		from, known := s.set.Host(req.Msg.GetFrom())
+		s.hearSuspects(now, req.Msg.GetFrom(), req.Msg.GetSuspects())
+		resp.Suspects = s.suspects.Tell(now, req.Msg.GetFrom(), false)
 		state := req.Msg.GetState()
 		behind := s.newer(state.GetVersion(), from.Address) || len(s.newerZones(state)) > 0
 		if behind && known {
--- a/internal/edge/gatewayd/suspect_messages.go
+++ b/internal/edge/suspects/message.go
@@ -1,4 +1,4 @@
-package gatewayd
+package suspects
 
 import (
 	"time"
@@ -7,23 +7,8 @@
 	gladegaugev1 "github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1"
 )
 
-// hearSuspects takes what another gateway told of requests under which upstreams
-// ended. Witness is the hash of a gateway whose words are its own only; 0 for a relay.
-// It runs in the control goroutine.
-func (s *Server) hearSuspects(now time.Time, from string, msg *gladegaugev1.SuspectWords, witness uint64) {
-	if msg == nil {
-		return
-	}
-	for _, p := range s.suspects.Hear(now, from, decodeSuspects(now, msg), witness) {
-		s.log.Info().Stringer("print", p).Str("from", from).
-			Int("ends", s.suspects.Ends(p)).Stringer("verdict", s.suspects.Look(now, p)).
-			Msg("suspect: told")
-	}
-	s.suspected.Store(int64(s.suspects.Known()))
-}
-
-// encodeSuspects returns the message; nil if it says nothing.
-func encodeSuspects(now time.Time, m suspect.Message) *gladegaugev1.SuspectWords {
+// encode returns the message; nil if it says nothing.
+func encode(now time.Time, m suspect.Message) *gladegaugev1.SuspectWords {
 	if m.Empty() {
 		return nil
 	}
@@ -41,8 +26,8 @@
 	return msg
 }
 
-// decodeSuspects returns what a message says. A word on what is no print is left out.
-func decodeSuspects(now time.Time, msg *gladegaugev1.SuspectWords) suspect.Message {
+// decode returns what a message says. A word on what is no print is left out.
+func decode(now time.Time, msg *gladegaugev1.SuspectWords) suspect.Message {
 	m := suspect.Message{
 		After: suspect.Position{Epoch: msg.GetEpoch(), At: msg.GetAfter()},
 		Upto:  suspect.Position{Epoch: msg.GetEpoch(), At: msg.GetUpto()},
--- a/internal/edge/upstream/upstream.go
+++ b/internal/edge/upstream/upstream.go
@@ -19,6 +19,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 )
@@ -200,16 +201,28 @@
 	}
 }
 
+// Refuses reports whether nothing listens at the upstream's address any more.
+func (c *Client) Refuses(ctx context.Context) bool {
+	_, err := c.health(ctx)
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // Healthy reports whether the upstream answers.
 func (c *Client) Healthy(ctx context.Context) bool {
+	status, err := c.health(ctx)
+	return err == nil && status == http.StatusOK
+}
+
+// health returns the status of the upstream's answer on its health.
+func (c *Client) health(ctx context.Context) (int, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+"/healthz", nil)
 	if err != nil {
-		return false
+		return 0, errors.WithStack(err)
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return false
+		return 0, errors.WithStack(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	return resp.StatusCode == http.StatusOK
+	return resp.StatusCode, nil
 }
