Tests, failing: a suspended host honours old keys and sends what is too late

Cause: ages, leases and deadlines come from the steady clock, which stands still while a host is suspended; for the users' rules a suspension counts as a freeze. Figures: after ten seconds of suspension with a silent store a keyed request is answered 200 where 503 is due; a request of two seconds that stood still for three is sent.

--- a/internal/edge/gatewayd/server.go
+++ b/internal/edge/gatewayd/server.go
@@ -50,6 +50,9 @@
 	// MetricsPort serves the metrics on this host's address; 0 for none.
 	MetricsPort int
 	Stop        StopTimes
+	// Clock returns the present time, by a clock that goes on while the host is
+	// suspended.
+	Clock func() time.Time
 	Log         zerolog.Logger
 	// LogsDropped returns the number of log lines that were dropped.
 	LogsDropped func() uint64
--- a/internal/edge/gatewayd/world_test.go
+++ b/internal/edge/gatewayd/world_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -32,6 +33,9 @@
 	group    *errgroup.Group
 
 	logs logBuffer
+	// suspended is how long the host of the gateway has been suspended, in
+	// nanoseconds.
+	suspended atomic.Int64
 
 	mu    sync.Mutex
 	calls int
@@ -110,8 +114,9 @@
 			Callers: "127.0.0.1:0", Readiness: "127.0.0.1:0",
 			Store: w.store.Address(), Bounds: b,
 		},
-		Stop: StopTimes{LastCallAfter: time.Hour},
-		Log:  zerolog.New(&w.logs),
+		Stop:  StopTimes{LastCallAfter: time.Hour},
+		Clock: w.now,
+		Log:   zerolog.New(&w.logs),
 	})
 	w.is.NoErr(w.server.Listen())
 	ctx, cancel := context.WithCancel(context.Background())
@@ -125,6 +130,12 @@
 	w.caller = standin.NewCaller(w.t, w.server.CallersAddress())
 }
 
+// now is the time of a clock that goes on while the host is suspended; timers do not.
+func (w *world) now() time.Time { return time.Now().Add(time.Duration(w.suspended.Load())) }
+
+// suspend lets the host of the gateway stand still for the time.
+func (w *world) suspend(d time.Duration) { w.suspended.Add(int64(d)) }
+
 // upstreams is the number that the gateway may use.
 func (w *world) upstreams() int {
 	n := 0
