One clock for gateways that goes on while the host is suspended

Cause: ages, leases, windows and deadlines came from Go's times, whose steady reading stands still in a suspension. Gateways, the client of the store and the connections to upstreams count by it alone; the linter forbids others there. A request whose time has run out by it is answered at once, not sent; lapsed entries go with the next second when their timer is late. Ruled out: a system call for each time (some tens a request); the time of day itself, which may step. Entries and agents keep the steady clock; open.

--- a/internal/core/gateway/refusal.go
+++ b/internal/core/gateway/refusal.go
@@ -88,6 +88,15 @@
 	return &Refusal{Kind: Harmful, Reason: EndsUpstreams, NotRun: !ran}
 }
 
+// TooLate refuses a request whose time ran out before it was sent on: the host stood
+// still.
+func TooLate(p Progress) *Refusal {
+	if p.MayHaveRun {
+		return unknown(TimedOut, OutOfTime)
+	}
+	return notRun(OutOfTime, comeBackSoon)
+}
+
 // Occupied refuses a suspect request while another run of it is under way.
 func Occupied() *Refusal { return notRun(SuspectRuns, comeBackLater) }
 
--- a/internal/edge/gatewayd/attempt.go
+++ b/internal/edge/gatewayd/attempt.go
@@ -16,18 +16,18 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	x.loadTold = false
-	x.sentAt = time.Now()
+	x.sentAt = x.server.now()
 	x.headAt = time.Time{}
 	x.firstAt = time.Time{}
 	x.patience = x.newPatience(choice, cancel)
 	defer x.patience.stop()
-	got, err := x.server.client.Do(ctx, choice.Address, x.upstreamRequest(choice, time.Now()), x.owns)
+	got, err := x.server.client.Do(ctx, choice.Address, x.upstreamRequest(choice, x.sentAt), x.owns)
 	if err != nil {
 		failure := x.failureOf(ctx, err)
 		x.settle(choice, outcomeOf(failure, err), nil)
 		return failure, err
 	}
-	x.headAt = time.Now()
+	x.headAt = x.server.now()
 	a := answer{Answer: got, choice: choice, head: platform.DecodeAnswer(got.StatusCode, got.Header)}
 	failure, err := x.take(ctx, a)
 	switch failure {
@@ -45,6 +45,13 @@
 	return failure, err
 }
 
+// giveBack takes back a choice that nothing was sent to.
+func (x *request) giveBack(choice balance.Choice) {
+	x.server.control.Must(func(now time.Time) {
+		x.server.table.Ended(now, choice, balance.Abandoned, balance.Answer{})
+	})
+}
+
 // owns reports whether an answer belongs to this request. Refusals may lack
 // the identity.
 func (x *request) owns(r *http.Response) bool {
--- a/internal/edge/gatewayd/body.go
+++ b/internal/edge/gatewayd/body.go
@@ -39,7 +39,7 @@
 	}
 	// A caller that stops sending is not waited for beyond its request's time.
 	conn := http.NewResponseController(x.w)
-	_ = conn.SetReadDeadline(x.admission.Deadline)
+	_ = conn.SetReadDeadline(x.steady(x.admission.Deadline))
 	limit := x.view.Table.Limits.BodyBytes
 	if limit > 0 {
 		x.r.Body = http.MaxBytesReader(x.w, x.r.Body, limit)
--- a/internal/edge/gatewayd/feed.go
+++ b/internal/edge/gatewayd/feed.go
@@ -30,7 +30,7 @@
 
 // Follow answers another gateway as soon as there is news for it.
 func (s *Server) Follow(ctx context.Context, req *connect.Request[gladegaugev1.FollowRequest]) (*connect.Response[gladegaugev1.FollowResponse], error) {
-	began := time.Now()
+	began := s.now()
 	wait := min(time.Duration(req.Msg.GetWaitMs())*time.Millisecond, followWaitMost)
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
--- a/internal/edge/gatewayd/follow.go
+++ b/internal/edge/gatewayd/follow.go
@@ -66,8 +66,8 @@
 func (s *Server) follow(ctx context.Context) error {
 	f := &follower{
 		server:      s,
-		store:       platform.NewStore(s.o.Settings.Store, s.metrics.storeCall),
-		contact:     contact{goodAt: time.Now()},
+		store:       platform.NewStore(s.o.Settings.Store, s.now, s.metrics.storeCall),
+		contact:     contact{goodAt: s.now()},
 		consistency: platform.Stale,
 	}
 	for ctx.Err() == nil {
@@ -78,11 +78,11 @@
 
 // step asks once.
 func (f *follower) step(ctx context.Context) {
-	wait, timeout := f.poll(time.Now())
+	wait, timeout := f.poll(f.server.now())
 	if address, ok := f.source(); ok && f.askPeer(ctx, address, wait, timeout) {
 		return
 	}
-	if f.waitsForOthers(time.Now()) {
+	if f.waitsForOthers(f.server.now()) {
 		loop.Pause(ctx, startPause+rand.N(startPause)) //nolint:gosec // Jitter needs no secret randomness.
 		return
 	}
@@ -106,7 +106,7 @@
 
 // list reads everything.
 func (f *follower) list(ctx context.Context) {
-	asked := time.Now()
+	asked := f.server.now()
 	if f.consistency == platform.Stale {
 		// A stale listing proves nothing about its age.
 		asked = time.Time{}
@@ -131,7 +131,7 @@
 // watch waits for changes once.
 func (f *follower) watch(ctx context.Context) {
 	wait := f.wait()
-	asked := time.Now()
+	asked := f.server.now()
 	c, err := f.store.Watch(ctx, f.revision, wait)
 	if errors.Is(err, platform.ErrCompacted) {
 		f.consistency = platform.Newest
@@ -144,7 +144,7 @@
 		return
 	}
 	f.succeeded()
-	f.take(c, provedAt(asked, time.Now(), wait, c))
+	f.take(c, provedAt(asked, f.server.now(), wait, c))
 	if c.Any() {
 		loop.Pause(ctx, gatherFor)
 	}
@@ -170,10 +170,10 @@
 // outage is answered at once: until it is, keys may be refused for the age of
 // the view.
 func (f *follower) wait() time.Duration {
-	if f.listed || f.contact.lost() || f.late(time.Now()) {
+	if f.listed || f.contact.lost() || f.late(f.server.now()) {
 		return returnWatch
 	}
-	return f.untilOld(time.Now())
+	return f.untilOld(f.server.now())
 }
 
 // untilOld is the usual time less the age of the view. A watch that brought changes
@@ -216,7 +216,7 @@
 		f.server.log.Warn().Err(err).Int64("revision", f.revision).Msg("store: lost")
 	}
 	f.tryPeer = true
-	backoff := f.contact.failed(time.Now())
+	backoff := f.contact.failed(f.server.now())
 	//nolint:gosec // Jitter needs no secret randomness.
 	loop.Pause(ctx, backoff/2+rand.N(backoff/2))
 }
@@ -224,7 +224,7 @@
 // succeeded notes an answer. After an outage upstreams need a moment to renew
 // their entries.
 func (f *follower) succeeded() {
-	now := time.Now()
+	now := f.server.now()
 	if f.contact.lost() {
 		f.server.log.Info().Dur("after", now.Sub(f.contact.lostAt)).Msg("store: regained")
 		if f.contact.outage(now) {
--- a/internal/edge/gatewayd/lines.go
+++ b/internal/edge/gatewayd/lines.go
@@ -82,7 +82,7 @@
 		Stringer("failure", f).
 		Bool("again", step.Do == gateway.Again || step.Do == gateway.Continue).
 		Int("events", x.events).
-		Dur("left", time.Until(x.admission.Deadline)).
+		Dur("left", x.left()).
 		AnErr("cause", err).
 		Msg("attempt failed")
 }
@@ -93,13 +93,13 @@
 	if x.headAt.IsZero() {
 		return 0
 	}
-	return time.Since(x.headAt)
+	return x.server.now().Sub(x.headAt)
 }
 
 // logEnd writes the last line of a request and counts it.
 func (x *request) logEnd(result string, refusal *gateway.Refusal) {
 	kind := "none"
-	took := time.Since(x.began)
+	took := x.server.now().Sub(x.began)
 	if route := x.admission.Route; route != nil {
 		kind = route.Kind.String()
 		if result == completed {
--- a/internal/edge/gatewayd/listen.go
+++ b/internal/edge/gatewayd/listen.go
@@ -67,7 +67,7 @@
 	return fleet.Member{
 		Address: address,
 		Zone:    s.o.Settings.Zone,
-		Start:   uint64(time.Now().UnixNano()),
+		Start:   uint64(s.now().UnixNano()),
 	}
 }
 
--- a/internal/edge/gatewayd/request.go
+++ b/internal/edge/gatewayd/request.go
@@ -72,7 +72,7 @@
 
 // serve carries one request from its caller to an upstream and back.
 func (s *Server) serve(c echo.Context) error {
-	now := time.Now()
+	now := s.now()
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
 	s.lastSeen.Store(now.UnixNano())
@@ -95,12 +95,12 @@
 		x.refuse(refusal)
 		return nil
 	}
-	_ = http.NewResponseController(x.w).SetWriteDeadline(x.admission.Deadline.Add(writeSlack))
+	_ = http.NewResponseController(x.w).SetWriteDeadline(x.steady(x.admission.Deadline.Add(writeSlack)))
 	if refusal := x.readBody(); refusal != nil {
 		x.refuse(refusal)
 		return nil
 	}
-	ctx, cancel := context.WithDeadline(x.r.Context(), x.admission.Deadline.Add(answerSlack))
+	ctx, cancel := context.WithTimeout(x.r.Context(), x.left()+answerSlack)
 	defer cancel()
 	if refusal := x.enter(); refusal != nil {
 		x.refuse(refusal)
@@ -133,6 +133,15 @@
 	return r.Host
 }
 
+// left is the time until the request's deadline.
+func (x *request) left() time.Duration { return x.admission.Deadline.Sub(x.server.now()) }
+
+// steady is the time by the steady clock, for deadlines of connections.
+func (x *request) steady(t time.Time) time.Time {
+	//nolint:forbidigo // Package net counts by this clock.
+	return time.Now().Add(t.Sub(x.server.now()))
+}
+
 // attempts tries upstreams until the request has its answer.
 func (x *request) attempts(ctx context.Context) {
 	next := x.pick
@@ -144,7 +153,13 @@
 			return
 		}
 		if !ok {
-			x.end(gateway.NothingLeft(time.Now(), x.admission, x.progress))
+			x.end(gateway.NothingLeft(x.server.now(), x.admission, x.progress))
+			return
+		}
+		if x.left() <= 0 {
+			// The host stood still between the choice and now: nothing is sent late.
+			x.giveBack(choice)
+			x.end(gateway.TooLate(x.progress))
 			return
 		}
 		x.backup = choice.Backup
@@ -154,7 +169,7 @@
 			x.logEnd(completed, nil)
 			return
 		}
-		now := time.Now()
+		now := x.server.now()
 		x.progress = x.progress.With(failure)
 		if failure == gateway.Lost && x.lostAt(ctx, choice) == suspect.Blocked && !x.progress.Answering {
 			x.logFailure(choice, failure, gateway.Step{Do: gateway.Refuse}, err)
--- a/internal/edge/gatewayd/server.go
+++ b/internal/edge/gatewayd/server.go
@@ -33,6 +33,7 @@
 	"github.com/gladegauge/gladegauge/internal/core/retry"
 	"github.com/gladegauge/gladegauge/internal/core/roster"
 	"github.com/gladegauge/gladegauge/internal/core/suspect"
+	"github.com/gladegauge/gladegauge/internal/edge/clock"
 	"github.com/gladegauge/gladegauge/internal/edge/exchange"
 	"github.com/gladegauge/gladegauge/internal/edge/loop"
 	"github.com/gladegauge/gladegauge/internal/edge/suspects"
@@ -51,9 +52,9 @@
 	MetricsPort int
 	Stop        StopTimes
 	// Clock returns the present time, by a clock that goes on while the host is
-	// suspended.
+	// suspended (package clock); that of the host if it is nil.
 	Clock func() time.Time
-	Log         zerolog.Logger
+	Log   zerolog.Logger
 	// LogsDropped returns the number of log lines that were dropped.
 	LogsDropped func() uint64
 }
@@ -62,6 +63,7 @@
 type Server struct {
 	o       *Options
 	log     zerolog.Logger
+	now     func() time.Time
 	control *loop.Loop
 	view    atomic.Pointer[ingress.View]
 	// addresses are those of the upstreams on the list.
@@ -109,10 +111,15 @@
 
 // New returns a gateway that does not run yet.
 func New(o *Options) *Server {
+	now := o.Clock
+	if now == nil {
+		now = clock.New().Now
+	}
 	s := &Server{
 		o:           o,
 		log:         o.Log,
-		control:     loop.New(time.Now),
+		now:         now,
+		control:     loop.New(now),
 		table:       balance.New(o.Settings.Zone),
 		roster:      roster.New(),
 		budgets:     make(map[string]*retry.Window),
@@ -129,12 +136,12 @@
 	s.bounds.Store(&bounds)
 	s.table.SetColdLimits(coldLimits(o.Settings.Bounds), s.holds)
 	s.view.Store(&ingress.View{})
-	s.metrics = newMeters(o.LogsDropped, func() uint64 { return ageOf(s.view.Load(), time.Now()) })
+	s.metrics = newMeters(o.LogsDropped, func() uint64 { return ageOf(s.view.Load(), s.now()) })
 	s.addresses.Store(&map[string]bool{})
 	s.client = exchange.New(exchange.Options{
 		KeepFor: func(h http.Header) time.Duration { return platform.DecodeAnswer(0, h).KeepFor },
 		Opened:  func() { s.metrics.connections.Inc() },
-		Clock:   time.Now,
+		Clock:   s.now,
 	})
 	return s
 }
@@ -151,7 +158,7 @@
 	//nolint:gosec // The number only tells starts apart.
 	s.suspects = suspects.New(suspect.NewRegister(s.hash(), rand.Uint64()), s.log)
 	//nolint:gosec // Jitter needs no secret randomness.
-	s.fleet.Started(time.Now(), s.o.Settings.Seeds, s.o.Settings.FirstStart, rand.Uint64())
+	s.fleet.Started(s.now(), s.o.Settings.Seeds, s.o.Settings.FirstStart, rand.Uint64())
 	group, work := errgroup.WithContext(work)
 	group.Go(func() error { return s.control.Run(work) })
 	group.Go(func() error { return s.follow(work) })
@@ -181,6 +188,10 @@
 // sweep forgets what is no longer used. It runs in the control goroutine.
 func (s *Server) sweep(now time.Time) {
 	s.suspects.Sweep(now, s.metrics.suspects)
+	if end, ok := s.roster.NextEnd(); ok && !now.Before(end) {
+		// The timer goes off late after a suspension.
+		s.applyRoster(now)
+	}
 	wanted := *s.addresses.Load()
 	s.client.Sweep(func(address string) bool { return wanted[address] })
 }
--- a/internal/edge/gatewayd/source.go
+++ b/internal/edge/gatewayd/source.go
@@ -68,7 +68,7 @@
 func (f *follower) askPeer(ctx context.Context, address string, wait, timeout time.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	asked := time.Now()
+	asked := f.server.now()
 	resp, err := f.server.peer(address).Follow(ctx, connect.NewRequest(&gladegaugev1.FollowRequest{
 		Revision: f.revision,
 		WaitMs:   wholeMilliseconds(wait),
@@ -78,7 +78,7 @@
 		f.peerFailed(address, err)
 		return false
 	}
-	f.contact.answeredByPeer(time.Now())
+	f.contact.answeredByPeer(f.server.now())
 	f.takeFrom(asked, resp.Msg)
 	return true
 }
@@ -97,7 +97,7 @@
 // way makes what it proves look younger.
 func (f *follower) takeFrom(asked time.Time, resp *gladegaugev1.FollowResponse) {
 	made := asked.Add(time.Duration(resp.GetHeldMs()) * time.Millisecond)
-	c := platform.DecodeEntries(entriesOf(time.Now(), resp))
+	c := platform.DecodeEntries(entriesOf(f.server.now(), resp))
 	f.server.report(c.Faults)
 	f.revision = max(f.revision, resp.GetRevision())
 	f.listed = false
--- a/internal/edge/gatewayd/stop.go
+++ b/internal/edge/gatewayd/stop.go
@@ -35,7 +35,7 @@
 // before the process would be killed.
 func (s *Server) drain(ctx context.Context) {
 	stop := s.o.Stop
-	began := time.Now()
+	began := s.now()
 	s.stoppingAt.Store(&began)
 	var stopWithin time.Duration
 	s.control.Must(func(time.Time) {
@@ -47,8 +47,9 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	err := program.WaitUntil(ctx, func() bool {
-		took := time.Since(began)
-		quiet := took >= stop.LastCallAfter || time.Since(time.Unix(0, s.lastSeen.Load())) >= stop.QuietFor
+		now := s.now()
+		took := now.Sub(began)
+		quiet := took >= stop.LastCallAfter || now.Sub(time.Unix(0, s.lastSeen.Load())) >= stop.QuietFor
 		return took >= stop.LeaveAfter && quiet && s.inFlight.Load() == 0
 	})
 	if err != nil {
--- a/internal/edge/gatewayd/stream.go
+++ b/internal/edge/gatewayd/stream.go
@@ -24,7 +24,7 @@
 	defer readers.Put(br)
 	out := http.NewResponseController(x.w)
 	began := false
-	heard := time.Now()
+	heard := x.server.now()
 	last := heard
 	var gaps balance.Gaps
 	for {
@@ -37,7 +37,7 @@
 		if err != nil {
 			return x.failureOf(ctx, err), errors.Wrapf(err, "stream broken after %d events", x.events)
 		}
-		now := time.Now()
+		now := x.server.now()
 		x.patience.eventCame()
 		if !began {
 			began = true
--- a/internal/edge/gatewayd/suspects.go
+++ b/internal/edge/gatewayd/suspects.go
@@ -65,7 +65,7 @@
 
 // ranForLong reports whether the stream of the present attempt had gone on for long.
 func (x *request) ranForLong() bool {
-	return !x.firstAt.IsZero() && time.Since(x.firstAt) >= suspects.SoundFor
+	return !x.firstAt.IsZero() && x.server.now().Sub(x.firstAt) >= suspects.SoundFor
 }
 
 // lostAt looks whether the upstream ended under the request, and returns what may be
@@ -77,7 +77,7 @@
 	s := x.server
 	lost := suspects.Lost{
 		Print: x.printed(), Request: x.call.ID, Organisation: x.organisation(),
-		Start: c.Start(), Upstream: c.ID, Ran: time.Since(x.sentAt),
+		Start: c.Start(), Upstream: c.ID, Ran: s.now().Sub(x.sentAt),
 	}
 	leaves, known := false, false
 	s.control.Must(func(now time.Time) {
--- a/internal/edge/gatewayd/take.go
+++ b/internal/edge/gatewayd/take.go
@@ -6,7 +6,6 @@
 	"io"
 	"mime"
 	"net/http"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -148,7 +147,7 @@
 		h["Content-Type"] = nil
 	}
 	x.progress.Answering = true
-	x.firstByte = time.Since(x.began)
+	x.firstByte = x.server.now().Sub(x.began)
 	x.w.WriteHeader(status)
 }
 
