Entries that are not fit for use name no upstream, and hide no other

Cause: an entry of another writer was taken as it was where it could be read, and changed nothing where it could not, so that the entry before stayed in use. An unfit one takes what stood under its identity off at once, whatever lapsed in an outage; the next fit one brings it back. Ruled out: the configuration's services as a condition of fitness. A service may be listed before the configuration that names it is in force; until then nothing is sent there anyway.

--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -144,6 +144,15 @@
 	}
 }
 
+// Drop takes upstreams off at once: what stands under their identities names none to use.
+// That says nothing about entries that lapsed.
+func (r *Roster) Drop(ids []string) {
+	for _, id := range ids {
+		delete(r.listed, id)
+		delete(r.lapsed, id)
+	}
+}
+
 // Current returns the upstreams in order of identity, and forgets the lapsed
 // ones whose time is over.
 func (r *Roster) Current(now time.Time) []balance.Instance {
--- a/internal/edge/gatewayd/apply.go
+++ b/internal/edge/gatewayd/apply.go
@@ -9,11 +9,18 @@
 	"github.com/gladegauge/gladegauge/platform"
 )
 
+// reportMost bounds the lines on faulty values of one answer: another writer may make
+// thousands.
+const reportMost = 16
+
 // report logs values that could not be read.
 func (s *Server) report(faults []platform.Fault) {
-	for _, f := range faults {
-		s.metrics.faults.Inc()
-		s.log.Error().Str("key", f.Key).Str("faults", f.Faults).Msg("store: value is faulty and changes nothing")
+	s.metrics.faults.Add(float64(len(faults)))
+	for _, f := range faults[:min(len(faults), reportMost)] {
+		s.log.Error().Str("key", f.Key).Str("faults", f.Faults).Msg("store: value is faulty")
+	}
+	if more := len(faults) - reportMost; more > 0 {
+		s.log.Error().Int("more", more).Msg("store: more values are faulty")
 	}
 }
 
@@ -50,8 +57,9 @@
 
 // replaceRoster takes a whole list of upstreams, and all availability zones that are
 // evacuated. It runs in the control goroutine.
-func (s *Server) replaceRoster(now time.Time, list []balance.Instance, evacuated []string) {
+func (s *Server) replaceRoster(now time.Time, list []balance.Instance, unfit, evacuated []string) {
 	before := s.roster.Evacuated()
+	s.roster.Drop(unfit)
 	s.roster.Replace(now, list)
 	s.roster.ReplaceEvacuated(evacuated)
 	s.logEvacuated(before)
@@ -62,6 +70,7 @@
 // evacuation began or ended. It runs in the control goroutine.
 func (s *Server) changeRoster(now time.Time, c platform.Changes) {
 	before := s.roster.Evacuated()
+	s.roster.Drop(c.Unfit)
 	s.roster.Change(now, c.Changed, c.Removed)
 	for _, zone := range c.Evacuated {
 		s.roster.Evacuate(zone)
--- a/internal/edge/gatewayd/follow.go
+++ b/internal/edge/gatewayd/follow.go
@@ -123,7 +123,7 @@
 	f.server.report(l.Faults)
 	f.server.control.Must(func(now time.Time) {
 		f.server.feedFrom(l.Revision, platform.Changes{Entries: l.Entries}, true)
-		f.server.replaceRoster(now, l.Instances, l.Evacuated)
+		f.server.replaceRoster(now, l.Instances, l.Unfit, l.Evacuated)
 		f.server.applyTable(l.Table, !l.ConfigFaulty(), asked)
 	})
 }
--- a/internal/edge/gatewayd/source.go
+++ b/internal/edge/gatewayd/source.go
@@ -120,7 +120,7 @@
 	}
 	s.feedFrom(resp.GetRevision(), c, resp.GetWhole())
 	if resp.GetWhole() {
-		s.replaceRoster(now, c.Changed, c.Evacuated)
+		s.replaceRoster(now, c.Changed, c.Unfit, c.Evacuated)
 	} else {
 		s.changeRoster(now, c)
 	}
