An answer of the store that is too large to read is a reason to read everything anew

A watch answers with all changes since a revision; 3,000 entries of 1.4 kB of another writer are more than is read, and came again with every watch, so that no change of anybody else was heard of any more. Change: such an answer is treated like a history that is gone: everything is listed, in pages.

--- a/internal/edge/gatewayd/follow.go
+++ b/internal/edge/gatewayd/follow.go
@@ -133,10 +133,12 @@
 	wait := f.wait()
 	asked := f.server.now()
 	c, err := f.store.Watch(ctx, f.revision, wait)
-	if errors.Is(err, platform.ErrCompacted) {
+	if errors.Is(err, platform.ErrCompacted) || errors.Is(err, platform.ErrTooLarge) {
+		// Too many changes for one answer come again with every watch: another writer
+		// would keep all others from being heard of.
 		f.consistency = platform.Newest
 		f.compacted = true
-		f.server.log.Info().Int64("revision", f.revision).Msg("store: history is gone, reading everything anew")
+		f.server.log.Info().Int64("revision", f.revision).AnErr("cause", err).Msg("store: changes cannot be had, reading everything anew")
 		return
 	}
 	if err != nil {
