Tests, failing: a start under the identity of the one before inherits what was believed of it

Cause: an upstream is its identity to the table; nothing tells its starts apart, so that a new one is left out as gone or ejected, is believed to keep prompts, and looks loaded. The roster takes a new start's entry as proof that entries of others lapsed.

--- a/internal/core/balance/gone.go
+++ b/internal/core/balance/gone.go
@@ -25,16 +25,17 @@
 	return u.superseded || now.Before(u.goneUntil)
 }
 
-// FoundGone notes that the gateway found that the upstream has ended.
-func (t *Table) FoundGone(now time.Time, id string) {
-	if u, ok := t.upstreams[id]; ok {
+// FoundGone notes that the gateway found that this start of the upstream has ended.
+func (t *Table) FoundGone(now time.Time, in Instance) {
+	if u, ok := t.upstreams[in.ID]; ok {
 		u.goneUntil = now.Add(goneFor)
 	}
 }
 
-// IsGone reports whether the gateway itself found that the upstream has ended.
-func (t *Table) IsGone(now time.Time, id string) bool {
-	u, ok := t.upstreams[id]
+// IsGone reports whether the gateway itself found that this start of the upstream has
+// ended.
+func (t *Table) IsGone(now time.Time, in Instance) bool {
+	u, ok := t.upstreams[in.ID]
 	return ok && u.gone(now)
 }
 
--- /dev/null
+++ b/internal/core/balance/start_test.go
@@ -0,0 +1,64 @@
+package balance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gladegauge/gladegauge/internal/core/occupancy"
+)
+
+// An upstream starts again under the identity that it had. It holds and knows nothing of
+// before, and nothing that was found, told or late of the start before counts for it.
+func TestNewStartUnderItsIdentity(t *testing.T) {
+	now := time.Unix(1000, 0)
+	first := Instance{ID: "a", Address: "1:1", Zone: "a", Pool: "p", Slots: 8, Born: 1}
+	second := first
+	second.Born = 2
+	prompt := Prompt{Model: 1, Tokens: 9000, Parts: []Part{{ID: 5, Tokens: 9000}}}
+	tests := []struct {
+		name string
+		// before happens at the first start with a request there, late after the second
+		// one is listed.
+		before, late func(table *Table, c Choice)
+	}{
+		{"it was found ended", func(table *Table, c Choice) { table.Ended(now, c, Dead, Answer{}) }, nil},
+		{"its end is found late", nil, func(table *Table, c Choice) { table.FoundGone(now, c.Instance) }},
+		{"it was ejected", func(table *Table, c Choice) {
+			table.Ended(now, c, Broken, Answer{})
+			for range 9 {
+				c, _ = table.Pick(now, Request{Pool: "p"})
+				table.Ended(now, c, Broken, Answer{})
+			}
+		}, nil},
+		{"its requests end late", nil, func(table *Table, c Choice) { table.Ended(now, c, Dead, Answer{}) }},
+		{"others found it ended", nil, func(table *Table, c Choice) {
+			table.OthersHave(now, Picture{Loads: occupancy.Loads{c.Start(): {Gone: 5}}, Keep: time.Minute, Gateways: 9})
+		}},
+		{"it had read the prompt", func(table *Table, c Choice) { table.Began(now, c); table.Ended(now, c, Completed, Answer{}) }, nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			table := New("a")
+			table.SetInstances(now, []Instance{first})
+			c, ok := table.Pick(now, Request{Pool: "p", Prompt: prompt})
+			is.True(ok)
+			if tt.before != nil {
+				tt.before(table, c)
+			}
+			is.Equal(table.SetInstances(now, []Instance{second}).Restarted, []string{"a"})
+			if tt.late != nil {
+				tt.late(table, c)
+			}
+			is.True(!table.IsGone(now, second))
+			next, ok := table.Pick(now, Request{Pool: "p", Prompt: prompt})
+			is.True(ok)
+			is.Equal(next.Born, int64(2))
+			is.Equal(next.Unread, 9000)
+			is.Equal(next.InFlight, 0.0)
+			is.True(!table.SetInstances(now, []Instance{second}).Any()) // the same start
+		})
+	}
+}
--- a/internal/core/balance/table.go
+++ b/internal/core/balance/table.go
@@ -126,6 +126,8 @@
 	Went    []string
 	Leaving []string
 	Cold    []string
+	// Restarted are those whose entry tells of another start than before.
+	Restarted []string
 }
 
 // Start tells this start of an upstream from all others, also from later ones under
@@ -135,7 +137,7 @@
 }
 
 // Any reports whether anything changed.
-func (c Changes) Any() bool { return len(c.Came)+len(c.Went)+len(c.Leaving)+len(c.Cold) > 0 }
+func (c Changes) Any() bool { return len(c.Came)+len(c.Went)+len(c.Leaving)+len(c.Cold)+len(c.Restarted) > 0 }
 
 // open reports whether the upstream may get anything new.
 func (in Instance) open() bool { return !in.Leaving && !in.Evacuated }
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -44,6 +44,14 @@
 			r.Replace(at(10), both[1:])
 			r.Change(at(900), both[:1], nil)
 		}, at(5000), "ab"},
+		// Its entry lapsed when it crashed, whatever the outage did, and says nothing of
+		// the others.
+		{"a new start under its identity shows no lapse", func(r *Roster) {
+			r.Replace(at(0), []balance.Instance{{ID: "a", Created: 1, Born: 1}, {ID: "b", Created: 2, Born: 1}})
+			r.Recovered(at(10))
+			r.Change(at(20), []balance.Instance{{ID: "a", Created: 9, Born: 2}}, nil)
+			r.Change(at(30), nil, []string{"b"})
+		}, at(40), "a"},
 		// Found by a hunt: a replica that left 1.6 s after the store was back
 		// was used for two seconds more.
 		{"what leaves after the return is not kept longer for it", func(r *Roster) {
--- a/internal/edge/gatewayd/suspects.go
+++ b/internal/edge/gatewayd/suspects.go
@@ -87,7 +87,7 @@
 		lost.At = now
 		s.lost = append(s.lost, lost)
 		s.lost = s.lost[max(0, len(s.lost)-lostKept):]
-		known = s.table.IsGone(now, c.ID)
+		known = s.table.IsGone(now, c.Instance)
 	})
 	if leaves {
 		return suspect.Free
@@ -97,7 +97,7 @@
 	s.control.Must(func(now time.Time) {
 		if ended {
 			s.foundEnded(now, c.Instance, balance.Dead)
-			s.table.FoundGone(now, c.ID)
+			s.table.FoundGone(now, c.Instance)
 		}
 		v = s.suspects.Look(now, lost.Print)
 	})
@@ -108,7 +108,7 @@
 // foundEnded notes that a start of an upstream has ended, and under which requests of
 // this gateway. It runs in the control goroutine.
 func (s *Server) foundEnded(now time.Time, in balance.Instance, o balance.Outcome) {
-	if !s.table.IsGone(now, in.ID) {
+	if !s.table.IsGone(now, in) {
 		s.metrics.ends.Inc()
 		s.log.Warn().Str("upstream", in.ID).Str("address", in.Address).Str("zone", in.Zone).Str("pool", in.Pool).
 			Stringer("outcome", o).Msg("upstream has ended")
