A start of an upstream is a thing of its own

Cause: an upstream was its identity; a start under the identity of the one before inherited its end, its ejection, its load, its prompts and what others told of it, and was left out for up to five seconds. Change: the entry's born tells starts apart. Another one gets a new record in the table, in place of the old; requests still out at the old one end at a record that is gone. What gateways tell each other (loads, parts, ends) is by start, so that words on the old one count for nothing; what they agree on without a word (homes, holders of cold upstreams) stays by identity, as some know of a new start before others. The roster takes the entry of a new start for no lapse. Weighed: one record that is reset, which needs each field to be thought of, also those to come, against a new record; a start that seems earlier as a late word, which would leave one whose clock went back out of use, and miss that it leaves. The row of TestRoster listed two upstreams, of which one missing shows a lapse by itself; it lists five now, and failed on the code before. Not read yet: born in health, load and answers' headers; a retry does not go to a new start of what was tried.

--- a/internal/core/balance/gone.go
+++ b/internal/core/balance/gone.go
@@ -27,7 +27,7 @@
 
 // FoundGone notes that the gateway found that this start of the upstream has ended.
 func (t *Table) FoundGone(now time.Time, in Instance) {
-	if u, ok := t.upstreams[in.ID]; ok {
+	if u, ok := t.upstreams[in.ID]; ok && u.start == in.Start() {
 		u.goneUntil = now.Add(goneFor)
 	}
 }
@@ -36,7 +36,7 @@
 // ended.
 func (t *Table) IsGone(now time.Time, in Instance) bool {
 	u, ok := t.upstreams[in.ID]
-	return ok && u.gone(now)
+	return ok && u.start == in.Start() && u.gone(now)
 }
 
 // Leaves reports whether the end of the upstream is no surprise: it has said that it
--- a/internal/core/balance/parts.go
+++ b/internal/core/balance/parts.go
@@ -9,7 +9,7 @@
 // tell notes parts that are kept at the upstream and that others may not know of.
 func (t *Table) tell(u *upstream, parts []occupancy.Part) {
 	for _, p := range parts {
-		p.Upstream = u.hash
+		p.Upstream = u.start
 		t.news = append(t.news, p)
 	}
 	if over := len(t.news) - occupancy.NewsMost; over > 0 {
@@ -29,12 +29,12 @@
 	if len(parts) == 0 {
 		return
 	}
-	byHash := make(map[uint64]*upstream, len(t.upstreams))
+	byStart := make(map[uint64]*upstream, len(t.upstreams))
 	for _, u := range t.upstreams {
-		byHash[u.hash] = u
+		byStart[u.start] = u
 	}
 	for _, p := range parts {
-		if u, ok := byHash[p.Upstream]; ok {
+		if u, ok := byStart[p.Upstream]; ok {
 			u.cache.put(now, p.Key, p.Tokens, p.Read)
 			u.cache.limitSize()
 		}
--- a/internal/core/balance/shared.go
+++ b/internal/core/balance/shared.go
@@ -25,7 +25,7 @@
 func (t *Table) OthersHave(now time.Time, p Picture) {
 	t.toldAt, t.toldAge, t.gateways = now, p.Age, max(p.Gateways, 1)
 	for _, u := range t.upstreams {
-		u.shared = p.Loads[u.hash]
+		u.shared = p.Loads[u.start]
 		u.sharedAt = now.Add(-p.Age)
 		u.sharedUntil = now.Add(p.Keep)
 	}
@@ -54,7 +54,7 @@
 			l.Gone = 1
 		}
 		if l != (occupancy.Load{}) {
-			loads[u.hash] = l
+			loads[u.start] = l
 		}
 	}
 	return loads
--- a/internal/core/balance/table.go
+++ b/internal/core/balance/table.go
@@ -39,7 +39,11 @@
 // upstream is what the table knows of one instance.
 type upstream struct {
 	Instance
-	hash uint64
+	// hash is of its identity: what gateways agree on without a word follows from it,
+	// also while some know of a new start and others do not. start is what they tell
+	// each other of it by.
+	hash  uint64
+	start uint64
 	// place is where it stands in the order of its pool, from 0 up to 1.
 	place  float64
 	health health
@@ -130,14 +134,26 @@
 	Restarted []string
 }
 
+// RestartedAs reports whether the entry tells of another start than this one. A start that
+// seems to be earlier is another one all the same: the clock of its host went back.
+func (in Instance) RestartedAs(next Instance) bool {
+	return in.Born != 0 && next.Born != 0 && in.Born != next.Born
+}
+
 // Start tells this start of an upstream from all others, also from later ones under
-// the same identity.
+// the same identity. Of one that does not say when it began, the identity is all there is.
 func (in Instance) Start() uint64 {
-	return rendezvous.Mix(xxhash.Sum64String(in.ID), uint64(in.Born))
+	id := xxhash.Sum64String(in.ID)
+	if in.Born == 0 {
+		return id
+	}
+	return rendezvous.Mix(id, uint64(in.Born))
 }
 
 // Any reports whether anything changed.
-func (c Changes) Any() bool { return len(c.Came)+len(c.Went)+len(c.Leaving)+len(c.Cold)+len(c.Restarted) > 0 }
+func (c Changes) Any() bool {
+	return len(c.Came)+len(c.Went)+len(c.Leaving)+len(c.Cold)+len(c.Restarted) > 0
+}
 
 // open reports whether the upstream may get anything new.
 func (in Instance) open() bool { return !in.Leaving && !in.Evacuated }
@@ -150,14 +166,13 @@
 	for _, in := range list {
 		seen[in.ID] = true
 		u, ok := t.upstreams[in.ID]
-		if !ok {
-			u = &upstream{
-				hash:    xxhash.Sum64String(in.ID),
-				cache:   newCache(0),
-				running: make(map[uint64]*run),
-			}
-			t.upstreams[in.ID] = u
+		switch {
+		case !ok:
+			u = t.begin(in, false)
 			c.Came = append(c.Came, in.ID)
+		case u.RestartedAs(in):
+			u = t.begin(in, u.Evacuated)
+			c.Restarted = append(c.Restarted, in.ID)
 		}
 		if in.Leaving && !u.Leaving {
 			c.Leaving = append(c.Leaving, in.ID)
@@ -179,6 +194,20 @@
 	return c
 }
 
+// begin makes the record of a start, in place of that of an earlier one. Evacuated tells
+// whether its availability zone was until now.
+func (t *Table) begin(in Instance, evacuated bool) *upstream {
+	u := &upstream{
+		hash:    xxhash.Sum64String(in.ID),
+		start:   in.Start(),
+		cache:   newCache(0),
+		running: make(map[uint64]*run),
+	}
+	u.Evacuated = evacuated
+	t.upstreams[in.ID] = u
+	return u
+}
+
 // supersede notes the upstreams at whose address a later one is listed: an address
 // has one start at a time, and the entry of the earlier one has yet to lapse.
 func (t *Table) supersede() {
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -112,7 +112,8 @@
 		if !ok {
 			came++
 		}
-		if ok && held.Created != in.Created {
+		// A new start makes an entry anew as well.
+		if ok && held.Created != in.Created && !held.RestartedAs(in) {
 			return true
 		}
 	}
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -47,11 +47,11 @@
 		// Its entry lapsed when it crashed, whatever the outage did, and says nothing of
 		// the others.
 		{"a new start under its identity shows no lapse", func(r *Roster) {
-			r.Replace(at(0), []balance.Instance{{ID: "a", Created: 1, Born: 1}, {ID: "b", Created: 2, Born: 1}})
+			r.Replace(at(0), []balance.Instance{{ID: "a", Created: 1, Born: 1}, {ID: "b", Created: 2, Born: 1}, {ID: "c"}, {ID: "d"}, {ID: "e"}})
 			r.Recovered(at(10))
 			r.Change(at(20), []balance.Instance{{ID: "a", Created: 9, Born: 2}}, nil)
 			r.Change(at(30), nil, []string{"b"})
-		}, at(40), "a"},
+		}, at(40), "acde"},
 		// Found by a hunt: a replica that left 1.6 s after the store was back
 		// was used for two seconds more.
 		{"what leaves after the return is not kept longer for it", func(r *Roster) {
--- a/internal/edge/gatewayd/apply.go
+++ b/internal/edge/gatewayd/apply.go
@@ -105,7 +105,7 @@
 	s.forgetLapsed(now)
 	s.metrics.list(list)
 	if changes.Any() {
-		s.log.Info().Strs("came", changes.Came).Strs("went", changes.Went).Strs("leaving", changes.Leaving).Strs("cold", changes.Cold).
+		s.log.Info().Strs("came", changes.Came).Strs("went", changes.Went).Strs("leaving", changes.Leaving).Strs("cold", changes.Cold).Strs("restarted", changes.Restarted).
 			Int("upstreams", len(list)).Int("lapsed", s.roster.Lapsed()).Msg("upstreams: list changed")
 	}
 }
