Suspects: a gateway that starts anew is told what is known, also when nothing happens any more

Cause: found when the diff was reread. A message that says only up to where its sender has heard was left out while that was 0, so that a gateway that had started again never said that it knew nothing, and its relay took it to know all: it let a blocked request through until the next word on any request. Change: such a message is sent once its sender has heard of the receiver at all. Figures: TestNewcomer, free before, blocked after.

--- a/internal/core/suspect/register_test.go
+++ b/internal/core/suspect/register_test.go
@@ -151,6 +151,29 @@
 	is.Equal(r.Known(), 0)
 }
 
+// A gateway that starts anew is told all that its relay knows, also if nothing happens
+// any more. Messages that say nothing are not sent.
+func TestNewcomer(t *testing.T) {
+	is := is.New(t)
+	relay := NewRegister(1, 1)
+	hear(relay, []saw{{1, "p", 1, 0, 0, 0}, {2, "p", 2, 0, 7, 0}, {3, "p", 3, 0, 8, 0}})
+	swap := func(g *Register) {
+		if req := g.Tell("relay", true); !req.Empty() {
+			relay.Hear(after(4), "g", req, 9)
+		}
+		if resp := relay.Tell("g", false); !resp.Empty() {
+			g.Hear(after(4), "relay", resp, 0)
+		}
+	}
+	for epoch := range uint64(3) {
+		g := NewRegister(2, epoch+5)
+		for range 4 {
+			swap(g)
+		}
+		is.Equal(g.Look(after(4), printNamed("p")), Blocked)
+	}
+}
+
 // Each verdict is reached by all gateways of a zone whatever becomes of the messages
 // between them and their relay: some are lost on the way there or back, some come
 // twice or late, and one gateway starts anew.
--- a/internal/core/suspect/word.go
+++ b/internal/core/suspect/word.go
@@ -49,9 +49,10 @@
 	Heard Position
 }
 
-// Empty reports whether the message says nothing.
+// Empty reports whether the message says nothing. One that has heard nothing of a start
+// of the receiver says so: that start then tells it all.
 func (m Message) Empty() bool {
-	return len(m.Words) == 0 && m.Upto.At == 0 && m.Heard.At == 0
+	return len(m.Words) == 0 && m.Upto.At == 0 && m.Heard.Epoch == 0
 }
 
 // log is the words of a gateway in the order in which it learned them.
