Soak: a request that ends replicas comes again and again, replicas start again under their identities, another writer leaves entries

Cause: no play of the soak could end a replica under a request, start one again under its identity, or leave a foreign entry. Change: beside the faults, which a seed plays as before, a caller sends such a request to any gateway; a new check holds it to three runs long after the third end, through gateways that nothing disturbs.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -39,6 +39,7 @@
 	{"leaving replicas get nothing new", leavingLeft},
 	{"evacuated zones get nothing new", evacuatedLeft},
 	{"planned stops cut nothing", stopsCutNothing},
+	{"requests that end replicas are stopped", killerStopped},
 	{"full service is back", serviceIsBack},
 }
 
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -35,6 +36,15 @@
 	return r
 }
 
+// killed notes calls of a request that ended a replica each.
+func (r *Record) killed(seconds ...float64) {
+	for i, s := range seconds {
+		id := fmt.Sprint("kill-", i)
+		r.Kills = append(r.Kills, Kill{ID: id, Sent: at(s), Done: at(s + 0.1)})
+		r.Runs = append(r.Runs, Run{ID: id, Replica: "i-1", At: at(s)})
+	}
+}
+
 // Each check finds what it is there to find, and nothing in a sound record.
 func TestChecksCanFail(t *testing.T) {
 	tests := []struct {
@@ -58,6 +68,10 @@
 		{"", func(r *Record) { r.Calls[1].Body, r.Calls[1].Whole = r.Calls[1].Body[:30], false }},
 		{"nothing allowed is denied", func(r *Record) { r.Calls[0].Status, r.Runs = http.StatusUnauthorized, r.Runs[1:] }},
 		{"revoked keys are refused", func(r *Record) { r.Calls[0].Key = "old" }},
+		{"requests that end replicas are stopped", func(r *Record) { r.killed(3, 4, 5, 10, 11, 12, 13) }},
+		{"", func(r *Record) { r.killed(3, 4, 5, 10, 11, 12) }},
+		{"", func(r *Record) { r.killed(3, 4, 5, 6, 7, 8) }},
+		{"", func(r *Record) { r.killed(3, 4, 5, 26, 27, 28, 29) }},
 		{"", func(r *Record) { r.Calls[0].Key, r.Calls[0].Sent = "old", at(3) }},
 		{"configuration never goes back", func(r *Record) { r.Runs[0].Organisation = organisationPrefix + "2" }},
 		{"configuration never goes back", func(r *Record) { r.Versions[2] = at(1) }},
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -71,6 +71,7 @@
 	// Zones maps a replica to its zone.
 	Zones       map[string]string
 	Evacuations []Evacuation
+	Kills       []Kill
 }
 
 func newRecord() *Record {
@@ -88,6 +89,12 @@
 	r.Calls = append(r.Calls, c)
 }
 
+func (r *Record) kill(k Kill) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Kills = append(r.Kills, k)
+}
+
 func (r *Record) run(n Run) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/soak/replicas.go
+++ b/internal/soak/replicas.go
@@ -19,15 +19,24 @@
 func (w *World) addReplica() {
 	id := fmt.Sprintf("i-%d", w.nextN)
 	w.nextN++
+	w.replicas = append(w.replicas, w.startReplica(id, zoneOf(w.nextN)))
+}
+
+// startReplica starts a replica under the identity and lists it.
+func (w *World) startReplica(id, zone string) *replica {
 	r := &replica{}
 	r.Replica = standin.NewReplica(w.t, id, func(_ int, req standin.Request) standin.Reply { return w.reply(id, req) })
-	r.Zone = zoneOf(w.nextN)
+	r.Zone = zone
+	r.Born = time.Now().UnixMilli()
 	w.record.listed(id, r.Zone)
 	r.link = w.link(r.Address())
-	w.replicas = append(w.replicas, r)
-	w.store.PutReplica(r.At(r.link.Address()), pool, false)
+	w.list(r)
+	return r
 }
 
+// list lets the replica write its entry.
+func (w *World) list(r *replica) { w.store.PutReplica(r.At(r.link.Address()), pool, false) }
+
 // streamPause is the pause of a replica after its first event.
 const streamPause = 100 * time.Millisecond
 
@@ -57,6 +66,10 @@
 	if dice < refusePercent || (continues && req.LastEvent == "") {
 		return standin.Reply{Refuse: true}
 	}
+	if req.Body == killerBody {
+		w.record.run(Run{ID: req.ID, Replica: id, At: time.Now(), Organisation: req.Tenant})
+		return w.end(id)
+	}
 	w.record.run(Run{ID: req.ID, Replica: id, At: time.Now(), Organisation: req.Tenant, Continues: continues})
 	reply := soundReply(req)
 	dice -= refusePercent
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -48,6 +48,10 @@
 		w.Load(load, seed)
 		return nil
 	})
+	group.Go(func() error {
+		w.Crash(load, seed)
+		return nil
+	})
 	failing, endFaults := context.WithTimeout(context.Background(), *length)
 	defer endFaults()
 	group.Go(func() error {
