Entries: a request that is blocked misses no target

Cause: found when the diff was reread. A blocked request counted as a refusal against its class's target and burnt its budget, though its caller alone can mend it. The test also says now what the caller gets, and that nobody else is kept out.

--- a/internal/e2e/crash_test.go
+++ b/internal/e2e/crash_test.go
@@ -101,10 +101,26 @@
 func TestRequestThatEndsTheEngines(t *testing.T) {
 	is := is.New(t)
 	entries, ended, rounds := crashStack(t, 6)
+	call := func(i int, prompt string) answer {
+		return send("POST", entries[i%2].url("listen")+"/v1/chat/completions", salishKey, chatBody(prompt, 10, true))
+	}
 	for i := range 5 {
-		got := send("POST", entries[i%2].url("listen")+"/v1/chat/completions", salishKey, chatBody(killer, 10, true))
+		got := call(i, killer)
 		is.True(got.err != nil || got.status != http.StatusOK)
 		rounds()
 	}
 	is.Equal(ended(), 3)
+	missed := func() float64 {
+		return metric(entries[0], "gladegauge_target_missed_total") + metric(entries[1], "gladegauge_target_missed_total")
+	}
+	before := missed()
+	for i := range entries {
+		got := call(i, killer)
+		is.Equal(got.status, http.StatusBadRequest)
+		is.Equal(got.problem(t).Error.Code, "ends_upstreams")
+		is.True(got.problem(t).Error.NotRun)
+		is.Equal(got.header.Get("X-Should-Retry"), "false")
+		is.Equal(call(i, "story").status, http.StatusOK) // nobody else is kept out
+	}
+	is.Equal(missed(), before) // what is blocked misses no target
 }
--- a/internal/edge/entryd/account.go
+++ b/internal/edge/entryd/account.go
@@ -6,6 +6,7 @@
 
 	"github.com/gladegauge/gladegauge/internal/core/burn"
 	"github.com/gladegauge/gladegauge/internal/core/dispatch"
+	"github.com/gladegauge/gladegauge/internal/core/suspect"
 )
 
 // settleAll ends the request in the entry's books. It runs in the control loop.
@@ -42,7 +43,9 @@
 	case dispatch.Unknown, dispatch.Incomplete, dispatch.AlreadyRun:
 		kind = burn.Miss
 	}
-	if kind != burn.Hit {
+	// A request that is blocked is its caller's to mend: it misses no target.
+	blocked := x.verdict == suspect.Blocked || x.harmful
+	if kind != burn.Hit && !blocked {
 		x.s.metrics.TargetMissed.WithLabelValues(class.Name).Inc()
 	}
 	if x.answered() {
@@ -52,6 +55,8 @@
 	x.s.loop.Must(func(now time.Time) {
 		x.settleAll(now)
 		x.leave(now)
-		x.s.burn.Add(now, class.Name, x.call.Organisation.Name, kind)
+		if !blocked {
+			x.s.burn.Add(now, class.Name, x.call.Organisation.Name, kind)
+		}
 	})
 }
