--- a/internal/core/suspect/register_test.go
+++ b/internal/core/suspect/register_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"testing"
 	"time"
 
@@ -232,3 +233,25 @@
 		}
 	}
 }
+
+// BenchmarkFull names the memory of a register with all that it remembers.
+func BenchmarkFull(b *testing.B) {
+	for b.Loop() {
+		var before, now runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		r := NewRegister(1, 1)
+		for i := range 3 * recordsKept {
+			for end := range blockAt {
+				r.Ended(after(float64(i)+float64(end)), printNamed(fmt.Sprint(i)), uint64(1000*i+end), 0)
+			}
+		}
+		for i := range 2 * soundKept {
+			r.Survived(after(float64(3*recordsKept+40*(i/soundKept))), printNamed(fmt.Sprint("sound-", i)))
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&now)
+		b.ReportMetric(float64(now.HeapAlloc-before.HeapAlloc)/1000, "kB")
+		runtime.KeepAlive(r)
+	}
+}
