--- a/internal/core/suspect/replay_test.go
+++ b/internal/core/suspect/replay_test.go
@@ -259,6 +259,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
 			is := is.New(t)
 			var innocents, hit, quarantined, refused, most int
 			const seeds = 20
