--- a/internal/edge/suspects/book.go
+++ b/internal/edge/suspects/book.go
@@ -50,7 +50,7 @@
 // is safe for concurrent use.
 func (b *Book) Any() bool { return b.known.Load() > 0 }
 
-// Lost is a request at whose upstream something ended.
+// Lost is a request that broke off at an upstream.
 type Lost struct {
 	Print suspect.Print
 	// Request is its identity, for the logs.
