--- a/internal/edge/gatewayd/slow_test.go
+++ b/internal/edge/gatewayd/slow_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -26,12 +25,7 @@
 func TestSlowBody(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, 1, fine)
-	conn, err := net.Dial("tcp", w.server.CallersAddress())
-	is.NoErr(err)
-	defer func() { _ = conn.Close() }()
-	is.NoErr(conn.SetDeadline(time.Now().Add(patienceOfTests)))
-	_, err = io.WriteString(conn, standin.RawHead("/short/1", "x.example", "key-a", 10)+"ab")
-	is.NoErr(err)
+	conn := w.beginBody("/short/1", 10, "ab")
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	is.NoErr(err)
 	is.NoErr(resp.Body.Close())
--- a/internal/edge/gatewayd/suspend_test.go
+++ b/internal/edge/gatewayd/suspend_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"io"
-	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -33,15 +32,10 @@
 func TestRequestAfterASuspension(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, 1, fine)
-	conn, err := net.Dial("tcp", w.server.CallersAddress())
-	is.NoErr(err)
-	defer func() { _ = conn.Close() }()
-	is.NoErr(conn.SetDeadline(time.Now().Add(patienceOfTests)))
-	_, err = io.WriteString(conn, standin.RawHead("/write/1", "x.example", "key-a", 4)+"ab")
-	is.NoErr(err)
+	conn := w.beginBody("/write/1", 4, "ab")
 	w.await(func() bool { return w.server.inFlight.Load() == 1 })
 	w.suspend(3 * time.Second)
-	_, err = io.WriteString(conn, "cd")
+	_, err := io.WriteString(conn, "cd")
 	is.NoErr(err)
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	is.NoErr(err)
--- a/internal/edge/gatewayd/world_test.go
+++ b/internal/edge/gatewayd/world_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -160,6 +162,19 @@
 	return w.caller.Call(ctx, standin.Request{ID: "r-1", Host: "x.example", URI: uri, Key: "key-a", Body: "hello", DeadlineMs: 1500})
 }
 
+// beginBody sends the head of a request on a connection of its own, and the beginning of
+// its body.
+func (w *world) beginBody(uri string, length int, beginning string) net.Conn {
+	w.t.Helper()
+	conn, err := net.Dial("tcp", w.server.CallersAddress())
+	w.is.NoErr(err)
+	w.t.Cleanup(func() { _ = conn.Close() })
+	w.is.NoErr(conn.SetDeadline(time.Now().Add(patienceOfTests)))
+	_, err = io.WriteString(conn, standin.RawHead(uri, "x.example", "key-a", length)+beginning)
+	w.is.NoErr(err)
+	return conn
+}
+
 // ran returns what all replicas ran.
 func (w *world) ran() []standin.Request {
 	var all []standin.Request
