Sight: what upstreams say of themselves in their answers is in the logs

Cause: no line said what an answer told of its upstream, so that a word that nobody reads could not be told from one that is known and overruled. What is sent where has not changed. Ruled out: reading it in the decoder of the request's own answer only: answers in the place of another one, and refusals by other starts, would be missed.

--- a/internal/edge/exchange/exchange.go
+++ b/internal/edge/exchange/exchange.go
@@ -8,7 +8,7 @@
 // # Usage
 //
 //	c := exchange.New(options)
-//	a, err := c.Do(ctx, address, req, func(r *http.Response) bool { … })
+//	a, err := c.Do(ctx, exchange.Call{Address: address, Request: req, Own: func(r *http.Response) bool { … }})
 //	var lost *exchange.LostError
 //	if errors.As(err, &lost) { … } // it may have run
 //	defer a.Close()
@@ -71,16 +71,26 @@
 	}
 }
 
-// Do sends the request and waits for the head of its answer. Own reports
-// whether an answer belongs to the request. The end of the context closes the
-// connection, also while the body is read.
-func (c *Client) Do(ctx context.Context, address string, req *http.Request, own func(*http.Response) bool) (*Answer, error) {
-	cn, err := c.connect(ctx, address)
+// Call is one request to one upstream.
+type Call struct {
+	Address string
+	Request *http.Request
+	// Own reports whether an answer belongs to the request.
+	Own func(*http.Response) bool
+	// Seen is shown the head of each answer that comes on the connection, also of interim
+	// ones and of those to other requests; nil for nobody.
+	Seen func(*http.Response)
+}
+
+// Do sends the request and waits for the head of its answer. The end of the context
+// closes the connection, also while the body is read.
+func (c *Client) Do(ctx context.Context, call Call) (*Answer, error) {
+	cn, err := c.connect(ctx, call.Address)
 	if err != nil {
 		return nil, &UnsentError{Cause: err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
-	a, err := c.exchange(cn, req, own)
+	a, err := c.exchange(cn, call)
 	if err != nil {
 		stop()
 		_ = cn.Close()
@@ -98,7 +108,8 @@
 
 // exchange writes the request while it reads the answer: an upstream may
 // answer before it has read a long body.
-func (c *Client) exchange(cn *conn, req *http.Request, own func(*http.Response) bool) (*Answer, error) {
+func (c *Client) exchange(cn *conn, call Call) (*Answer, error) {
+	req := call.Request
 	w := &countingWriter{Writer: cn.Conn}
 	writer := new(errgroup.Group)
 	sent := new(atomic.Bool)
@@ -116,7 +127,7 @@
 	} else {
 		writer.Go(write)
 	}
-	resp, err := readHead(cn, req, own) //nolint:bodyclose // Answer closes it with its connection.
+	resp, err := readHead(cn, call) //nolint:bodyclose // Answer closes it with its connection.
 	if err != nil {
 		_ = cn.Close()
 		if werr := writer.Wait(); werr != nil && w.n == 0 {
@@ -129,16 +140,19 @@
 }
 
 // readHead returns the first answer that belongs to the request.
-func readHead(cn *conn, req *http.Request, own func(*http.Response) bool) (*http.Response, error) {
+func readHead(cn *conn, call Call) (*http.Response, error) {
 	for range maxForeign {
-		resp, err := http.ReadResponse(cn.br, req)
+		resp, err := http.ReadResponse(cn.br, call.Request)
 		if err != nil {
 			return nil, errors.WithStack(err)
 		}
+		if call.Seen != nil {
+			call.Seen(resp)
+		}
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
 			continue
 		}
-		if own(resp) {
+		if call.Own(resp) {
 			return resp, nil
 		}
 		_, err = io.Copy(io.Discard, resp.Body)
--- a/internal/edge/exchange/exchange_test.go
+++ b/internal/edge/exchange/exchange_test.go
@@ -129,7 +129,7 @@
 	req.ContentLength = int64(len(body))
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
-	a, err := c.Do(ctx, address, req, mine)
+	a, err := c.Do(ctx, Call{Address: address, Request: req, Own: mine})
 	if err != nil {
 		return "", err
 	}
@@ -279,7 +279,7 @@
 		return nil
 	})
 	req := &http.Request{Method: http.MethodGet, URL: &url.URL{Opaque: "/"}, Host: "h", Header: http.Header{}}
-	_, err = c.Do(ctx, l.Addr().String(), req, mine)
+	_, err = c.Do(ctx, Call{Address: l.Addr().String(), Request: req, Own: mine})
 	var lost *LostError
 	is.True(errors.As(err, &lost))
 	is.True(errors.Is(err, context.Canceled))
@@ -303,7 +303,7 @@
 	call := func(pause time.Duration) error {
 		cl.now = cl.now.Add(pause)
 		req := &http.Request{Method: http.MethodGet, URL: &url.URL{Path: "/"}, Host: "h", Header: http.Header{}}
-		a, err := c.Do(context.Background(), u.l.Addr().String(), req, func(*http.Response) bool { return true })
+		a, err := c.Do(context.Background(), Call{Address: u.l.Addr().String(), Request: req, Own: func(*http.Response) bool { return true }})
 		if err != nil {
 			return err
 		}
--- a/internal/edge/gatewayd/attempt.go
+++ b/internal/edge/gatewayd/attempt.go
@@ -7,6 +7,7 @@
 
 	"github.com/gladegauge/gladegauge/internal/core/balance"
 	"github.com/gladegauge/gladegauge/internal/core/gateway"
+	"github.com/gladegauge/gladegauge/internal/edge/exchange"
 	"github.com/gladegauge/gladegauge/platform"
 )
 
@@ -21,7 +22,12 @@
 	x.firstAt = time.Time{}
 	x.patience = x.newPatience(choice, cancel)
 	defer x.patience.stop()
-	got, err := x.server.client.Do(ctx, choice.Address, x.upstreamRequest(choice, x.sentAt), x.owns)
+	got, err := x.server.client.Do(ctx, exchange.Call{
+		Address: choice.Address,
+		Request: x.upstreamRequest(choice, x.sentAt),
+		Own:     x.owns,
+		Seen:    func(r *http.Response) { x.notice(choice, r) },
+	})
 	if err != nil {
 		failure := x.failureOf(ctx, err)
 		x.settle(choice, outcomeOf(failure, err), nil)
