Rest of a pool: words of others, trials by the least urgent, no flood on the first that is back

Cause: each gateway found each resting upstream by a refusal of its own, often of a protected request; and where a whole pool rested, the first upstream that was back got ten times its share. Change: gateways tell each other to how many an upstream said that it leaves or rests (two witnesses, half of what is there at most, a fresh answer of one's own speaks against it): others go first then. The first request after a rest is one of the least urgent; one that is back while all others rest gets no more than four times what it has answered, and the others come back 0.1 s later.

--- a/internal/core/balance/gone.go
+++ b/internal/core/balance/gone.go
@@ -52,16 +52,25 @@
 	return u.told(now) && u.shared.Gone >= goneWitnesses && now.Sub(u.heardAt) > goneHeard
 }
 
-// believesGone reports whether the words of others on dead upstreams may be acted
-// on: they leave enough of the pool.
-func (p *pool) believesGone(now time.Time) bool {
+// toldClosed reports whether the upstream said to enough other gateways that it leaves, or
+// wants rest, and has said nothing to this one since.
+func (u *upstream) toldClosed(now time.Time) bool {
+	return u.told(now) && u.shared.Closed >= goneWitnesses && now.Sub(u.heardAt) > goneHeard
+}
+
+// toldAway reports whether others go before the upstream by the word of other gateways.
+func (u *upstream) toldAway(now time.Time) bool { return u.toldGone(now) || u.toldClosed(now) }
+
+// believesAway reports whether the words of others on upstreams that are gone or closed
+// may be acted on: they leave enough of the pool.
+func (p *pool) believesAway(now time.Time) bool {
 	n, present := 0, 0
 	for _, u := range p.members {
 		if !u.present(now) {
 			continue
 		}
 		present++
-		if u.toldGone(now) {
+		if u.toldAway(now) {
 			n++
 		}
 	}
--- a/internal/core/balance/pick.go
+++ b/internal/core/balance/pick.go
@@ -172,11 +172,11 @@
 // rest are left out while there are others.
 func (t *Table) usable(now time.Time, p *pool, r Request) []*upstream {
 	var good, doubted []*upstream
-	believes := p.believesGone(now)
+	believes := p.believesAway(now)
 	for _, u := range p.members {
 		switch {
-		case !u.present(now) || u.gone(now) || slices.Contains(r.Exclude, u.ID) || !t.mayGet(now, p, u):
-		case u.health.ejected(now) || (believes && u.toldGone(now)) || t.spared(now, u):
+		case !u.present(now) || u.gone(now) || u.flooded(now) || slices.Contains(r.Exclude, u.ID) || !t.mayGet(now, p, u):
+		case u.health.ejected(now) || (believes && u.toldAway(now)) || t.spared(now, u, r):
 			doubted = append(doubted, u)
 		default:
 			good = append(good, u)
--- a/internal/core/balance/replay_engine_test.go
+++ b/internal/core/balance/replay_engine_test.go
@@ -56,6 +56,8 @@
 	kept   map[uint64]time.Time
 	sizes  map[uint64]int
 	tokens int
+	// rests are the times in which it refuses everything and asks for rest.
+	rests replayRests
 	// used is the memory of the admitted requests, beside the kept parts.
 	used int
 }
--- a/internal/core/balance/replay_world_test.go
+++ b/internal/core/balance/replay_world_test.go
@@ -194,11 +194,15 @@
 		return
 	}
 	if !ok || len(q.tried) == 4 {
-		r.count(q.class, refusedResult)
+		r.turnedAwayByRest(q)
 		return
 	}
 	q.tried = append(q.tried, c.ID)
 	e := r.engines[c.ID]
+	if e.sheds(r.now) {
+		e.refuse(q, c)
+		return
+	}
 	if e.dead {
 		r.refusals++
 		r.after(1, func() {
@@ -228,6 +232,16 @@
 	})
 }
 
+// turnedAwayByRest lets the caller of a request without an upstream come back if all rest.
+func (r *replay) turnedAwayByRest(q *replayRequest) {
+	left := q.gateway.table.RestLeft(r.now, "p", uint64(r.now.UnixNano()))
+	if left == 0 {
+		r.count(q.class, refusedResult)
+		return
+	}
+	r.turnedAway(q, left)
+}
+
 // turnedAway lets a caller come back once, if it may wait so long.
 func (r *replay) turnedAway(q *replayRequest, comeBack time.Duration) {
 	if q.cameBack || comeBack > (q.class.patient-r.now.Sub(q.came))/3 {
@@ -235,6 +249,7 @@
 		return
 	}
 	q.cameBack = true
+	q.tried = nil
 	r.after(milliseconds(comeBack), func() { r.send(q) })
 }
 
--- a/internal/core/balance/said.go
+++ b/internal/core/balance/said.go
@@ -18,6 +18,10 @@
 // callers that it turned away come back: so long as they came for, so long they return.
 const comeBackSpread = 0.5
 
+// returnWait is when the callers come back that would flood the first upstream that is
+// back from its rest: after about one answer, when it may get more.
+const returnWait = 100 * time.Millisecond
+
 // comeBackSteps is into how many steps that time is spread.
 const comeBackSteps = 1024
 
@@ -104,10 +108,15 @@
 func (u *upstream) present(now time.Time) bool { return u.open() && !u.said.Resting(now) }
 
 // spared reports whether others go first, as a rest of the upstream ended a moment ago.
-func (t *Table) spared(now time.Time, u *upstream) bool {
-	return u.said.Spared(now, t.gateways, u.unanswered())
+// The first request may be refused again, so that it is one of the least urgent.
+func (t *Table) spared(now time.Time, u *upstream, r Request) bool {
+	return u.said.Spared(now, t.gateways, u.unanswered()) || (!r.Least && u.said.Untried(now))
 }
 
+// flooded reports whether the upstream is back from its rest and has all that it can take
+// for now.
+func (u *upstream) flooded(now time.Time) bool { return u.said.Flooded(now, u.unanswered()) }
+
 // unanswered is the number of this gateway's requests there without a first word, of
 // those that were sent after the last rest.
 func (u *upstream) unanswered() int {
@@ -121,8 +130,8 @@
 }
 
 // RestLeft is the time after which a caller is to come back if all upstreams of the pool
-// that are there rest: when the first of them ends its rest, and for some callers a while
-// later. It is 0 while one does not rest.
+// that are there rest, or have just returned and would be flooded: when the first of them
+// takes more, and for some callers a while later. It is 0 while there is another one.
 func (t *Table) RestLeft(now time.Time, pool string, hash uint64) time.Duration {
 	p, ok := t.pools[pool]
 	if !ok {
@@ -134,9 +143,10 @@
 			continue
 		}
 		left := u.said.RestUntil().Sub(now)
-		if left <= 0 {
+		if left <= 0 && !u.flooded(now) {
 			return 0
 		}
+		left = max(left, returnWait)
 		if least == 0 || left < least {
 			least = left
 		}
--- a/internal/core/balance/shared.go
+++ b/internal/core/balance/shared.go
@@ -53,6 +53,9 @@
 		if now.Before(u.goneUntil) {
 			l.Gone = 1
 		}
+		if u.said.Closed(now) {
+			l.Closed = 1
+		}
 		if l != (occupancy.Load{}) {
 			loads[u.start] = l
 		}
--- a/internal/core/notice/state.go
+++ b/internal/core/notice/state.go
@@ -19,6 +19,10 @@
 	// asked all of them for rest at once: about one answer. returnLatest bounds the sum.
 	returnEvery  = 10 * time.Millisecond
 	returnLatest = time.Second
+	// floodedFrom is how many times as many requests an upstream may have that is back
+	// while all others rest. Without a limit the first one of twelve got 31 requests in the
+	// half second after its rest, ten times its share.
+	floodedFrom = 4
 	// returnSteps is into how many steps that time is spread.
 	returnSteps = 1024
 )
@@ -86,10 +90,20 @@
 	return now.Before(s.restUntil.Add(s.returnDelay(gateways))) || unanswered > s.answered
 }
 
+// Untried reports whether the upstream has answered nothing since a rest that ended a
+// moment ago.
+func (s State) Untried(now time.Time) bool { return s.returns(now) && s.answered == 0 }
+
+// Flooded reports whether the upstream has so many requests so soon after its rest that
+// more would make it refuse again, also where no others are left.
+func (s State) Flooded(now time.Time, unanswered int) bool {
+	return s.returns(now) && unanswered >= floodedFrom*(s.answered+1)
+}
+
 // returnDelay is how long after the rest this gateway returns. The moments at which
 // gateways heard of it differ, and so do their delays.
 func (s State) returnDelay(gateways int) time.Duration {
 	spread := min(time.Duration(gateways-1)*returnEvery, returnLatest)
-	step := rendezvous.Mix(uint64(s.restUntil.UnixNano()), 0) % returnSteps //nolint:gosec // Only its bits matter.
+	step := rendezvous.Mix(uint64(s.restUntil.UnixNano()), 0) % returnSteps
 	return spread * time.Duration(step) / returnSteps
 }
--- a/internal/core/occupancy/book.go
+++ b/internal/core/occupancy/book.go
@@ -71,6 +71,7 @@
 func (b *Book) TakeMember(now time.Time, address string, l Loads) {
 	for id, load := range l {
 		load.Gone = min(load.Gone, 1)
+		load.Closed = min(load.Closed, 1)
 		l[id] = load
 	}
 	b.members[address] = word{loads: l, at: now}
--- a/internal/core/occupancy/load.go
+++ b/internal/core/occupancy/load.go
@@ -27,6 +27,9 @@
 	// Gone is the number of gateways that found nothing, or another start, at the
 	// upstream's address.
 	Gone int
+	// Closed is the number of gateways to which the upstream said that it leaves, or wants
+	// rest.
+	Closed int
 }
 
 // plus returns the sum.
@@ -45,6 +48,7 @@
 		Longests:  l.Longests + o.Longests,
 		Longest:   l.Longest + o.Longest,
 		Gone:      l.Gone + o.Gone,
+		Closed:    l.Closed + o.Closed,
 	}
 }
 
--- a/internal/edge/gatewayd/load_messages.go
+++ b/internal/edge/gatewayd/load_messages.go
@@ -24,6 +24,7 @@
 			Longest:   float32(l.Longest),
 			Strains:   count32(l.Strains),
 			Gone:      count32(l.Gone),
+			Closed:    count32(l.Closed),
 		})
 	}
 	return list
@@ -47,6 +48,7 @@
 			Longest:   float64(l.GetLongest()),
 			Strains:   int(l.GetStrains()),
 			Gone:      int(l.GetGone()),
+			Closed:    int(l.GetClosed()),
 		}
 	}
 	return loads
--- a/internal/edge/gatewayd/rest_test.go
+++ b/internal/edge/gatewayd/rest_test.go
@@ -1,10 +1,13 @@
 package gatewayd
 
 import (
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/gladegauge/gladegauge/internal/core/notice"
 	"github.com/gladegauge/gladegauge/platform/standin"
 )
 
@@ -28,3 +31,83 @@
 		is.True(len(r.Arrived()) <= 1)
 	}
 }
+
+// Where all upstreams rest the caller is told at once when the first of them is back, and
+// that nothing ran. A rest is over when it is, also while the host stood still.
+func TestAllUpstreamsRest(t *testing.T) {
+	is := is.New(t)
+	refuse := true
+	w := newWorld(t, 2, func(int, standin.Request) standin.Reply {
+		return standin.Reply{Refuse: refuse, Lines: restLine}
+	})
+	w.call("/write/1")
+	w.call("/write/1")
+	asked := time.Now()
+	a := w.call("/write/1")
+	is.Equal(a.Status, 503)
+	is.True(a.ComeBack() > 28*time.Second && a.ComeBack() < 45*time.Second)
+	is.True(time.Since(asked) < time.Second)
+	w.await(func() bool { return strings.Contains(w.logs.String(), `"reason":"upstreams_rest"`) })
+	is.Equal(len(w.ran()), 0)
+	refuse = false
+	w.suspend(30 * time.Second)
+	w.await(func() bool { return w.call("/read/1").Status == 200 })
+}
+
+// What a refusal may say of a rest, and what is made of it.
+func TestWordsOfRest(t *testing.T) {
+	tests := []struct {
+		name  string
+		reply standin.Reply
+		// rests tells whether the next request is kept away.
+		rests bool
+		// logs must be in the logs.
+		logs string
+	}{
+		{"whole seconds", standin.Reply{Refuse: true, Lines: restLine}, true, "upstream asks for rest"},
+		{"a fraction", standin.Reply{Refuse: true, Lines: "Retry-After: 20.5\r\n"}, true, `"asked":20500`},
+		{"more than is believed", standin.Reply{Refuse: true, Lines: "Retry-After: 1000000000000\r\n"}, true, `"rest":3`},
+		{"sealed, as if it had run", standin.Reply{Status: 503, Lines: restLine}, true, "upstream asks for rest"},
+		{"in the place of another answer", standin.Reply{Status: 503, Foreign: true, Lines: restLine}, true, "upstream asks for rest"},
+		{"none", standin.Reply{Refuse: true}, false, "refused"},
+		{"no time", standin.Reply{Refuse: true, Lines: "Retry-After: 0\r\n"}, false, "refused"},
+		{"below 0", standin.Reply{Refuse: true, Lines: "Retry-After: -3\r\n"}, false, "upstream says what cannot be read"},
+		{"a date", standin.Reply{Refuse: true, Lines: "Retry-After: Fri, 01 Jan 2100 00:00:00 GMT\r\n"}, false, "upstream says what cannot be read"},
+		{"with an answer", standin.Reply{Body: "done", Lines: restLine}, false, "completed"},
+		{"with a rate limit", standin.Reply{Status: 429, Lines: restLine}, false, "without the promise"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t, 1, func(int, standin.Request) standin.Reply { return tt.reply })
+			w.call("/write/1")
+			w.call("/write/1")
+			arrived := len(w.replicas[0].Arrived())
+			is.Equal(arrived == 1, tt.rests)
+			is.True(strings.Contains(w.logs.String(), tt.logs))
+		})
+	}
+}
+
+// A request that was picked for an upstream does not go out if the upstream has asked for
+// rest while the connection was made: it goes elsewhere, and costs nothing of the retries.
+func TestLastLookBeforeSending(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 2, func(int, standin.Request) standin.Reply { return standin.Reply{Body: "done"} })
+	closed := make(notice.Closed)
+	state := notice.State{}.With(time.Now(), notice.Notice{Rest: time.Minute})
+	resting := w.replicas[0]
+	w.server.control.Must(func(now time.Time) {
+		for _, in := range w.server.roster.Current(now) {
+			if in.ID == resting.ID {
+				closed[in.Start()] = state
+			}
+		}
+	})
+	w.server.closed.Store(&closed)
+	for range 10 {
+		is.Equal(w.call("/write/1").Status, 200)
+	}
+	is.Equal(len(resting.Arrived()), 0)
+	is.True(strings.Contains(w.logs.String(), `"failure":"withheld"`))
+}
