Soak: replicas say that they leave, or ask for rest, and upstreams and callers check it

Cause: no stand-in said anything of itself, so that neither tests nor the soak could see that gateways do not listen. Change: replicas say that they leave in all their answers, listed late, never, or taken back; they refuse for a time with whole or broken seconds, none, or text. Two checks by what replicas and callers saw, with the users' bounds. Both draw numbers of their own: kept seeds play the same faults beside them.

--- a/internal/soak/changes.go
+++ b/internal/soak/changes.go
@@ -34,8 +34,6 @@
 func neverBack(r *Record) []string {
 	var broken []string
 	runs := r.runsOf()
-	// A life is one start of one gateway.
-	type life struct{ gateway, start int }
 	earlier := make(map[life][]Call)
 	for _, c := range r.Calls {
 		if c.Status != http.StatusOK || len(runs[c.ID]) == 0 {
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -37,6 +37,8 @@
 	{"revoked keys are refused", revokedRefused},
 	{"configuration never goes back", neverBack},
 	{"leaving replicas get nothing new", leavingLeft},
+	{"replicas that say that they leave get nothing new", leavingHeard},
+	{"replicas that ask for rest get it", restsKept},
 	{"evacuated zones get nothing new", evacuatedLeft},
 	{"planned stops cut nothing", stopsCutNothing},
 	{"requests that end replicas are stopped", killerStopped},
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -54,6 +54,30 @@
 		{"", func(*Record) {}},
 		{"at most once", func(r *Record) { r.Runs = append(r.Runs, r.Runs[0]) }},
 		{"at most once", func(r *Record) { r.Runs = append(r.Runs, r.Runs[1]) }},
+		{"replicas that say that they leave get nothing new", func(r *Record) {
+			r.Events = nil
+			r.Calls[0].LeavingReplica = "i-1"
+			r.Arrivals = []Arrival{{ID: "r", Replica: "i-1", At: at(40)}}
+		}},
+		{"", func(r *Record) {
+			r.Events = nil
+			r.Calls[0].LeavingReplica = "i-1"
+			r.Starts["i-1"] = []time.Time{at(30)}
+			r.Arrivals = []Arrival{{ID: "c", Replica: "i-1", At: at(11)}, {ID: "r", Replica: "i-1", At: at(40)}}
+		}},
+		{"replicas that ask for rest get it", func(r *Record) {
+			r.Arrivals = []Arrival{{ID: "w", Replica: "i-1", At: at(10), Rest: 3 * time.Second}}
+			for i := range 3 {
+				r.Arrivals = append(r.Arrivals, Arrival{ID: "c", Replica: "i-1", At: at(11 + float64(i)/10)})
+			}
+		}},
+		{"", func(r *Record) {
+			r.Arrivals = []Arrival{{ID: "w", Replica: "i-1", At: at(10), Rest: 3 * time.Second}}
+			for i := range 5 {
+				r.Arrivals = append(r.Arrivals, Arrival{ID: "c", Replica: "i-1", At: at(10.1 + float64(i)/10)})
+			}
+			r.Arrivals = append(r.Arrivals, Arrival{ID: "c", Replica: "i-1", At: at(12.9)})
+		}},
 		{"", func(r *Record) {
 			again := r.Runs[1]
 			again.Continues = true
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -22,6 +22,8 @@
 	Whole  bool
 	Sealed bool
 	Body   string
+	// LeavingReplica is the replica whose answer it is, if that says that it leaves.
+	LeavingReplica string
 }
 
 // Run is one request as a replica saw it.
@@ -69,7 +71,10 @@
 	Versions map[int64]time.Time
 	Left     map[string]time.Time
 	// Zones maps a replica to its zone.
-	Zones       map[string]string
+	Zones map[string]string
+	// Starts maps a replica to when it started.
+	Starts      map[string][]time.Time
+	Arrivals    []Arrival
 	Evacuations []Evacuation
 	Kills       []Kill
 }
@@ -80,6 +85,7 @@
 		Versions: make(map[int64]time.Time),
 		Left:     make(map[string]time.Time),
 		Zones:    make(map[string]string),
+		Starts:   make(map[string][]time.Time),
 	}
 }
 
@@ -101,6 +107,12 @@
 	r.Runs = append(r.Runs, n)
 }
 
+func (r *Record) arrived(a Arrival) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Arrivals = append(r.Arrivals, a)
+}
+
 func (r *Record) event(e Event) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -128,11 +140,12 @@
 	r.Left[replica] = at
 }
 
-// listed notes the zone of a replica.
-func (r *Record) listed(replica, zone string) {
+// listed notes a start of a replica, and its zone.
+func (r *Record) listed(replica, zone string, at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.Zones[replica] = zone
+	r.Starts[replica] = append(r.Starts[replica], at)
 }
 
 // evacuated notes an evacuation that has ended.
--- a/internal/soak/replicas.go
+++ b/internal/soak/replicas.go
@@ -28,7 +28,7 @@
 	r.Replica = standin.NewReplica(w.t, id, func(_ int, req standin.Request) standin.Reply { return w.reply(id, req) })
 	r.Zone = zone
 	r.Born = time.Now().UnixMilli()
-	w.record.listed(id, r.Zone)
+	w.record.listed(id, r.Zone, time.Now())
 	r.link = w.link(r.Address())
 	w.list(r)
 	return r
@@ -61,6 +61,11 @@
 
 // reply is what a replica does with a request; some fail by themselves.
 func (w *World) reply(id string, req standin.Request) standin.Reply {
+	if s, ok := w.sheds(id); ok {
+		w.record.arrived(Arrival{ID: req.ID, Replica: id, At: time.Now(), Rest: s.rest})
+		return s.reply()
+	}
+	w.record.arrived(Arrival{ID: req.ID, Replica: id, At: time.Now()})
 	dice := w.rollPercent()
 	continues := req.ContinueFrom != ""
 	if dice < refusePercent || (continues && req.LastEvent == "") {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -58,12 +58,16 @@
 		w.Evacuate(failing, seed)
 		return nil
 	})
+	group.Go(func() error {
+		w.Notices(failing, seed)
+		return nil
+	})
 	w.Faults(failing, seed)
 	time.Sleep(calmLength)
 	endLoad()
 	_ = group.Wait()
 	broken := Check(w.record)
-	t.Logf("seed %d: %d calls, %d runs, %d events", seed, len(w.record.Calls), len(w.record.Runs), len(w.record.Events))
+	t.Logf("seed %d: %d calls, %d arrivals, %d runs, %d events", seed, len(w.record.Calls), len(w.record.Arrivals), len(w.record.Runs), len(w.record.Events))
 	if len(broken) == 0 {
 		return
 	}
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -41,6 +41,8 @@
 	spareKey string
 	oldKeys  []string
 	replicas []*replica
+	// shedding is what replicas do that refuse everything, by their identities.
+	shedding map[string]shedding
 	// nextN is the number of the next replica.
 	nextN int
 }
@@ -55,6 +57,7 @@
 		store:    standin.NewStore(t),
 		rng:      rand.New(rand.NewPCG(seed, seed)), //nolint:gosec // Seeded on purpose.
 		spareKey: "spare-0",
+		shedding: make(map[string]shedding),
 	}
 	w.publish()
 	for range replicas {
