Agents leave an upstream alone that asks for rest

An agent passed a 503 on or let its entry repeat the request elsewhere, and sent the upstream the next one at once; the time in Retry-After was read by nobody. Change: the agent refuses what waits and what comes as not run, with the time that is left, which the caller gets where no other agent takes the request. What runs goes on. One parser of the time serves both shapes of deployment. Ruled out: letting entries keep the rest: the agent is the only way into its upstream, and one refusal costs a round trip. Agents do not read that an upstream leaves: their protocol has no such word, and their operators drain the agent.

--- a/internal/core/agent/agent.go
+++ b/internal/core/agent/agent.go
@@ -95,6 +95,8 @@
 	prompt  float64
 	leaving bool
 	down    bool
+	// restUntil is until when the upstream wants nothing, by its own word.
+	restUntil time.Time
 	// downAt is when the upstream was last seen to go down.
 	downAt   time.Time
 	lastTick time.Time
--- a/internal/core/agent/agent_test.go
+++ b/internal/core/agent/agent_test.go
@@ -97,6 +97,10 @@
 	return func(a *Agent, now time.Time) []Effect { return a.Stopped(now, id, produced) }
 }
 
+func rests(d time.Duration) func(*Agent, time.Time) []Effect {
+	return func(a *Agent, now time.Time) []Effect { return a.Rest(now, d) }
+}
+
 func ticks(a *Agent, now time.Time) []Effect { return a.Tick(now) }
 
 func drains(a *Agent, now time.Time) []Effect { return a.Drain(now) }
@@ -117,6 +121,17 @@
 			{901 * ms, claims("a"), "fail a true"},
 			{902 * ms, offers("a", "ruling"), "fail a true"},
 		}},
+		{"the upstream rests", 1, []step{
+			{0, offers("a", "ruling"), "grant a"},
+			{ms, claims("a"), "start a 0"},
+			{2 * ms, offers("b", "ruling"), ""},
+			{3 * ms, rests(2 * time.Second), "refuse b upstream_down"},
+			{4 * ms, offers("c", "ruling"), "refuse c upstream_down"},
+			{5 * ms, rests(time.Second), ""}, // ends sooner
+			{6 * ms, ends("a", Completed, 5), ""},
+			{1900 * ms, offers("d", "ruling"), "refuse d upstream_down"},
+			{2004 * ms, offers("e", "ruling"), "grant e"},
+		}},
 		{"a late claim starts nothing", 1, []step{
 			{0, offers("a", "ruling"), "grant a"},
 			{10 * ms, offers("b", "ruling"), ""},
--- a/internal/core/agent/attempt.go
+++ b/internal/core/agent/attempt.go
@@ -13,7 +13,7 @@
 		// A copy of the message; the attempt has its answers already.
 		return nil
 	}
-	if refusal := a.inadmissible(o); refusal != nil {
+	if refusal := a.inadmissible(now, o); refusal != nil {
 		return []Effect{refusal}
 	}
 	class, _ := a.cfg.Class(o.Class)
@@ -37,7 +37,7 @@
 }
 
 // inadmissible returns the effect for an offer that can never be queued here.
-func (a *Agent) inadmissible(o Offer) Effect {
+func (a *Agent) inadmissible(now time.Time, o Offer) Effect {
 	switch a.ledger.State(o.ID) {
 	case ledger.Ran:
 		return Fail{ID: o.ID, AlreadyRun: true}
@@ -56,6 +56,9 @@
 	if a.leaving {
 		return Refuse{ID: o.ID, Reason: Leaving}
 	}
+	if left := a.restLeft(now); left > 0 {
+		return Refuse{ID: o.ID, Reason: UpstreamDown, RetryAfter: left}
+	}
 	if a.down {
 		return Refuse{ID: o.ID, Reason: UpstreamDown, RetryAfter: time.Second}
 	}
--- a/internal/core/agent/lifecycle.go
+++ b/internal/core/agent/lifecycle.go
@@ -6,6 +6,7 @@
 
 	"github.com/gladegauge/gladegauge/internal/core/config"
 	"github.com/gladegauge/gladegauge/internal/core/ledger"
+	"github.com/gladegauge/gladegauge/internal/core/notice"
 	"github.com/gladegauge/gladegauge/internal/core/queue"
 )
 
@@ -33,6 +34,21 @@
 	return a.schedule(now)
 }
 
+// Rest notes that the upstream refused a request and wants nothing for the time. What runs
+// there goes on; what waits and what comes is refused as not run, with the time that is
+// left. Without it the agent sent such an upstream the next request at once.
+func (a *Agent) Rest(now time.Time, d time.Duration) []Effect {
+	until := now.Add(notice.Believed(d))
+	if !until.After(a.restUntil) {
+		return nil
+	}
+	a.restUntil = until
+	return a.refuseWaiting(now, UpstreamDown)
+}
+
+// restLeft is how long the upstream still wants nothing; 0 if it does not rest.
+func (a *Agent) restLeft(now time.Time) time.Duration { return max(0, a.restUntil.Sub(now)) }
+
 // refuseWaiting refuses all that waits and was never started.
 func (a *Agent) refuseWaiting(now time.Time, reason Reason) []Effect {
 	var effects []Effect
@@ -124,6 +140,9 @@
 
 func (a *Agent) refuse(now time.Time, id string, reason Reason, class *config.Class) Effect {
 	a.finish(now, id, ledger.NotRun)
+	if reason == UpstreamDown {
+		return Refuse{ID: id, Reason: reason, RetryAfter: a.restLeft(now)}
+	}
 	return Refuse{ID: id, Reason: reason, RetryAfter: a.retryAfter(reason, class)}
 }
 
--- a/internal/core/agent/schedule.go
+++ b/internal/core/agent/schedule.go
@@ -11,7 +11,7 @@
 // that would otherwise be late.
 func (a *Agent) schedule(now time.Time) []Effect {
 	var effects []Effect
-	if a.down {
+	if a.down || a.restLeft(now) > 0 {
 		return nil
 	}
 	for a.busy < a.slots {
--- a/internal/core/notice/state.go
+++ b/internal/core/notice/state.go
@@ -44,7 +44,7 @@
 	if n.Rest <= 0 {
 		return s
 	}
-	if until := now.Add(min(n.Rest, restMost)); until.After(s.restUntil) {
+	if until := now.Add(Believed(n.Rest)); until.After(s.restUntil) {
 		s.restUntil = until
 		s.answered = 0
 	}
--- a/internal/e2e/failure_test.go
+++ b/internal/e2e/failure_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -132,6 +133,37 @@
 	is.True(float64(oneNow-one+twoNow-two) <= 1.2*asked)
 }
 
+// TestRestingEngine lets one engine refuse requests and ask for rest: its agent leaves it
+// alone, and rulings run on the other one. Agents passed on or repeated elsewhere what it
+// refused, and sent it the next request: 20 of 20.
+func TestRestingEngine(t *testing.T) {
+	is := is.New(t)
+	s := newStack(t, "salish")
+	e := s.entry("entry-1", "a")
+	s.agent("agent-1", "a", "judge-model")
+	s.agent("agent-2", "b", "judge-model")
+	s.ready()
+	s.engines["agent-1"].SetFault(engine.Fault{Rest: 60})
+	for i := range 20 {
+		prompt := fmt.Sprint("ruling ", i)
+		got := send("POST", e.url("listen")+"/v1/chat/completions", salishKey, chatBody(prompt, 5, true))
+		text, complete := streamText(got.body)
+		is.True(complete)
+		is.Equal(text, want(prompt, 5))
+	}
+	_, started, _ := s.engines["agent-1"].Counts()
+	is.True(started <= 2)
+	s.engines["agent-2"].SetFault(engine.Fault{Rest: 60})
+	for range 3 {
+		send("POST", e.url("listen")+"/v1/chat/completions", salishKey, chatBody("x", 5, true))
+	}
+	got := send("POST", e.url("listen")+"/v1/chat/completions", salishKey, chatBody("x", 5, true))
+	is.Equal(got.status, http.StatusServiceUnavailable)
+	comeBack, err := strconv.Atoi(got.header.Get("Retry-After"))
+	is.NoErr(err)
+	is.True(comeBack > 30 && comeBack <= 60)
+}
+
 // TestLostRegistration makes a plain service run a call and drop its answer,
 // and kills an agent during another: neither is repeated, and neither is said
 // to be not run.
--- a/internal/edge/agentd/answer.go
+++ b/internal/edge/agentd/answer.go
@@ -32,6 +32,9 @@
 }
 
 func (x *session) onHead(h *upstream.Head) error {
+	if rest := h.Rest(); rest > 0 {
+		x.s.rest(rest)
+	}
 	if h.Status >= http.StatusInternalServerError && x.retryable {
 		x.failing = true
 		x.cancelRun()
--- a/internal/edge/agentd/server.go
+++ b/internal/edge/agentd/server.go
@@ -272,6 +272,12 @@
 	return nil
 }
 
+// rest leaves the upstream alone for the time that it asks for.
+func (s *Server) rest(d time.Duration) {
+	s.o.Log.Warn().Dur("rest", d).Msg("upstream asks for rest")
+	s.loop.Must(func(now time.Time) { s.apply(s.agent.Rest(now, d)) })
+}
+
 func (s *Server) setDown(down bool) {
 	s.o.Log.Warn().Bool("down", down).Msg("upstream changed")
 	value := 0.0
--- a/internal/edge/upstream/upstream.go
+++ b/internal/edge/upstream/upstream.go
@@ -20,8 +20,11 @@
 	"strconv"
 	"strings"
 	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/gladegauge/gladegauge/internal/core/notice"
 )
 
 // Headers of the upstreams' protocol.
@@ -69,6 +72,15 @@
 	Headers http.Header
 }
 
+// Rest is how long the upstream wants nothing, by a refusal; 0 if it does not say.
+func (h *Head) Rest() time.Duration {
+	if h.Status != http.StatusServiceUnavailable {
+		return 0
+	}
+	rest, _ := notice.ParseRest(h.Headers.Get("Retry-After"))
+	return rest
+}
+
 // Ending is how a call ended.
 type Ending int
 
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -41,6 +41,8 @@
 	Hang bool `json:"hang"`
 	// Fail answers each request with an error.
 	Fail bool `json:"fail"`
+	// Rest refuses each request with 503 and asks for so many seconds of rest; 0 for never.
+	Rest float64 `json:"rest"`
 }
 
 const (
@@ -139,6 +141,11 @@
 	}
 	e.count(1)
 	defer e.count(-1)
+	if rest := e.getFault().Rest; rest > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(rest, 'f', -1, 64))
+		http.Error(w, "full", http.StatusServiceUnavailable)
+		return
+	}
 	if e.getFault().Fail {
 		http.Error(w, "out of memory", http.StatusInternalServerError)
 		return
