--- a/internal/core/balance/load.go
+++ b/internal/core/balance/load.go
@@ -7,6 +7,8 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Percent is how long work takes there now, of what is usual; 0 if it does not say.
+	Percent int
 }
 
 // staleAfter is the age at which a load says nothing any more: many requests
