Refusals that a request itself is the reason of are no evidence

Cause: a caller with requests that no engine has room for, with no time left, or without an identity, would have had upstreams left out by their refusals. Change: only a 503 counts, at once, of an upstream with room for the request that has time left. Others spare it for 50 ms, or not at all. Ruled out: telling by the upstream's own load: it rides on few refusals.

--- a/internal/core/balance/health.go
+++ b/internal/core/balance/health.go
@@ -20,6 +20,12 @@
 	refusedBase = 100 * time.Millisecond
 	// refusedMost is the number of such refusals that count.
 	refusedMost = 6
+	// refusedAtOnce is the time within which an upstream refuses for a fault of its own; later
+	// the request had waited in its queue. It is several round trips.
+	refusedAtOnce = 200 * time.Millisecond
+	// refusedLeft is the least time that a request must have left for its refusal to say
+	// something: upstreams refuse what they cannot answer in time.
+	refusedLeft = 100 * time.Millisecond
 	// fullFor is how long an upstream is spared that refused because it was full: about
 	// as long as a few of its requests take.
 	fullFor = 50 * time.Millisecond
@@ -114,9 +120,9 @@
 
 // refused leaves the upstream out for a while. Without it one that refuses looks idle and
 // draws its pool's requests.
-func (t *Table) refused(now time.Time, u *upstream) {
+func (t *Table) refused(now time.Time, u *upstream, r *run) {
 	p := t.pool(u.Pool)
-	full := u.Slots > 0 && u.inFlight(now) >= fullShare*float64(u.Slots)
+	full := p.rightly(now, u, r)
 	if !full {
 		u.health.wentBad(now)
 	}
@@ -125,6 +131,23 @@
 	}
 }
 
+// rightly reports whether the upstream was right to refuse the request, as far as one can
+// tell: it had as much as it takes, or no room for such a large one; the request had
+// waited in its queue, or had hardly any time. Otherwise one caller with such requests
+// could have upstreams left out.
+func (p *pool) rightly(now time.Time, u *upstream, r *run) bool {
+	if u.Slots > 0 && u.inFlight(now) >= fullShare*float64(u.Slots) {
+		return true
+	}
+	if p.engine != nil && p.engine.MemoryTokens > 0 {
+		if u.memoryTokens(now, p.meanTokens)+float64(r.tokens) >= fullShare*float64(p.engine.MemoryTokens) {
+			return true
+		}
+	}
+	hasty := !r.deadline.IsZero() && r.deadline.Sub(now) < refusedLeft
+	return hasty || now.Sub(r.sentAt) > refusedAtOnce
+}
+
 // judge ejects the upstream if it fails more often than its pool.
 func (t *Table) judge(now time.Time, u *upstream) {
 	p := t.pools[u.Pool]
--- a/internal/core/balance/load.go
+++ b/internal/core/balance/load.go
@@ -37,7 +37,9 @@
 	// least says that no request for the pool is less urgent.
 	least  bool
 	sentAt time.Time
-	begun  bool
+	// deadline is when its caller leaves; zero for never.
+	deadline time.Time
+	begun    bool
 	// expected is the time to its first event, in milliseconds, at an engine that
 	// is as fast as its pool.
 	expected float64
--- a/internal/core/balance/outcome.go
+++ b/internal/core/balance/outcome.go
@@ -11,8 +11,10 @@
 	Completed Outcome = iota + 1
 	// Faulty means that the upstream answered with an error of its own.
 	Faulty
-	// Refused means that the upstream did not run the request.
+	// Refused means that the upstream did not run the request, as it had no room.
 	Refused
+	// Declined means that it did not run the request for a reason of the request's own.
+	Declined
 	// Replaced means that another start answers at the upstream's address: this
 	// one is gone, though it is still on the list.
 	Replaced
@@ -30,7 +32,7 @@
 
 // String names the outcome in logs.
 func (o Outcome) String() string {
-	names := [...]string{"", "completed", "faulty", "refused", "replaced", "unreachable", "dead", "broken", "abandoned"}
+	names := [...]string{"", "completed", "faulty", "refused", "declined", "replaced", "unreachable", "dead", "broken", "abandoned"}
 	if o < Completed || int(o) >= len(names) {
 		return "unknown"
 	}
@@ -127,8 +129,10 @@
 	case Refused:
 		u.heard(now)
 		if !u.said.Resting(now) {
-			t.refused(now, u)
+			t.refused(now, u, r)
 		}
+	case Declined:
+		u.heard(now)
 	case Faulty, Broken:
 		u.health.failed(now)
 		t.judge(now, u)
--- a/internal/edge/gatewayd/attempt.go
+++ b/internal/edge/gatewayd/attempt.go
@@ -48,7 +48,7 @@
 		// It was reported when the answer began, and is old by now.
 		load = nil
 	}
-	x.settle(choice, outcomeOf(failure, err), load)
+	x.settle(choice, outcomeOfAnswer(failure, err, a.StatusCode), load)
 	return failure, err
 }
 
--- a/internal/edge/gatewayd/failure.go
+++ b/internal/edge/gatewayd/failure.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"syscall"
 
 	"github.com/cockroachdb/errors"
@@ -52,3 +53,12 @@
 		return balance.Completed
 	}
 }
+
+// outcomeOfAnswer tells what an answer says about the upstream. A refusal with another
+// status than 503 is the request's own fault, such as one without an identity.
+func outcomeOfAnswer(f gateway.Failure, err error, status int) balance.Outcome {
+	if f == gateway.NotRun && status != http.StatusServiceUnavailable {
+		return balance.Declined
+	}
+	return outcomeOf(f, err)
+}
