Logs: which upstreams votes put last, and which requests are trials

Cause: an upstream that gets nothing by the votes of gateways left no line. Change: "upstream put last by votes" with the votes and for how long; "picked" says whether the request is a trial. What is decided has not changed.

--- a/internal/core/balance/pick.go
+++ b/internal/core/balance/pick.go
@@ -68,6 +68,8 @@
 	Standing bool
 	// Cold is true if the upstream is cold: this gateway is one of its holders.
 	Cold bool
+	// Trial is true if the upstream has yet to show that it answers again.
+	Trial bool
 	// ToldAge is the age of the other gateways' word on the upstream; below 0 if
 	// there is none.
 	ToldAge time.Duration
@@ -194,6 +196,7 @@
 func (t *Table) consider(now time.Time, p *pool, u *upstream, r Request, keys []uint64, usual usual, home bool) Choice {
 	c := Choice{
 		Instance: u.Instance,
+		Trial:    u.onTrial(now),
 		InFlight: u.inFlight(now),
 		LoadAge:  -1,
 		ToldAge:  -1,
--- a/internal/core/balance/shared.go
+++ b/internal/core/balance/shared.go
@@ -21,15 +21,20 @@
 	Gateways int
 }
 
-// OthersHave takes the picture. An upstream that is not in it has nothing of theirs.
-func (t *Table) OthersHave(now time.Time, p Picture) {
+// OthersHave takes the picture. An upstream that is not in it has nothing of theirs. It
+// returns the upstreams that the votes in it put last from now on.
+func (t *Table) OthersHave(now time.Time, p Picture) []Outvoted {
+	var out []Outvoted
 	t.toldAt, t.toldAge, t.gateways = now, p.Age, max(p.Gateways, 1)
 	for _, u := range t.upstreams {
 		u.shared = p.Loads[u.start]
 		u.sharedAt = now.Add(-p.Age)
 		u.sharedUntil = now.Add(p.Keep)
-		u.count(now)
+		if o, ok := u.count(now); ok {
+			out = append(out, o)
+		}
 	}
+	return out
 }
 
 // Loads returns what this gateway has at the upstreams.
--- a/internal/core/balance/votes.go
+++ b/internal/core/balance/votes.go
@@ -52,6 +52,14 @@
 	return o.times > 0 && !o.now(now) && now.Sub(o.until) < trialFor
 }
 
+// Outvoted is an upstream that votes put last, and how they stood.
+type Outvoted struct {
+	ID              string
+	Failing, Served int
+	// For is how long.
+	For time.Duration
+}
+
 // onTrial reports whether the upstream has yet to show that it answers again, to this
 // gateway or to others.
 func (u *upstream) onTrial(now time.Time) bool {
@@ -67,9 +75,10 @@
 	return !u.outvoted.trial(now) || t.holds(now, u.hash, trialGateways)
 }
 
-// count takes the votes of all gateways on the upstream. One gateway is one vote, so that
-// one whose links are bad, or that lies, is outvoted where others are answered.
-func (u *upstream) count(now time.Time) {
+// count takes the votes of all gateways on the upstream, and reports whether they put it
+// last from now on. One gateway is one vote, so that one whose links are bad, or that
+// lies, is outvoted where others are answered.
+func (u *upstream) count(now time.Time) (Outvoted, bool) {
 	failing, served := u.shared.Failing, u.shared.Served
 	switch {
 	case u.health.votesAgainst(now):
@@ -85,9 +94,12 @@
 	switch against := u.shared.Failing > 0 && failing >= witnesses && failing > failingFactor*served; {
 	case u.outvoted.now(now):
 	case against:
-		u.outvoted.until = now.Add(outvotedFor << min(u.outvoted.times, maxOutvoted))
+		d := outvotedFor << min(u.outvoted.times, maxOutvoted)
+		u.outvoted.until = now.Add(d)
 		u.outvoted.times++
+		return Outvoted{ID: u.ID, Failing: failing, Served: served, For: d}, true
 	case served > 0, !u.outvoted.trial(now):
 		u.outvoted.times = 0
 	}
+	return Outvoted{}, false
 }
