--- a/internal/core/balance/table.go
+++ b/internal/core/balance/table.go
@@ -82,8 +82,8 @@
 // pool is the upstreams that serve the same requests.
 type pool struct {
 	members []*upstream
-	// present is the number of members that are there for new requests, as of orderedAt;
-	// it changes when a rest ends, at orderUntil first. That is zero if none rests.
+	// present is the number of members that are there for new requests. It changes when
+	// a rest ends, at orderUntil first; that is zero if none rests.
 	present    int
 	orderUntil time.Time
 	cold       coldSplit
