--- a/internal/e2e/failure_test.go
+++ b/internal/e2e/failure_test.go
@@ -103,15 +103,22 @@
 	is.Equal(text, want("story", 300))
 }
 
-// TestFailingEngine lets one engine answer with errors of its own: rulings run
-// on the other one, and the retries stay within their budget.
-func TestFailingEngine(t *testing.T) {
-	is := is.New(t)
+// newTwoAgents starts an entry and two agents, each before an engine.
+func newTwoAgents(t *testing.T) (*stack, *proc) {
+	t.Helper()
 	s := newStack(t, "salish")
 	e := s.entry("entry-1", "a")
 	s.agent("agent-1", "a", "judge-model")
 	s.agent("agent-2", "b", "judge-model")
 	s.ready()
+	return s, e
+}
+
+// TestFailingEngine lets one engine answer with errors of its own: rulings run
+// on the other one, and the retries stay within their budget.
+func TestFailingEngine(t *testing.T) {
+	is := is.New(t)
+	s, e := newTwoAgents(t)
 	s.engines["agent-1"].SetFault(engine.Fault{Fail: true})
 	for i := range 30 {
 		prompt := fmt.Sprint("ruling ", i)
@@ -138,11 +145,7 @@
 // refused, and sent it the next request: 20 of 20.
 func TestRestingEngine(t *testing.T) {
 	is := is.New(t)
-	s := newStack(t, "salish")
-	e := s.entry("entry-1", "a")
-	s.agent("agent-1", "a", "judge-model")
-	s.agent("agent-2", "b", "judge-model")
-	s.ready()
+	s, e := newTwoAgents(t)
 	s.engines["agent-1"].SetFault(engine.Fault{Rest: 60})
 	for i := range 20 {
 		prompt := fmt.Sprint("ruling ", i)
