A refusal of an upstream that says it is full is no evidence; most are asked one question only

Cause: after all gateways of a fleet of 300 were killed they know no loads of each other, so that services that are rightly full look idle when they refuse, and were voted against. Suspected, as the trace at that size is not read. Change: the load that rides on a refusal decides first. Checks on rests and words are skipped for upstreams that never asked for any.

--- /dev/null
+++ b/internal/core/balance/bench_test.go
@@ -0,0 +1,34 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/gladegauge/gladegauge/internal/core/occupancy"
+)
+
+// BenchmarkPick chooses among the engines of a pool, while nobody says anything of himself
+// and all votes are for them.
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{53, 3000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			table := New("a")
+			list := make([]Instance, n)
+			loads := make(occupancy.Loads)
+			for i := range list {
+				list[i] = Instance{ID: fmt.Sprintf("i-%d", i), Address: fmt.Sprintf("10.0.%d.%d:80", i/250, i%250), Zone: "a", Pool: "p", Slots: 64}
+				loads[list[i].Start()] = occupancy.Load{Requests: 3, Served: 2}
+			}
+			table.SetInstances(t0, list)
+			table.OthersHave(t0, pictureOf(loads))
+			b.ReportAllocs()
+			for i := range b.N {
+				c, ok := table.Pick(at(1), plainRequest(i*7919))
+				if !ok {
+					b.Fatal("nothing to pick")
+				}
+				table.Ended(at(2), c, Completed, Answer{})
+			}
+		})
+	}
+}
--- a/internal/core/balance/gone.go
+++ b/internal/core/balance/gone.go
@@ -49,13 +49,13 @@
 // toldGone reports whether enough other gateways found the upstream gone, and it
 // has said nothing to this one since.
 func (u *upstream) toldGone(now time.Time) bool {
-	return u.told(now) && u.shared.Gone >= goneWitnesses && now.Sub(u.heardAt) > goneHeard
+	return u.shared.Gone >= goneWitnesses && u.told(now) && now.Sub(u.heardAt) > goneHeard
 }
 
 // toldClosed reports whether the upstream said to enough other gateways that it leaves, or
 // wants rest, and has said nothing to this one since.
 func (u *upstream) toldClosed(now time.Time) bool {
-	return u.told(now) && u.shared.Closed >= goneWitnesses && now.Sub(u.heardAt) > goneHeard && !u.said.Any(now)
+	return u.shared.Closed >= goneWitnesses && u.told(now) && now.Sub(u.heardAt) > goneHeard && !u.said.Any(now)
 }
 
 // toldAway reports whether others go before the upstream by the word of other gateways.
--- a/internal/core/balance/health.go
+++ b/internal/core/balance/health.go
@@ -120,9 +120,9 @@
 
 // refused leaves the upstream out for a while. Without it one that refuses looks idle and
 // draws its pool's requests.
-func (t *Table) refused(now time.Time, u *upstream, r *run) {
+func (t *Table) refused(now time.Time, u *upstream, r *run, said *Load) {
 	p := t.pool(u.Pool)
-	full := p.rightly(now, u, r)
+	full := said.full() || p.rightly(now, u, r)
 	if !full {
 		u.health.wentBad(now)
 	}
@@ -148,6 +148,12 @@
 	return hasty || now.Sub(r.sentAt) > refusedAtOnce
 }
 
+// full reports whether the upstream says that it has nearly all that it takes, or that
+// requests wait there.
+func (l *Load) full() bool {
+	return l != nil && (l.Waiting > 0 || (l.Slots > 0 && float64(l.Running) >= fullShare*float64(l.Slots)))
+}
+
 // judge ejects the upstream if it fails more often than its pool.
 func (t *Table) judge(now time.Time, u *upstream) {
 	p := t.pools[u.Pool]
--- a/internal/core/balance/outcome.go
+++ b/internal/core/balance/outcome.go
@@ -98,6 +98,8 @@
 	Tokens int
 	// LongestGap is the longest time between two of its events.
 	LongestGap time.Duration
+	// Load is what the upstream said of its load with it; nil if it did not say.
+	Load *Load
 }
 
 // Ended notes what became of the request.
@@ -129,7 +131,7 @@
 	case Refused:
 		u.heard(now)
 		if !u.said.Resting(now) {
-			t.refused(now, u, r)
+			t.refused(now, u, r, a.Load)
 		}
 	case Declined:
 		u.heard(now)
--- a/internal/core/balance/refused_test.go
+++ b/internal/core/balance/refused_test.go
@@ -20,18 +20,23 @@
 		took, left time.Duration
 		// times is the number of refusals in a row.
 		times int
+		// load is what the upstream says with its refusal; nil for nothing.
+		load *Load
 		// votes is true if the gateway tells of it, and out how long it is left out.
 		votes bool
 		out   time.Duration
 	}{
-		{"at once", Refused, 0, 10, time.Millisecond, time.Second, 1, true, 100 * time.Millisecond},
-		{"three times", Refused, 0, 10, time.Millisecond, time.Second, 3, true, 400 * time.Millisecond},
-		{"ten times", Refused, 0, 10, time.Millisecond, time.Second, 10, true, 3200 * time.Millisecond},
-		{"as it was full", Refused, 8, 10, time.Millisecond, time.Second, 1, false, fullFor},
-		{"as the request is too large", Refused, 0, 95_000, time.Millisecond, time.Second, 1, false, fullFor},
-		{"after a wait in its queue", Refused, 0, 10, 400 * time.Millisecond, time.Second, 1, false, fullFor},
-		{"with no time left", Refused, 0, 10, time.Millisecond, 20 * time.Millisecond, 1, false, fullFor},
-		{"for the request's own fault", Declined, 0, 10, time.Millisecond, time.Second, 1, false, 0},
+		{"as it says itself that it is full", Refused, 0, 10, time.Millisecond, time.Second, 3, &Load{Running: 8, Slots: 8}, false, fullFor},
+		{"as it says that requests wait", Refused, 0, 10, time.Millisecond, time.Second, 3, &Load{Running: 2, Waiting: 1, Slots: 8}, false, fullFor},
+		{"though it says that it has room", Refused, 0, 10, time.Millisecond, time.Second, 1, &Load{Running: 2, Slots: 8}, true, 100 * time.Millisecond},
+		{"at once", Refused, 0, 10, time.Millisecond, time.Second, 1, nil, true, 100 * time.Millisecond},
+		{"three times", Refused, 0, 10, time.Millisecond, time.Second, 3, nil, true, 400 * time.Millisecond},
+		{"ten times", Refused, 0, 10, time.Millisecond, time.Second, 10, nil, true, 3200 * time.Millisecond},
+		{"as it was full", Refused, 8, 10, time.Millisecond, time.Second, 1, nil, false, fullFor},
+		{"as the request is too large", Refused, 0, 95_000, time.Millisecond, time.Second, 1, nil, false, fullFor},
+		{"after a wait in its queue", Refused, 0, 10, 400 * time.Millisecond, time.Second, 1, nil, false, fullFor},
+		{"with no time left", Refused, 0, 10, time.Millisecond, 20 * time.Millisecond, 1, nil, false, fullFor},
+		{"for the request's own fault", Declined, 0, 10, time.Millisecond, time.Second, 1, nil, false, 0},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -51,7 +56,7 @@
 			for range tt.times {
 				c := send(now, tt.tokens)
 				now = now.Add(tt.took)
-				table.Ended(now, c, tt.o, Answer{})
+				table.Ended(now, c, tt.o, Answer{Load: tt.load})
 			}
 			is.Equal(u.health.until.Sub(now) == tt.out || (tt.out == 0 && !u.health.ejected(now)), true)
 			is.Equal(table.Loads(now)[u.start].Failing == 1, tt.votes)
--- a/internal/core/balance/said.go
+++ b/internal/core/balance/said.go
@@ -105,17 +105,24 @@
 func (u *upstream) open() bool { return u.Instance.open() && !u.said.Leaving() }
 
 // present reports whether the upstream is there for new requests now.
-func (u *upstream) present(now time.Time) bool { return u.open() && !u.said.Resting(now) }
+func (u *upstream) present(now time.Time) bool {
+	return u.open() && !(u.said.Rested() && u.said.Resting(now))
+}
 
 // spared reports whether others go first, as a rest of the upstream ended a moment ago.
 // The first request may be refused again, so that it is one of the least urgent.
 func (t *Table) spared(now time.Time, u *upstream, r Request) bool {
+	if !u.said.Rested() {
+		return false
+	}
 	return u.said.Spared(now, t.gateways, u.unanswered()) || (!r.Least && u.said.Untried(now))
 }
 
 // flooded reports whether the upstream is back from its rest and has all that it can take
 // for now.
-func (u *upstream) flooded(now time.Time) bool { return u.said.Flooded(now, u.unanswered()) }
+func (u *upstream) flooded(now time.Time) bool {
+	return u.said.Rested() && u.said.Flooded(now, u.unanswered())
+}
 
 // unanswered is the number of this gateway's requests there without a first word, of
 // those that were sent after the last rest.
--- a/internal/core/balance/votes.go
+++ b/internal/core/balance/votes.go
@@ -46,7 +46,7 @@
 
 // now reports whether the upstream is put last, and trial whether it has yet to answer a
 // trial.
-func (o outvoted) now(now time.Time) bool { return now.Before(o.until) }
+func (o outvoted) now(now time.Time) bool { return o.times > 0 && now.Before(o.until) }
 
 func (o outvoted) trial(now time.Time) bool {
 	return o.times > 0 && !o.now(now) && now.Sub(o.until) < trialFor
--- a/internal/core/notice/state.go
+++ b/internal/core/notice/state.go
@@ -74,9 +74,13 @@
 // RestUntil is when the last rest that the upstream asked for ends; zero for none.
 func (s State) RestUntil() time.Time { return s.restUntil }
 
+// Rested reports whether the upstream has ever asked for rest. Most never do, and are asked
+// nothing else then.
+func (s State) Rested() bool { return !s.restUntil.IsZero() }
+
 // returns reports whether a rest of the upstream ended a moment ago.
 func (s State) returns(now time.Time) bool {
-	return !s.restUntil.IsZero() && !s.Resting(now) && now.Sub(s.restUntil) < returnFor
+	return s.Rested() && !s.Resting(now) && now.Sub(s.restUntil) < returnFor
 }
 
 // Spared reports whether the upstream has as many requests as it should get so soon after
--- a/internal/edge/gatewayd/attempt.go
+++ b/internal/edge/gatewayd/attempt.go
@@ -92,7 +92,7 @@
 		if survived {
 			x.server.suspects.Clear(now, x.printed(), x.call.ID)
 		}
-		x.server.table.Ended(now, choice, o, balance.Answer{Tokens: tokens, LongestGap: x.longestGap})
+		x.server.table.Ended(now, choice, o, balance.Answer{Tokens: tokens, LongestGap: x.longestGap, Load: load})
 		if load != nil {
 			x.server.table.Reported(now, choice.ID, *load)
 		}
