--- a/internal/core/balance/pick.go
+++ b/internal/core/balance/pick.go
@@ -109,6 +109,7 @@
 		}
 	}
 	best.Candidates = len(compared)
+	best.Trial = chosen.onTrial(now)
 	if best.ComeBack = p.turnAway(now, chosen, r, best); best.ComeBack > 0 {
 		best.Standing = p.queue.Standing()
 		return best, false
@@ -196,7 +197,6 @@
 func (t *Table) consider(now time.Time, p *pool, u *upstream, r Request, keys []uint64, usual usual, home bool) Choice {
 	c := Choice{
 		Instance: u.Instance,
-		Trial:    u.onTrial(now),
 		InFlight: u.inFlight(now),
 		LoadAge:  -1,
 		ToldAge:  -1,
--- a/internal/core/balance/table.go
+++ b/internal/core/balance/table.go
@@ -46,13 +46,17 @@
 	hash  uint64
 	start uint64
 	// place is where it stands in the order of its pool, from 0 up to 1.
-	place  float64
-	health health
-	cache  *cache
-	warmup warmup.State
-	load   load
-	pace   pace
-	tempo  tempo
+	place float64
+	// said is what it has said of itself in its answers, outvoted what the votes of
+	// gateways make of it.
+	said     notice.State
+	outvoted outvoted
+	health   health
+	cache    *cache
+	warmup   warmup.State
+	load     load
+	pace     pace
+	tempo    tempo
 	// strain is the mean gap between events of its streams, whatever it reads
 	// meanwhile; pausing is the mean of the longest gaps of its tight streams.
 	strain  recent
@@ -68,13 +72,9 @@
 	askedAt time.Time
 	// heardAt is when it last said anything to any request.
 	heardAt time.Time
-	// outvoted is what the votes of gateways make of it.
-	outvoted outvoted
 	// goneUntil is until when it is taken to be gone: another start answered in
 	// its place.
 	goneUntil time.Time
-	// said is what it has said of itself in its answers.
-	said notice.State
 	// superseded is true if a later start is listed at its address.
 	superseded bool
 }
