--- a/internal/edge/gatewayd/notice.go
+++ b/internal/edge/gatewayd/notice.go
@@ -38,26 +38,24 @@
 			s.publish(now, s.roster.Current(now))
 		}
 	})
-	line := func() *zerolog.Event {
+	line := func(kind string) *zerolog.Event {
+		s.metrics.notices.WithLabelValues(kind).Inc()
 		return x.log().
 			Str("upstream", said.Of.ID).Uint64("start", said.Of.Start()).Bool("listed", said.Listed).
 			Str("address", choice.Address).Int("status", r.StatusCode)
 	}
-	count := func(kind string) { s.metrics.notices.WithLabelValues(kind).Inc() }
+	if said.Of.ID == "" {
+		line(noticeNobody).Str("sent_to", choice.ID).Str("named", n.Of).Msg("a word of nobody that is listed")
+	}
 	if said.Leaves {
-		count(noticeLeaving)
-		line().Msg("upstream says that it leaves")
+		line(noticeLeaving).Msg("upstream says that it leaves")
 	}
 	if said.Rests {
-		count(noticeRest)
-		line().Dur("asked", n.Rest).Dur("rest", said.State.RestUntil().Sub(s.now())).Msg("upstream asks for rest")
+		rest := said.State.RestUntil().Sub(s.now())
+		line(noticeRest).Dur("asked", n.Rest).Dur("rest", rest).Msg("upstream asks for rest")
 	}
 	if n.Unread != "" {
-		count(noticeUnread)
-		line().Str("text", n.Unread[:min(len(n.Unread), unreadMost)]).Msg("upstream says what cannot be read")
-	}
-	if said.Of.ID == "" {
-		count(noticeNobody)
-		line().Str("sent_to", choice.ID).Str("named", n.Of).Msg("a word of nobody that is listed")
+		text := n.Unread[:min(len(n.Unread), unreadMost)]
+		line(noticeUnread).Str("text", text).Msg("upstream says what cannot be read")
 	}
 }
