--- a/internal/core/balance/said.go
+++ b/internal/core/balance/said.go
@@ -106,7 +106,7 @@
 
 // present reports whether the upstream is there for new requests now.
 func (u *upstream) present(now time.Time) bool {
-	return u.open() && !(u.said.Rested() && u.said.Resting(now))
+	return u.open() && (!u.said.Rested() || !u.said.Resting(now))
 }
 
 // spared reports whether others go first, as a rest of the upstream ended a moment ago.
