--- a/internal/core/agent/agent.go
+++ b/internal/core/agent/agent.go
@@ -7,6 +7,7 @@
 
 	"github.com/gladegauge/gladegauge/internal/core/config"
 	"github.com/gladegauge/gladegauge/internal/core/ledger"
+	"github.com/gladegauge/gladegauge/internal/core/notice"
 	"github.com/gladegauge/gladegauge/internal/core/queue"
 	"github.com/gladegauge/gladegauge/internal/core/rendezvous"
 )
@@ -95,8 +96,8 @@
 	prompt  float64
 	leaving bool
 	down    bool
-	// restUntil is until when the upstream wants nothing, by its own word.
-	restUntil time.Time
+	// said is what the upstream has said of itself.
+	said notice.State
 	// downAt is when the upstream was last seen to go down.
 	downAt   time.Time
 	lastTick time.Time
--- a/internal/core/balance/replay_faulty_test.go
+++ b/internal/core/balance/replay_faulty_test.go
@@ -106,11 +106,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			const engines, length = 30, 8.0
-			r := newReplay(tt.gateways, engines, 100*time.Millisecond, 60*time.Millisecond, steadyClasses(tt.load*2/3))
-			r.admits, r.eventTokens = true, 9
-			for _, e := range r.order {
-				e.speed = 1
-			}
+			r := newAdmittingReplay(tt.gateways, engines, steadyClasses(tt.load*2/3))
 			r.ail(tt.refuses, 3, length)
 			r.run(20)
 			r.report(t)
@@ -141,12 +137,11 @@
 		name   string
 		served int
 		heard  bool
-		out    bool
 	}{
-		{"nobody else saw them", 0, false, false},
-		{"four others were answered", 4, false, false},
-		{"29 others were answered", 29, false, false},
-		{"99 others were answered", 99, true, false},
+		{"nobody else saw them", 0, false},
+		{"four others were answered", 4, false},
+		{"29 others were answered", 29, false},
+		{"99 others were answered", 99, true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/core/balance/replay_rest_test.go
+++ b/internal/core/balance/replay_rest_test.go
@@ -115,11 +115,7 @@
 			if left == 0 {
 				left = engines
 			}
-			r := newReplay(5, engines, 100*time.Millisecond, 60*time.Millisecond, steadyClasses(tt.load*float64(left)/engines))
-			r.admits, r.eventTokens = true, 9
-			for _, e := range r.order {
-				e.speed = 1
-			}
+			r := newAdmittingReplay(5, engines, steadyClasses(tt.load*float64(left)/engines))
 			r.shed(tt.resting, 4, 8)
 			r.run(16)
 			r.report(t)
--- a/internal/core/balance/replay_shifted_test.go
+++ b/internal/core/balance/replay_shifted_test.go
@@ -20,6 +20,17 @@
 	}
 }
 
+// newAdmittingReplay returns a replay of engines that are alike and admit prompts by their
+// memory.
+func newAdmittingReplay(gateways, engines int, classes []replayClass) *replay {
+	r := newReplay(gateways, engines, 100*time.Millisecond, 60*time.Millisecond, classes)
+	r.admits, r.eventTokens = true, 9
+	for _, e := range r.order {
+		e.speed = 1
+	}
+	return r
+}
+
 // More than fits, for many seconds, with a fifth of the engines gone: engines admit
 // prompts while their memory lasts and read them in turn, and callers leave at their
 // deadline. The floors lie above what was reached when only waits of more than a whole
@@ -43,11 +54,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			r := newReplay(31, 56, 100*time.Millisecond, 60*time.Millisecond, shiftedClasses(tt.scale))
-			r.admits, r.eventTokens = true, 9
-			for _, e := range r.order {
-				e.speed = 1
-			}
+			r := newAdmittingReplay(31, 56, shiftedClasses(tt.scale))
 			r.crash(6, 0.21)
 			r.run(19)
 			r.report(t)
--- a/internal/core/balance/said.go
+++ b/internal/core/balance/said.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/gladegauge/gladegauge/internal/core/notice"
+	"github.com/gladegauge/gladegauge/internal/core/rendezvous"
 )
 
 // The load that this answers: upstreams that leave, or refuse and ask for rest, while the
@@ -22,9 +23,6 @@
 // back from its rest: after about one answer, when it may get more.
 const returnWait = 100 * time.Millisecond
 
-// comeBackSteps is into how many steps that time is spread.
-const comeBackSteps = 1024
-
 // Said is what became of a notice.
 type Said struct {
 	// Of is the start whose word it is, as far as it is known; the zero value if the answer
@@ -158,5 +156,5 @@
 			least = left
 		}
 	}
-	return least + time.Duration(comeBackSpread*float64(least)*float64(hash%comeBackSteps)/comeBackSteps)
+	return least + time.Duration(comeBackSpread*float64(least)*rendezvous.Part(hash))
 }
--- a/internal/core/balance/said_test.go
+++ b/internal/core/balance/said_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/gladegauge/gladegauge/internal/core/notice"
+	"github.com/gladegauge/gladegauge/internal/core/rendezvous"
 )
 
 var leaves = notice.Notice{Leaving: true}
@@ -146,7 +147,7 @@
 	_, ok := table.Pick(at(500), plainRequest(1))
 	is.True(!ok)
 	earliest, latest := time.Hour, time.Duration(0)
-	for i := range uint64(comeBackSteps) {
+	for i := range uint64(rendezvous.Steps) {
 		left := table.RestLeft(at(500), "p", i)
 		earliest, latest = min(earliest, left), max(latest, left)
 	}
--- a/internal/core/balance/table.go
+++ b/internal/core/balance/table.go
@@ -210,12 +210,13 @@
 // whether its availability zone was until now. Of the past only what this very start has
 // said of itself counts: its entry may have lapsed and come back.
 func (t *Table) begin(now time.Time, in Instance, evacuated bool) *upstream {
+	start := in.Start()
 	u := &upstream{
 		hash:    xxhash.Sum64String(in.ID),
-		start:   in.Start(),
+		start:   start,
 		cache:   newCache(0),
 		running: make(map[uint64]*run),
-		said:    t.unlisted.Get(now, in.Start()),
+		said:    t.unlisted.Get(now, start),
 	}
 	u.Evacuated = evacuated
 	t.upstreams[in.ID] = u
--- a/internal/core/gateway/refusal.go
+++ b/internal/core/gateway/refusal.go
@@ -76,18 +76,18 @@
 	return &Refusal{Kind: kind, Reason: reason}
 }
 
-// WithRest returns the refusal if all upstreams that are there rest for so long: to come
-// back sooner helps nobody. One that does not promise that nothing ran stays as it is, and
-// so does one that no upstream has a part in.
+// ForUpstreams reports whether nothing ran for want of an upstream that takes the request.
+func (r *Refusal) ForUpstreams() bool {
+	return r.NotRun && (r.Reason == NoUpstream || r.Reason == RefusedByAll || r.Reason == Unreachable)
+}
+
+// WithRest returns such a refusal if all upstreams that are there rest for so long: to come
+// back sooner helps nobody.
 func (r *Refusal) WithRest(left time.Duration) *Refusal {
-	switch {
-	case left <= 0 || !r.NotRun:
-		return r
-	case r.Reason == NoUpstream || r.Reason == RefusedByAll || r.Reason == Unreachable:
-		return notRun(UpstreamsRest, left)
-	default:
+	if left <= 0 {
 		return r
 	}
+	return notRun(UpstreamsRest, left)
 }
 
 // Stopping refuses a request that came too late to a process that stops.
--- a/internal/core/notice/rest.go
+++ b/internal/core/notice/rest.go
@@ -20,6 +20,3 @@
 	}
 	return time.Duration(s * float64(time.Second)), true
 }
-
-// Believed is the part of a rest that is believed.
-func Believed(rest time.Duration) time.Duration { return min(max(0, rest), restMost) }
--- a/internal/core/notice/state.go
+++ b/internal/core/notice/state.go
@@ -23,8 +23,6 @@
 	// while all others rest. Without a limit the first one of twelve got 31 requests in the
 	// half second after its rest, ten times its share.
 	floodedFrom = 4
-	// returnSteps is into how many steps that time is spread.
-	returnSteps = 1024
 )
 
 // State is what one start of an upstream has said of itself until now. The zero value is
@@ -44,7 +42,7 @@
 	if n.Rest <= 0 {
 		return s
 	}
-	if until := now.Add(Believed(n.Rest)); until.After(s.restUntil) {
+	if until := now.Add(min(n.Rest, restMost)); until.After(s.restUntil) {
 		s.restUntil = until
 		s.answered = 0
 	}
@@ -108,6 +106,6 @@
 // gateways heard of it differ, and so do their delays.
 func (s State) returnDelay(gateways int) time.Duration {
 	spread := min(time.Duration(gateways-1)*returnEvery, returnLatest)
-	step := rendezvous.Mix(uint64(s.restUntil.UnixNano()), 0) % returnSteps
-	return spread * time.Duration(step) / returnSteps
+	part := rendezvous.Part(rendezvous.Mix(uint64(s.restUntil.UnixNano()), 0))
+	return time.Duration(float64(spread) * part)
 }
--- a/internal/core/overload/overload.go
+++ b/internal/core/overload/overload.go
@@ -40,7 +40,11 @@
 //	queue.Began(now, waited)
 package overload
 
-import "time"
+import (
+	"time"
+
+	"github.com/gladegauge/gladegauge/internal/core/rendezvous"
+)
 
 const (
 	// burstShare is the part of its target that a request may wait while no queue
@@ -86,8 +90,6 @@
 	comeBackMost  = 2.0
 	// comeBackFirst is the shortest such time: a few steps of an engine.
 	comeBackFirst = 50 * time.Millisecond
-	// comeBackSteps is into how many steps the time is spread.
-	comeBackSteps = 1024
 )
 
 // Ask is a request of the least urgent ones of a pool.
@@ -145,7 +147,7 @@
 		q.shares.take(now, a.Organisation, a.Tokens)
 		return 0
 	}
-	spread := comeBackLeast + (comeBackMost-comeBackLeast)*float64(a.Hash%comeBackSteps)/comeBackSteps
+	spread := comeBackLeast + (comeBackMost-comeBackLeast)*rendezvous.Part(a.Hash)
 	return max(comeBackFirst, part(spread, over))
 }
 
--- a/internal/core/rendezvous/rendezvous.go
+++ b/internal/core/rendezvous/rendezvous.go
@@ -29,6 +29,12 @@
 	return x ^ (x >> 31)
 }
 
+// Steps is the number of values that Part may have.
+const Steps = 1024
+
+// Part is a part by a hash, from 0 up to 1: it spreads in time what would come at once.
+func Part(hash uint64) float64 { return float64(hash%Steps) / Steps }
+
 // Rank returns the members by falling score for the key.
 func Rank(key string, members []string) []string {
 	type scored struct {
--- a/internal/edge/gatewayd/apply.go
+++ b/internal/edge/gatewayd/apply.go
@@ -114,9 +114,15 @@
 		addresses[in.Address] = !leaves || addresses[in.Address]
 	}
 	s.addresses.Store(&addresses)
+	s.publishClosed(now)
+	s.metrics.list(list, s.table.SaysLeaving)
+}
+
+// publishClosed lets requests see what upstreams said of themselves. It runs in the
+// control goroutine.
+func (s *Server) publishClosed(now time.Time) {
 	closed := s.table.Closed(now)
 	s.closed.Store(&closed)
-	s.metrics.list(list, s.table.SaysLeaving)
 }
 
 // forgetLapsed applies the list again when the first of the lapsed entries is to
--- a/internal/edge/gatewayd/notice.go
+++ b/internal/edge/gatewayd/notice.go
@@ -34,8 +34,11 @@
 	var said balance.Said
 	s.control.Must(func(now time.Time) {
 		said = s.table.Notice(now, choice.Instance, n)
-		if said.Leaves || said.Rests {
+		switch {
+		case said.Leaves:
 			s.publish(now, s.roster.Current(now))
+		case said.Rests:
+			s.publishClosed(now)
 		}
 	})
 	line := func(kind string) *zerolog.Event {
--- a/internal/edge/gatewayd/respond.go
+++ b/internal/edge/gatewayd/respond.go
@@ -37,7 +37,10 @@
 	if x.progress.Answering {
 		x.cut(gateway.Lost)
 	}
-	x.refuse(refusal.WithRest(x.restLeft()))
+	if refusal.ForUpstreams() {
+		refusal = refusal.WithRest(x.restLeft())
+	}
+	x.refuse(refusal)
 }
 
 // restLeft is the time after which the caller is to come back if all upstreams rest.
--- a/internal/edge/gatewayd/rest_test.go
+++ b/internal/edge/gatewayd/rest_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -36,9 +37,9 @@
 // that nothing ran. A rest is over when it is, also while the host stood still.
 func TestAllUpstreamsRest(t *testing.T) {
 	is := is.New(t)
-	refuse := true
+	var takes atomic.Bool
 	w := newWorld(t, 2, func(int, standin.Request) standin.Reply {
-		return standin.Reply{Refuse: refuse, Lines: restLine}
+		return standin.Reply{Refuse: !takes.Load(), Lines: restLine}
 	})
 	w.call("/write/1")
 	w.call("/write/1")
@@ -49,7 +50,7 @@
 	is.True(time.Since(asked) < time.Second)
 	w.await(func() bool { return strings.Contains(w.logs.String(), `"reason":"upstreams_rest"`) })
 	is.Equal(len(w.ran()), 0)
-	refuse = false
+	takes.Store(true)
 	w.suspend(30 * time.Second)
 	w.await(func() bool { return w.call("/read/1").Status == 200 })
 }
--- a/internal/soak/changes.go
+++ b/internal/soak/changes.go
@@ -91,12 +91,8 @@
 // calm reports whether nothing disturbed the call's gateway, or the store, for a
 // while before the call and until its end.
 func (r *Record) calm(c Call) bool {
-	for _, e := range r.Events {
-		if (e.Gateway == c.Gateway || e.Gateway == everyGateway) && e.At.Before(c.Done) && e.Until.After(c.Sent.Add(-calmFor)) {
-			return false
-		}
-	}
-	return true
+	from := c.Sent.Add(-calmFor)
+	return !r.disturbed(c.Gateway, from, c.Done) && !r.disturbed(everyGateway, from, c.Done)
 }
 
 // otherFault reports whether something beside the stop disturbed the gateway
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -186,10 +186,7 @@
 // list.
 func (w *World) replaceReplica(rng *rand.Rand, d time.Duration) {
 	w.mu.Lock()
-	w.addReplica()
-	at := rng.IntN(len(w.replicas))
-	r := w.replicas[at]
-	w.replicas = append(w.replicas[:at], w.replicas[at+1:]...)
+	r := w.swapReplica(rng)
 	w.store.PutReplica(r.At(r.link.Address()), pool, true)
 	w.mu.Unlock()
 	w.record.left(r.ID, time.Now())
@@ -197,6 +194,16 @@
 	w.store.RemoveReplica(r.ID)
 }
 
+// swapReplica starts a replica in the place of another one, which it returns. The caller
+// holds the mutex.
+func (w *World) swapReplica(rng *rand.Rand) *replica {
+	w.addReplica()
+	at := rng.IntN(len(w.replicas))
+	r := w.replicas[at]
+	w.replicas = append(w.replicas[:at], w.replicas[at+1:]...)
+	return r
+}
+
 func (w *World) compactStore(*rand.Rand, time.Duration) { w.store.Compact() }
 
 // upTo is a random time below the limit.
--- a/internal/soak/notices.go
+++ b/internal/soak/notices.go
@@ -91,10 +91,7 @@
 // list tells of that later, or never; and now and then its answers stop saying so.
 func (w *World) sayLeaving(rng *rand.Rand) {
 	w.mu.Lock()
-	w.addReplica()
-	at := rng.IntN(len(w.replicas))
-	r := w.replicas[at]
-	w.replicas = append(w.replicas[:at], w.replicas[at+1:]...)
+	r := w.swapReplica(rng)
 	w.mu.Unlock()
 	r.Leave(true)
 	time.Sleep(upTo(rng, listedLate))
