A prompt that hangs counts as a request that failed, for votes and trials

Change: a prompt that waits for half a second longer than overdue, without a word, counts once as a request that failed there: a vote, and for its own gateway a trial. What was sent before the last one that counted says nothing new. No ejection follows.

--- a/internal/core/balance/load.go
+++ b/internal/core/balance/load.go
@@ -40,6 +40,8 @@
 	// deadline is when its caller leaves; zero for never.
 	deadline time.Time
 	begun    bool
+	// hangs is true once it was counted as one that hangs.
+	hangs bool
 	// expected is the time to its first event, in milliseconds, at an engine that
 	// is as fast as its pool.
 	expected float64
--- a/internal/core/balance/overdue.go
+++ b/internal/core/balance/overdue.go
@@ -19,8 +19,7 @@
 		if r.begun {
 			continue
 		}
-		late := milliseconds(now.Sub(r.sentAt)) - 2*r.expected - overdueFrom
-		if late > 0 {
+		if late := r.overdue(now); late > 0 {
 			n++
 			sum += min(late, overdueMost)
 		}
@@ -28,6 +27,12 @@
 	return n, sum
 }
 
+// overdue is for how much longer than can be explained the request has waited, in
+// milliseconds; below 0 if it has not.
+func (r *run) overdue(now time.Time) float64 {
+	return milliseconds(now.Sub(r.sentAt)) - 2*r.expected - overdueFrom
+}
+
 // meanOverdue is the mean over such prompts of all gateways, in milliseconds.
 func (u *upstream) meanOverdue(now time.Time) float64 {
 	n, sum := u.overdue(now)
--- a/internal/core/balance/shared.go
+++ b/internal/core/balance/shared.go
@@ -30,6 +30,7 @@
 		u.shared = p.Loads[u.start]
 		u.sharedAt = now.Add(-p.Age)
 		u.sharedUntil = now.Add(p.Keep)
+		u.noteHanging(now)
 		if o, ok := u.count(now); ok {
 			out = append(out, o)
 		}
