A vote against an engine lasts while a prompt hangs there

Cause: a prompt that hung voted for a second, and its caller left after two. Then the vote was over, nothing waited there any more, and the next wave went there: at the busiest of seventeen engines that hang, prompts of the seconds 5.1 to 5.4 were left at 7.1 to 7.4, the next wave came at 7.6, the first line on votes at 8.3. Ruled out: a longer vote, which would also keep out what has answered since.

--- a/internal/core/balance/hanging.go
+++ b/internal/core/balance/hanging.go
@@ -25,7 +25,11 @@
 
 // noteIfHanging counts the prompt once if it hangs.
 func (u *upstream) noteIfHanging(now time.Time, r *run) {
-	if r.tokens == 0 || r.begun || r.hangs || r.overdue(now) < hangsFrom {
+	if r.tokens == 0 || r.begun || r.overdue(now) < hangsFrom {
+		return
+	}
+	if r.hangs {
+		u.health.staysBad(now)
 		return
 	}
 	r.hangs = true
--- a/internal/core/balance/health.go
+++ b/internal/core/balance/health.go
@@ -101,6 +101,13 @@
 	h.badAt = now
 }
 
+// staysBad notes that what went bad last still does.
+func (h *health) staysBad(now time.Time) {
+	if h.bad > 0 {
+		h.badAt = now
+	}
+}
+
 func (h *health) eject(now time.Time, d time.Duration) {
 	h.ejectedAt = now
 	if until := now.Add(d); until.After(h.until) {
