Prompts that hang: a line for each that counts, and what is evidence as a table

Cause: lines told of votes only when they put an engine last; that a gateway took a prompt to hang stood nowhere. Change: a line when one begins to count, with how long it waited; tests of what is a vote for and against, of prompts that hang beside each other, and of old streams. Ruled out: a line for each such prompt: a gateway that stood still would write as many lines as it has requests.

--- a/internal/core/balance/hanging.go
+++ b/internal/core/balance/hanging.go
@@ -16,25 +16,41 @@
 // It is as long as an upstream may be silent without a doubt.
 const hangsFrom = float64(silenceAfter / time.Millisecond)
 
-// noteHanging counts the prompts of this gateway at the upstream that hang.
-func (u *upstream) noteHanging(now time.Time) {
+// Hanging is an upstream at which a prompt began to hang, and how long it had waited.
+type Hanging struct {
+	ID     string
+	Waited time.Duration
+}
+
+// noteHanging counts the prompts of this gateway at the upstream that hang, and returns
+// those that count from now on.
+func (u *upstream) noteHanging(now time.Time) []Hanging {
+	var out []Hanging
 	for _, r := range u.running {
-		u.noteIfHanging(now, r)
+		if u.noteIfHanging(now, r) {
+			out = append(out, Hanging{ID: u.ID, Waited: now.Sub(r.sentAt)})
+		}
 	}
+	return out
 }
 
-// noteIfHanging counts the prompt once if it hangs.
-func (u *upstream) noteIfHanging(now time.Time, r *run) {
+// noteIfHanging counts the prompt if it hangs, and reports whether it does so for the first
+// time. The vote lasts until it ends: callers leave after two seconds, and a vote of
+// one second was over by then, so that the next wave went there (0.155 of what would meet
+// the fault by chance, 0.125 with it).
+func (u *upstream) noteIfHanging(now time.Time, r *run) bool {
 	if r.tokens == 0 || r.begun || r.overdue(now) < hangsFrom {
-		return
+		return false
 	}
 	if r.hangs {
 		u.health.staysBad(now)
-		return
+		return false
 	}
 	r.hangs = true
-	// What was sent before the last one was counted says nothing new.
-	if !r.sentAt.Before(u.health.badAt) {
-		u.health.wentBad(now)
+	// What was sent before the last one that counted says nothing new.
+	if r.sentAt.Before(u.health.badAt) {
+		return false
 	}
+	u.health.wentBad(now)
+	return true
 }
--- /dev/null
+++ b/internal/core/balance/hanging_test.go
@@ -0,0 +1,129 @@
+package balance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gladegauge/gladegauge/internal/core/occupancy"
+)
+
+// A prompt that hangs is a vote against its engine, for as long as it does and a second
+// after; an answer that begins is one for it, and so is no other sign of life.
+func TestHangingAsEvidence(t *testing.T) {
+	const (
+		against = "against"
+		neither = "neither"
+		served  = "for"
+	)
+	type step struct {
+		at int
+		do func(table *Table, c Choice, now time.Time)
+	}
+	look := func(table *Table, _ Choice, now time.Time) { table.OthersHave(now, pictureOf(nil)) }
+	leaves := func(table *Table, c Choice, now time.Time) { table.Ended(now, c, Abandoned, Answer{}) }
+	begins := func(table *Table, c Choice, now time.Time) { table.Began(now, c) }
+	ends := func(table *Table, c Choice, now time.Time) { table.Ended(now, c, Completed, Answer{}) }
+	another := func(table *Table, _ Choice, now time.Time) {
+		c, _ := table.Pick(now, chat(2))
+		table.Began(now, c)
+	}
+	tests := []struct {
+		name  string
+		want  Request
+		steps []step
+		vote  string
+		// bad is the number of failures in a row.
+		bad int
+	}{
+		{"it waits for as long as many do", chat(1), []step{{300, look}}, neither, 0},
+		{"it hangs", chat(1), []step{{1500, look}}, against, 1},
+		{"it still hangs", chat(1), []step{{1500, look}, {4900, look}, {5000, look}}, against, 1},
+		{"its caller leaves, and nobody had looked", chat(1), []step{{2000, leaves}}, against, 1},
+		{"its caller left a while ago", chat(1), []step{{2000, leaves}, {3100, look}}, neither, 1},
+		{"its caller leaves at once", chat(1), []step{{100, leaves}}, neither, 0},
+		{"another one begins since", chat(1), []step{{1500, look}, {1600, another}}, served, 1},
+		{"another one began, and it still hangs", chat(1), []step{{1500, look}, {1600, another}, {1700, look}}, served, 1},
+		{"it begins late", chat(1), []step{{1500, look}, {1600, begins}}, served, 1},
+		{"it begins late, and is answered", chat(1), []step{{1500, look}, {1600, begins}, {1700, ends}}, served, 0},
+		{"its stream has begun, and pauses", chat(1), []step{{100, begins}, {3000, look}}, neither, 0},
+		{"the work of a plain service is long", plainRequest(1), []step{{5000, look}}, neither, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			table := enginesWith(t, 1)
+			c, ok := table.Pick(t0, tt.want)
+			is.True(ok)
+			last := 0
+			for _, s := range tt.steps {
+				s.do(table, c, at(s.at))
+				last = s.at
+			}
+			u := table.upstreams["i-0"]
+			vote := neither
+			switch l := table.Loads(at(last))[u.start]; {
+			case l.Failing == 1:
+				vote = against
+			case l.Served == 1:
+				vote = served
+			}
+			is.Equal(vote, tt.vote)
+			is.Equal(u.health.bad, tt.bad)
+			is.True(!u.health.ejected(at(last)))
+		})
+	}
+}
+
+// Prompts that hang beside each other are one piece of evidence: so they are when the
+// gateway itself stood still.
+func TestHangingTogether(t *testing.T) {
+	is := is.New(t)
+	table := enginesWith(t, 1)
+	for i := range 5 {
+		_, ok := table.Pick(at(i), chat(i))
+		is.True(ok)
+	}
+	d := table.OthersHave(at(5000), pictureOf(nil))
+	is.Equal(len(d.Hanging), 1)
+	is.Equal(table.upstreams["i-0"].health.bad, 1)
+}
+
+// A whole answer ends a row of failures, unless it had begun before the last of them.
+func TestOldStreamSaysNothingNewer(t *testing.T) {
+	is := is.New(t)
+	table := enginesWith(t, 1)
+	old, _ := table.Pick(t0, chat(1))
+	table.Began(at(10), old)
+	failed, _ := table.Pick(at(100), chat(2))
+	table.Ended(at(110), failed, Faulty, Answer{})
+	table.Ended(at(200), old, Completed, Answer{})
+	u := table.upstreams["i-0"]
+	is.Equal(u.health.bad, 1)
+	is.Equal(table.Loads(at(210))[u.start].Failing, 1)
+	fresh, _ := table.Pick(at(300), chat(3))
+	table.Began(at(310), fresh)
+	table.Ended(at(320), fresh, Completed, Answer{})
+	is.Equal(u.health.bad, 0)
+	is.Equal(table.Loads(at(330))[u.start].Served, 1)
+}
+
+// Many gateways look at a pool where everything waits for long: more than half of it by
+// their word, which is not believed.
+func TestAllHang(t *testing.T) {
+	is := is.New(t)
+	table := enginesWith(t, 4)
+	loads := make(occupancy.Loads)
+	for _, u := range table.upstreams {
+		loads[u.start] = occupancy.Load{Failing: 5}
+	}
+	table.OthersHave(t0, pictureOf(loads))
+	used := make(map[string]bool)
+	for i := range 60 {
+		c, ok := table.Pick(at(i), chat(i))
+		is.True(ok)
+		used[c.ID] = true
+	}
+	is.Equal(len(used), 4)
+}
--- a/internal/core/balance/shared.go
+++ b/internal/core/balance/shared.go
@@ -21,21 +21,29 @@
 	Gateways int
 }
 
+// Doubts are upstreams that are doubted from now on.
+type Doubts struct {
+	// Outvoted are those that votes put last.
+	Outvoted []Outvoted
+	// Hanging are those at which a prompt of this gateway hangs.
+	Hanging []Hanging
+}
+
 // OthersHave takes the picture. An upstream that is not in it has nothing of theirs. It
-// returns the upstreams that the votes in it put last from now on.
-func (t *Table) OthersHave(now time.Time, p Picture) []Outvoted {
-	var out []Outvoted
+// returns what follows for upstreams from now on.
+func (t *Table) OthersHave(now time.Time, p Picture) Doubts {
+	var d Doubts
 	t.toldAt, t.toldAge, t.gateways = now, p.Age, max(p.Gateways, 1)
 	for _, u := range t.upstreams {
 		u.shared = p.Loads[u.start]
 		u.sharedAt = now.Add(-p.Age)
 		u.sharedUntil = now.Add(p.Keep)
-		u.noteHanging(now)
+		d.Hanging = append(d.Hanging, u.noteHanging(now)...)
 		if o, ok := u.count(now); ok {
-			out = append(out, o)
+			d.Outvoted = append(d.Outvoted, o)
 		}
 	}
-	return out
+	return d
 }
 
 // Loads returns what this gateway has at the upstreams.
--- a/internal/edge/gatewayd/loads.go
+++ b/internal/edge/gatewayd/loads.go
@@ -112,13 +112,16 @@
 // the control goroutine.
 func (s *Server) takeOthers(now time.Time, relay bool) {
 	if loads, ok := s.occupancy.Others(now, relay); ok {
-		outvoted := s.table.OthersHave(now, balance.Picture{
+		doubts := s.table.OthersHave(now, balance.Picture{
 			Loads:    loads,
 			Age:      s.occupancy.Age(),
 			Keep:     s.occupancy.Keep(),
 			Gateways: s.fleet.Size(now),
 		})
-		for _, o := range outvoted {
+		for _, h := range doubts.Hanging {
+			s.log.Info().Str("upstream", h.ID).Dur("waited", h.Waited).Msg("prompt hangs")
+		}
+		for _, o := range doubts.Outvoted {
 			s.log.Info().Str("upstream", o.ID).Int("against", o.Failing).Int("for", o.Served).Dur("last_for", o.For).
 				Dur("told_age", s.occupancy.Age()).Msg("upstream put last by votes")
 		}
