Test, failing: of two answers of the kernel the older one is noted last

Cause: found by reading: the clock notes what it was told without a look at what was noted meanwhile. Figures: 50 ms pass in the test where 5.05 s did, each time.

--- a/internal/edge/clock/clock_test.go
+++ b/internal/edge/clock/clock_test.go
@@ -62,6 +62,32 @@
 	}
 }
 
+// A goroutine asked the kernel, the host was suspended, and another one asked and noted it;
+// then the first noted its older answer, and the suspension was forgotten for 50 ms:
+// "50ms != 5.05s".
+func TestOlderAnswerComesLast(t *testing.T) {
+	is := is.New(t)
+	h := &host{boot: time.Hour}
+	s := h.sources()
+	var c *Clock
+	inner := false
+	s.Boot = func() (time.Duration, error) {
+		answer := h.boot
+		if c != nil && !inner {
+			inner = true
+			h.boot += 5 * time.Second
+			h.day += 5 * time.Second
+			c.Now()
+		}
+		return answer, nil
+	}
+	c = From(s)
+	before := s.Start
+	h.pass(lookEvery)
+	c.Now()
+	is.Equal(c.Now().Sub(before), 5*time.Second+lookEvery)
+}
+
 // The kernel is asked now and then, and at once when the clocks part.
 func TestSystemCalls(t *testing.T) {
 	is := is.New(t)
