The clock never notes an older answer of the kernel over a newer one

Change: what is noted is exchanged only for what it was made from, and a suspension once known stays. Ruled out: a lock, which every request would take some tens of times.

--- a/internal/edge/clock/clock.go
+++ b/internal/edge/clock/clock.go
@@ -104,12 +104,19 @@
 func (c *Clock) look(before *look) *look {
 	boot, err := c.sources.Boot()
 	steady, day := c.sources.Read()
-	l := &look{steady: steady, day: day, suspended: before.suspended}
+	l := &look{steady: steady, day: day}
 	if err == nil {
-		l.suspended = max(before.suspended, boot-c.bootAtStart-steady)
+		l.suspended = boot - c.bootAtStart - steady
+	}
+	// Another goroutine may have asked meanwhile. A plain store of the older answer forgot
+	// a suspension of 5 s for 50 ms.
+	for {
+		l.suspended = max(l.suspended, before.suspended)
+		if c.latest.CompareAndSwap(before, l) {
+			return l
+		}
+		before = c.latest.Load()
 	}
-	c.latest.Store(l)
-	return l
 }
 
 // bootTime is CLOCK_BOOTTIME.
