Prompts at an engine that is full are not taken to hang

Cause: where more comes than fits, prompts wait for longer than what is read before them explains. Each such wait was a vote, and two votes put an engine last: capacity that is missed when it is scarcest. Change: a prompt does not count while its engine says that it is full or that requests wait there, or has nine tenths of its slots or memory taken as far as gateways know: the rule that refusals have, in one function for both.

--- a/internal/core/balance/hanging.go
+++ b/internal/core/balance/hanging.go
@@ -24,10 +24,10 @@
 
 // noteHanging counts the prompts of this gateway at the upstream that hang, and returns
 // those that count from now on.
-func (u *upstream) noteHanging(now time.Time) []Hanging {
+func (p *pool) noteHanging(now time.Time, u *upstream) []Hanging {
 	var out []Hanging
 	for _, r := range u.running {
-		if u.noteIfHanging(now, r) {
+		if p.noteIfHanging(now, u, r) {
 			out = append(out, Hanging{ID: u.ID, Waited: now.Sub(r.sentAt)})
 		}
 	}
@@ -38,8 +38,8 @@
 // time. The vote lasts until it ends: callers leave after two seconds, and a vote of
 // one second was over by then, so that the next wave went there (0.155 of what would meet
 // the fault by chance, 0.125 with it).
-func (u *upstream) noteIfHanging(now time.Time, r *run) bool {
-	if r.tokens == 0 || r.begun || r.overdue(now) < hangsFrom {
+func (p *pool) noteIfHanging(now time.Time, u *upstream, r *run) bool {
+	if r.tokens == 0 || r.begun || r.overdue(now) < hangsFrom || u.saysFull(now) || p.isFull(now, u, 0) {
 		return false
 	}
 	if r.hangs {
--- a/internal/core/balance/hanging_test.go
+++ b/internal/core/balance/hanging_test.go
@@ -29,6 +29,14 @@
 		c, _ := table.Pick(now, chat(2))
 		table.Began(now, c)
 	}
+	says := func(l Load) func(table *Table, c Choice, now time.Time) {
+		return func(table *Table, _ Choice, now time.Time) { table.Reported(now, "i-0", l) }
+	}
+	fills := func(table *Table, _ Choice, now time.Time) {
+		for i := range 7 {
+			table.Pick(now, chat(10+i))
+		}
+	}
 	tests := []struct {
 		name  string
 		want  Request
@@ -48,6 +56,9 @@
 		{"it begins late", chat(1), []step{{1500, look}, {1600, begins}}, served, 1},
 		{"it begins late, and is answered", chat(1), []step{{1500, look}, {1600, begins}, {1700, ends}}, served, 0},
 		{"its stream has begun, and pauses", chat(1), []step{{100, begins}, {3000, look}}, neither, 0},
+		{"requests wait there, as it says", chat(1), []step{{1400, says(Load{Running: 2, Waiting: 1, Slots: 8})}, {1500, look}}, neither, 0},
+		{"it said so a while ago", chat(1), []step{{100, says(Load{Running: 2, Waiting: 1, Slots: 8})}, {2500, look}}, against, 1},
+		{"it has as much as it takes", chat(1), []step{{1400, fills}, {1500, look}}, neither, 0},
 		{"the work of a plain service is long", plainRequest(1), []step{{5000, look}}, neither, 0},
 	}
 	for _, tt := range tests {
--- a/internal/core/balance/health.go
+++ b/internal/core/balance/health.go
@@ -149,16 +149,20 @@
 // waited in its queue, or had hardly any time. Otherwise one caller with such requests
 // could have upstreams left out.
 func (p *pool) rightly(now time.Time, u *upstream, r *run) bool {
+	hasty := !r.deadline.IsZero() && r.deadline.Sub(now) < refusedLeft
+	return hasty || now.Sub(r.sentAt) > refusedAtOnce || p.isFull(now, u, r.tokens)
+}
+
+// isFull reports whether the upstream has as much as it takes, or no room for a request of
+// so many tokens, as far as gateways know.
+func (p *pool) isFull(now time.Time, u *upstream, tokens int) bool {
 	if u.Slots > 0 && u.inFlight(now) >= fullShare*float64(u.Slots) {
 		return true
 	}
-	if p.engine != nil && p.engine.MemoryTokens > 0 {
-		if u.memoryTokens(now, p.meanTokens)+float64(r.tokens) >= fullShare*float64(p.engine.MemoryTokens) {
-			return true
-		}
+	if p.engine == nil || p.engine.MemoryTokens == 0 {
+		return false
 	}
-	hasty := !r.deadline.IsZero() && r.deadline.Sub(now) < refusedLeft
-	return hasty || now.Sub(r.sentAt) > refusedAtOnce
+	return u.memoryTokens(now, p.meanTokens)+float64(tokens) >= fullShare*float64(p.engine.MemoryTokens)
 }
 
 // full reports whether the upstream says that it has nearly all that it takes, or that
--- a/internal/core/balance/load.go
+++ b/internal/core/balance/load.go
@@ -23,6 +23,11 @@
 	known bool
 }
 
+// saysFull reports whether the upstream said lately that it has nearly all that it takes.
+func (u *upstream) saysFull(now time.Time) bool {
+	return u.load.known && now.Sub(u.load.at) < staleAfter && u.load.full()
+}
+
 // run is a request that this gateway sent and that has not ended.
 type run struct {
 	route string
--- a/internal/core/balance/outcome.go
+++ b/internal/core/balance/outcome.go
@@ -150,6 +150,6 @@
 			u.health.eject(now, unreachableFor)
 		}
 	case Abandoned:
-		u.noteIfHanging(now, r)
+		t.pool(u.Pool).noteIfHanging(now, u, r)
 	}
 }
--- a/internal/core/balance/replay_world_test.go
+++ b/internal/core/balance/replay_world_test.go
@@ -71,6 +71,9 @@
 	admits bool
 	// eventTokens is the size of an event of a stream.
 	eventTokens int
+	// outvoted and hanging are how often gateways put an engine last by votes, and took a
+	// prompt to hang.
+	outvoted, hanging int
 	// cutTokens are those that were read for answers that were cut.
 	cutTokens int
 	end       time.Time
@@ -325,7 +328,9 @@
 				others[id] = o
 			}
 		}
-		g.table.OthersHave(r.now, Picture{Loads: others, Age: r.lag + r.every/2, Keep: 7 * r.every, Gateways: len(r.gateways)})
+		d := g.table.OthersHave(r.now, Picture{Loads: others, Age: r.lag + r.every/2, Keep: 7 * r.every, Gateways: len(r.gateways)})
+		r.outvoted += len(d.Outvoted)
+		r.hanging += len(d.Hanging)
 		var parts []occupancy.Part
 		for ; g.heardNews < len(r.news); g.heardNews++ {
 			if r.newsBy[g.heardNews] != i {
@@ -369,5 +374,5 @@
 		t.Logf("%-6s in time %.3f late %.3f paused %.3f lost %.3f refused %.3f gone %.3f", c.name,
 			r.share(c.name, inTime), r.share(c.name, lateResult), r.share(c.name, pausedResult), r.share(c.name, lostResult), r.share(c.name, refusedResult), r.share(c.name, goneResult))
 	}
-	t.Logf("read again %d k, connections refused %d", r.readAgain/1000, r.refusals)
+	t.Logf("read again %d k, connections refused %d, outvoted %d, hanging %d", r.readAgain/1000, r.refusals, r.outvoted, r.hanging)
 }
--- a/internal/core/balance/shared.go
+++ b/internal/core/balance/shared.go
@@ -38,7 +38,7 @@
 		u.shared = p.Loads[u.start]
 		u.sharedAt = now.Add(-p.Age)
 		u.sharedUntil = now.Add(p.Keep)
-		d.Hanging = append(d.Hanging, u.noteHanging(now)...)
+		d.Hanging = append(d.Hanging, t.pool(u.Pool).noteHanging(now, u)...)
 		if o, ok := u.count(now); ok {
 			d.Outvoted = append(d.Outvoted, o)
 		}
