An upstream on trial is put last by a trial that failed here, or by two votes

Change: one vote of another gateway ends no trial. Those who do not try the upstream wait for as long as a vote stands against it, in place of five seconds; those who try it take any request after five seconds without one of the least urgent.

--- a/internal/core/balance/hanging.go
+++ b/internal/core/balance/hanging.go
@@ -9,8 +9,9 @@
 //
 // A prompt that hangs counts as a request that failed, for votes and trials: with it the
 // engines of the replay got 0.14 of what would meet them by chance, 0.44 before. Ejection
-// stays a matter of answers, as a long wait may be the request's own. How long the work of
-// a plain service takes is not known beforehand.
+// stays a matter of answers, as a long wait may be the request's own. At an engine that is
+// full prompts wait for others to end, and how long the work of a plain service takes is
+// not known beforehand: neither is a fault.
 
 // hangsFrom is for how long a prompt must be overdue to be taken to hang, in milliseconds.
 // It is as long as an upstream may be silent without a doubt.
--- a/internal/core/balance/votes.go
+++ b/internal/core/balance/votes.go
@@ -41,7 +41,16 @@
 // outvoted follows how often the votes were against an upstream.
 type outvoted struct {
 	times int
-	until time.Time
+	// until is until when it is put last, trialUntil until when others than those that try
+	// it wait for their word.
+	until, trialUntil time.Time
+}
+
+// with returns what follows when the votes are against it, and for how long.
+func (o outvoted) with(now time.Time) (outvoted, time.Duration) {
+	d := outvotedFor << min(o.times, maxOutvoted)
+	until := now.Add(d)
+	return outvoted{times: o.times + 1, until: until, trialUntil: until.Add(trialFor)}, d
 }
 
 // now reports whether the upstream is put last, and trial whether it has yet to answer a
@@ -49,9 +58,12 @@
 func (o outvoted) now(now time.Time) bool { return o.times > 0 && now.Before(o.until) }
 
 func (o outvoted) trial(now time.Time) bool {
-	return o.times > 0 && !o.now(now) && now.Sub(o.until) < trialFor
+	return o.times > 0 && !o.now(now) && now.Before(o.trialUntil)
 }
 
+// untried reports whether none of the least urgent requests came for a trial in time.
+func (o outvoted) untried(now time.Time) bool { return o.trial(now) && now.Sub(o.until) >= trialFor }
+
 // Outvoted is an upstream that votes put last, and how they stood.
 type Outvoted struct {
 	ID              string
@@ -67,9 +79,10 @@
 }
 
 // mayTry reports whether the request may be the trial of such an upstream: one of the least
-// urgent, and one at a time; where the votes were against it, of a few gateways.
+// urgent, while there are some, and one at a time; where the votes were against it, of a
+// few gateways.
 func (t *Table) mayTry(now time.Time, u *upstream, r Request) bool {
-	if !r.Least || u.unanswered() > 0 {
+	if u.unanswered() > 0 || (!r.Least && !u.outvoted.untried(now)) {
 		return false
 	}
 	return !u.outvoted.trial(now) || t.holds(now, u.hash, trialGateways)
@@ -86,20 +99,23 @@
 	case u.health.votesFor(now):
 		served++
 	}
-	// Of an upstream that was outvoted one failed trial is enough.
-	witnesses := goneWitnesses
-	if u.outvoted.trial(now) {
-		witnesses = 1
-	}
-	switch against := u.shared.Failing > 0 && failing >= witnesses && failing > failingFactor*served; {
+	against := failing > failingFactor*served
+	switch {
 	case u.outvoted.now(now):
-	case against:
-		d := outvotedFor << min(u.outvoted.times, maxOutvoted)
-		u.outvoted.until = now.Add(d)
-		u.outvoted.times++
+	case against && u.shared.Failing > 0 && (failing >= goneWitnesses || u.trialFailed(now)):
+		var d time.Duration
+		u.outvoted, d = u.outvoted.with(now)
 		return Outvoted{ID: u.ID, Failing: failing, Served: served, For: d}, true
+	case against && u.outvoted.trial(now):
+		// One vote is none, but those who try it may have that word.
+		u.outvoted.trialUntil = now.Add(trialFor)
 	case served > 0, !u.outvoted.trial(now):
-		u.outvoted.times = 0
+		u.outvoted = outvoted{}
 	}
 	return Outvoted{}, false
 }
+
+// trialFailed reports whether this gateway's own trial of the upstream failed.
+func (u *upstream) trialFailed(now time.Time) bool {
+	return u.outvoted.trial(now) && u.health.votesAgainst(now) && u.health.badAt.After(u.outvoted.until)
+}
