A gateway is a witness in its own availability zone only

Cause: a relay took the word of any caller as that of one witness. A gateway that told the relays of two zones was two, and two put an upstream last. Change: what a caller tells of the health of upstreams counts if the relay knows it as a living gateway of its own zone; its loads count as before, as a gateway that has just started is not known yet. Ruled out: to refuse the whole word: after a loss of all gateways nobody knows anybody. A caller that claims to be the relay of another zone is still believed.

--- a/internal/core/fleet/ask.go
+++ b/internal/core/fleet/ask.go
@@ -120,6 +120,13 @@
 	}
 }
 
+// IsNeighbour reports whether the address is of another gateway of the availability zone
+// that is believed to live.
+func (f *Fleet) IsNeighbour(now time.Time, address string) bool {
+	h, ok := f.others[address]
+	return ok && h.Zone == f.self.Zone && now.Sub(h.at) <= f.keep()
+}
+
 // ZoneSize returns the number of gateways of the availability zone.
 func (f *Fleet) ZoneSize(now time.Time) int { return 1 + len(f.askable(now, f.self.Zone)) }
 
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -203,3 +203,26 @@
 	_, self := New(Member{Address: "10.0.0.1:1", Zone: "a"}).Relay(now)
 	is.True(self)
 }
+
+// A neighbour is another gateway of the availability zone, for as long as its beat rises.
+func TestIsNeighbour(t *testing.T) {
+	tests := []struct {
+		name string
+		m    Member
+		wait time.Duration
+		want bool
+	}{
+		{"of the zone", Member{Address: "b", Zone: "z", Start: 1, Beat: 1}, 0, true},
+		{"of another zone", Member{Address: "b", Zone: "y", Start: 1, Beat: 1}, 0, false},
+		{"nobody has heard of it", Member{Address: "c", Zone: "z", Start: 1, Beat: 1}, 0, false},
+		{"it lives no more", Member{Address: "b", Zone: "z", Start: 1, Beat: 1}, keepFor + time.Millisecond, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			f := New(Member{Address: "a", Zone: "z"})
+			f.Merge(t0, []Member{tt.m})
+			is.Equal(f.IsNeighbour(t0.Add(tt.wait), "b"), tt.want)
+		})
+	}
+}
--- a/internal/core/occupancy/book.go
+++ b/internal/core/occupancy/book.go
@@ -69,14 +69,7 @@
 // TakeMember takes what another gateway of the availability zone has. It is one
 // witness, whatever it tells.
 func (b *Book) TakeMember(now time.Time, address string, l Loads) {
-	for id, load := range l {
-		load.Gone = min(load.Gone, 1)
-		load.Closed = min(load.Closed, 1)
-		load.Failing = min(load.Failing, 1)
-		load.Served = min(load.Served, 1)
-		l[id] = load
-	}
-	b.members[address] = word{loads: l, at: now}
+	b.members[address] = word{loads: l.withWitnesses(1), at: now}
 }
 
 // TakeZone takes what the gateways of another availability zone have.
--- a/internal/core/occupancy/load.go
+++ b/internal/core/occupancy/load.go
@@ -58,6 +58,16 @@
 	}
 }
 
+// withWitnesses returns the load with what it tells of the upstream's health as the word of
+// so many gateways at most.
+func (l Load) withWitnesses(most int) Load {
+	l.Gone = min(l.Gone, most)
+	l.Closed = min(l.Closed, most)
+	l.Failing = min(l.Failing, most)
+	l.Served = min(l.Served, most)
+	return l
+}
+
 // Loads are by the hash of the upstream's identity. Upstreams with nothing are
 // left out.
 type Loads map[uint64]Load
@@ -68,3 +78,14 @@
 		l[id] = l[id].plus(load)
 	}
 }
+
+// WithoutVerdicts returns the loads without what they tell of the upstreams' health.
+func (l Loads) WithoutVerdicts() Loads { return l.withWitnesses(0) }
+
+func (l Loads) withWitnesses(most int) Loads {
+	out := make(Loads, len(l))
+	for id, load := range l {
+		out[id] = load.withWitnesses(most)
+	}
+	return out
+}
--- a/internal/core/occupancy/occupancy_test.go
+++ b/internal/core/occupancy/occupancy_test.go
@@ -140,3 +140,11 @@
 	relay.TakeMember(at(2), "n", Loads{})
 	is.Equal(relay.Zone(at(3))[7].Gone, 1)
 }
+
+// What a gateway tells that is no member of the zone counts as load, and judges nobody.
+func TestNoWitness(t *testing.T) {
+	is := is.New(t)
+	l := Loads{7: {Requests: 3, Gone: 1, Closed: 1, Failing: 1, Served: 1}}
+	is.Equal(l.WithoutVerdicts()[7], Load{Requests: 3})
+	is.Equal(l[7].Failing, 1) // it is as it was
+}
--- a/internal/edge/gatewayd/loads.go
+++ b/internal/edge/gatewayd/loads.go
@@ -147,6 +147,11 @@
 			return
 		}
 		s.table.OthersRead(now, parts)
+		if !s.fleet.IsNeighbour(now, from) {
+			// A gateway that tells several relays would be as many witnesses: one that lied
+			// kept sound replicas out for 6.8 s.
+			loads = loads.WithoutVerdicts()
+		}
 		s.occupancy.TakeMember(now, from, loads)
 		s.kept.Add(from, parts)
 		s.suspects.Hear(now, from, req.Msg.GetSuspects(), xxhash.Sum64String(from))
