Soak: one gateway more that lies of all replicas

It joins the fleet, and tells every 100 ms, until the end of a play, that each replica is gone, closed and failing, with a thousand witnesses. What is checked is that service is back; what one vote may do is in the tests of votes.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -52,6 +52,10 @@
 		w.Crash(load, seed)
 		return nil
 	})
+	group.Go(func() error {
+		w.Lie(load)
+		return nil
+	})
 	failing, endFaults := context.WithTimeout(context.Background(), *length)
 	defer endFaults()
 	group.Go(func() error {
