Waiting for a trial ends, whoever votes; an answer that is over at once ends a row of failures

Cause: found in the reread: a vote that never ends kept those waiting who do not try an upstream, and where those who try have no requests for its pool, for ever. A stream that ends without an event had no beginning, and did not count as an answer since the last failure. Change: 20 s at most; such an answer begins when it ends. A comment gives what the logs of the lying gateway say, in place of a time that a sound replica without use has as well.

--- a/internal/core/balance/outcome.go
+++ b/internal/core/balance/outcome.go
@@ -123,6 +123,9 @@
 	switch o {
 	case Completed:
 		u.heard(now)
+		if !r.begun {
+			r.begunAt = now // It was over at once.
+		}
 		u.health.succeeded(r.begunAt)
 		u.pace.learn(now, now.Sub(r.sentAt))
 		if t.pool(u.Pool).pauses.isTight(r.pause) {
--- a/internal/core/balance/votes.go
+++ b/internal/core/balance/votes.go
@@ -26,6 +26,9 @@
 	maxOutvoted = 2
 	// trialGateways is the number of gateways that try it then.
 	trialGateways = 2
+	// trialMost is how long others wait for their word at most, whoever votes: four times
+	// as long as one of the least urgent requests is waited for.
+	trialMost = 4 * trialFor
 )
 
 // votesAgainst reports whether the latest that this gateway saw of the upstream is a
@@ -53,6 +56,16 @@
 	return outvoted{times: o.times + 1, until: until, trialUntil: until.Add(trialFor)}, d
 }
 
+// withVote returns what follows of one vote during a trial: it is none, but those who try
+// may have that word, and others wait on.
+func (o outvoted) withVote(now time.Time) outvoted {
+	o.trialUntil = now.Add(trialFor)
+	if last := o.until.Add(trialMost); o.trialUntil.After(last) {
+		o.trialUntil = last
+	}
+	return o
+}
+
 // now reports whether the upstream is put last, and trial whether it has yet to answer a
 // trial.
 func (o outvoted) now(now time.Time) bool { return o.times > 0 && now.Before(o.until) }
@@ -107,8 +120,7 @@
 		u.outvoted, d = u.outvoted.with(now)
 		return Outvoted{ID: u.ID, Failing: failing, Served: served, For: d}, true
 	case against && u.outvoted.trial(now):
-		// One vote is none, but those who try it may have that word.
-		u.outvoted.trialUntil = now.Add(trialFor)
+		u.outvoted = u.outvoted.withVote(now)
 	case served > 0, !u.outvoted.trial(now):
 		u.outvoted = outvoted{}
 	}
--- a/internal/core/balance/votes_test.go
+++ b/internal/core/balance/votes_test.go
@@ -79,6 +79,18 @@
 	is.True(ok)
 }
 
+// A vote that never ends keeps nobody waiting for ever, also where those who try have no
+// requests.
+func TestWaitForTrialsEnds(t *testing.T) {
+	is := is.New(t)
+	v := newVoters(false)
+	for ms := 100; ms <= 21_000; ms += 100 {
+		v.hear(at(ms), 1, 0)
+	}
+	_, ok := v.try(at(21_000))
+	is.True(ok)
+}
+
 // A trial that fails puts the upstream last for twice as long.
 func TestFailedTrial(t *testing.T) {
 	is := is.New(t)
--- a/internal/edge/gatewayd/loads.go
+++ b/internal/edge/gatewayd/loads.go
@@ -149,7 +149,7 @@
 		s.table.OthersRead(now, parts)
 		if !s.fleet.IsNeighbour(now, from) {
 			// A gateway that tells several relays would be as many witnesses: one that lied
-			// kept sound replicas out for 6.8 s.
+			// put a sound replica last for 1, 2 and 4 s, one after the other.
 			loads = loads.WithoutVerdicts()
 		}
 		s.occupancy.TakeMember(now, from, loads)
