Entries and agents count by the clock that goes on while the host is suspended

Cause: they read Go's steady clock, which stands still then: after a suspension an entry told an agent a request's age without it, and lists, leases and tombstones looked as young as before. Gateways count by package clock. Change: both loops, and the times of calls, read package clock; deadlines of connections go through clock.Deadline. Ruled out: to suspend a host in a test: nothing on one machine does it to a process; the clock's own tests play it. Gateways are as they were. Open: deadlines of gateways' connections have the same line by themselves.

--- a/internal/edge/agentd/server.go
+++ b/internal/edge/agentd/server.go
@@ -22,6 +22,7 @@
 	"github.com/gladegauge/gladegauge/internal/core/agent"
 	"github.com/gladegauge/gladegauge/internal/core/config"
 	"github.com/gladegauge/gladegauge/internal/core/member"
+	"github.com/gladegauge/gladegauge/internal/edge/clock"
 	"github.com/gladegauge/gladegauge/internal/edge/loop"
 	"github.com/gladegauge/gladegauge/internal/edge/metrics"
 	"github.com/gladegauge/gladegauge/internal/edge/ops"
@@ -75,12 +76,13 @@
 
 // New returns a server that does not listen yet.
 func New(o *Options) (*Server, error) {
+	now := clock.New().Now
 	s := &Server{
 		o:           o,
-		loop:        loop.New(time.Now),
+		loop:        loop.New(now),
 		metrics:     metrics.New(prometheus.NewRegistry()),
 		incarnation: randomName()[:incarnationLength],
-		booted:      time.Now(),
+		booted:      now(),
 		sessions:    make(map[string]*session),
 	}
 	s.o.Keys.Expiry = func(t time.Time) { s.metrics.CertExpiry.Set(float64(t.Unix())) }
--- a/internal/edge/clock/clock.go
+++ b/internal/edge/clock/clock.go
@@ -6,7 +6,7 @@
 // both: they are the start of the process by the time of day, plus what has passed since
 // by the kernel's boot time. They carry no steady reading, so that two of them differ by
 // exactly what passed. They must not be given to what counts by the time of day
-// (context.WithDeadline, net.Conn.SetDeadline): give these what is left.
+// (context.WithDeadline, net.Conn.SetDeadline): give these what is left, or Deadline.
 //
 // Timers and timeouts count steady time and go off late after a suspension. Whoever
 // waits for one looks at the clock before it acts.
@@ -98,6 +98,10 @@
 	return c.sources.Start.Add(steady + l.suspended)
 }
 
+// Deadline is when the time will have passed by the clock that package net counts by. What
+// is left of a deadline is worked out by a Clock.
+func Deadline(left time.Duration) time.Time { return time.Now().Add(left) }
+
 // look asks the kernel. The steady clock is read after it: a process that stands still
 // between the two takes a suspension for shorter, until the next look, and never for
 // longer. Time does not go back.
--- a/internal/edge/entryd/account.go
+++ b/internal/edge/entryd/account.go
@@ -35,7 +35,7 @@
 		}
 	case dispatch.Abandoned:
 		// A caller that leaves before the target has missed nothing.
-		if time.Since(x.arrived) > class.StartTarget() && x.first.IsZero() {
+		if x.s.now().Sub(x.arrived) > class.StartTarget() && x.first.IsZero() {
 			kind = burn.Miss
 		}
 	case dispatch.NotRun:
--- a/internal/edge/entryd/attempt.go
+++ b/internal/edge/entryd/attempt.go
@@ -60,7 +60,7 @@
 		address: e.Agent.Address,
 		stream:  client.Attempt(ctx),
 		cancel:  cancel,
-		since:   time.Now(),
+		since:   x.s.now(),
 	}
 	x.attempts = append(x.attempts, a)
 	offer := &gladegaugev1.Offer{
@@ -69,7 +69,7 @@
 		Class:          x.call.Class.Name,
 		Organisation:   x.call.Organisation.Name,
 		Weight:         x.call.Organisation.Weight,
-		AgeMs:          convert.Milliseconds(time.Since(x.arrived)),
+		AgeMs:          convert.Milliseconds(x.s.now().Sub(x.arrived)),
 		Copies:         uint32(e.Copies),
 		IdempotencyKey: x.key,
 	}
@@ -95,7 +95,7 @@
 func (x *call) claim(e dispatch.Claim) {
 	a := x.attempts[e.Attempt]
 	x.claimedBy = a.agent
-	x.claimedAt = time.Now()
+	x.claimedAt = x.s.now()
 	if e.Offset > 0 {
 		x.s.metrics.Resumes.Inc()
 	}
--- a/internal/edge/entryd/call.go
+++ b/internal/edge/entryd/call.go
@@ -195,7 +195,7 @@
 	x.outcome = o
 	switch o.Result {
 	case dispatch.Completed:
-		x.completed = time.Now()
+		x.completed = x.s.now()
 		return x.out.end()
 	case dispatch.Abandoned:
 		return nil
--- a/internal/edge/entryd/events.go
+++ b/internal/edge/entryd/events.go
@@ -112,7 +112,7 @@
 }
 
 func (x *call) onHead(n int, h *gladegaugev1.Head) error {
-	if !x.ticket.Deliver(time.Now(), n, 0) || x.ticket.Delivered() > 0 {
+	if !x.ticket.Deliver(x.s.now(), n, 0) || x.ticket.Delivered() > 0 {
 		return nil
 	}
 	x.status = int(h.GetStatus())
@@ -128,11 +128,11 @@
 	if int(c.GetOffset()) != x.ticket.Delivered() && len(c.GetData()) > 0 {
 		return nil
 	}
-	if !x.ticket.Deliver(time.Now(), n, int(c.GetNext())) || len(c.GetData()) == 0 {
+	if !x.ticket.Deliver(x.s.now(), n, int(c.GetNext())) || len(c.GetData()) == 0 {
 		return nil
 	}
 	if x.first.IsZero() {
-		x.first = time.Now()
+		x.first = x.s.now()
 	}
 	return x.out.chunk(c.GetData())
 }
--- a/internal/edge/entryd/handler.go
+++ b/internal/edge/entryd/handler.go
@@ -14,6 +14,7 @@
 	"github.com/gladegauge/gladegauge/internal/core/config"
 	"github.com/gladegauge/gladegauge/internal/core/entry"
 	"github.com/gladegauge/gladegauge/internal/core/member"
+	"github.com/gladegauge/gladegauge/internal/edge/clock"
 )
 
 // Headers of the callers' API.
@@ -65,7 +66,7 @@
 		s.inFlight.Add(1)
 		defer s.inFlight.Add(-1)
 		r := c.Request()
-		_ = http.NewResponseController(c.Response()).SetReadDeadline(time.Now().Add(callerBodyTimeout))
+		_ = http.NewResponseController(c.Response()).SetReadDeadline(clock.Deadline(callerBodyTimeout))
 		r.Body = http.MaxBytesReader(c.Response(), r.Body, int64(s.o.MaxBody))
 		return next(c)
 	}
--- a/internal/edge/entryd/respond.go
+++ b/internal/edge/entryd/respond.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/labstack/echo/v4"
 
+	"github.com/gladegauge/gladegauge/internal/edge/clock"
 	"github.com/gladegauge/gladegauge/internal/edge/convert"
 	gladegaugev1 "github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1"
 )
@@ -70,7 +71,7 @@
 		return err
 	}
 	// A caller that does not read would hold an upstream's slot for good.
-	_ = http.NewResponseController(o.c.Response()).SetWriteDeadline(time.Now().Add(o.patience))
+	_ = http.NewResponseController(o.c.Response()).SetWriteDeadline(clock.Deadline(o.patience))
 	if _, err := o.c.Response().Write(data); err != nil {
 		return err
 	}
--- a/internal/edge/entryd/server.go
+++ b/internal/edge/entryd/server.go
@@ -27,6 +27,7 @@
 	"github.com/gladegauge/gladegauge/internal/core/entry"
 	"github.com/gladegauge/gladegauge/internal/core/member"
 	"github.com/gladegauge/gladegauge/internal/core/route"
+	"github.com/gladegauge/gladegauge/internal/edge/clock"
 	"github.com/gladegauge/gladegauge/internal/edge/loop"
 	"github.com/gladegauge/gladegauge/internal/edge/metrics"
 	"github.com/gladegauge/gladegauge/internal/edge/ops"
@@ -63,7 +64,9 @@
 
 // Server is one entry process.
 type Server struct {
-	o        *Options
+	o *Options
+	// now tells the present time.
+	now      func() time.Time
 	loop     *loop.Loop
 	metrics  *metrics.Metrics
 	sync     *spread.Sync
@@ -82,9 +85,11 @@
 
 // New returns a server that does not listen yet.
 func New(o *Options) (*Server, error) {
+	now := clock.New().Now
 	s := &Server{
 		o:       o,
-		loop:    loop.New(time.Now),
+		now:     now,
+		loop:    loop.New(now),
 		metrics: metrics.New(prometheus.NewRegistry()),
 		set:     member.NewSet(),
 		burn:    burn.NewLedger(),
--- a/internal/edge/loop/loop.go
+++ b/internal/edge/loop/loop.go
@@ -5,7 +5,7 @@
 //
 // # Usage
 //
-//	l := loop.New(time.Now)
+//	l := loop.New(clock.New().Now)
 //	group.Go(func() error { return l.Run(ctx) })
 //	err := l.Do(ctx, func(now time.Time) { state.Change(now) })
 package loop
