The health of an upstream is one state, in a package of its own

Cause: its failure rate, ejections, refusals, failures in a row, votes and trials stood in two types and eleven methods among the choices of core/balance. Change: core/health, an immutable state with With methods, which takes evidence and answers whether others go first; fuzzed: nobody is left out or put last for longer than the bounds, a vote of one other gateway puts nobody last that is answered here, and nothing is left of any evidence after a while. Pools bound it as before, in core/balance. What is gone, silent or slow is not part of it yet.

--- a/internal/core/balance/backup.go
+++ b/internal/core/balance/backup.go
@@ -52,7 +52,7 @@
 // ejected, cold, or stands in an evacuated availability zone.
 func (t *Table) Continue(now time.Time, r Request, b Backup) (Choice, bool) {
 	u, ok := t.upstreams[b.ID]
-	if !ok || !u.present(now) || u.gone(now) || u.toldGone(now) || u.health.ejected(now) {
+	if !ok || !u.present(now) || u.gone(now) || u.toldGone(now) || u.ejected(now) {
 		return Choice{}, false
 	}
 	p := t.pool(u.Pool)
--- a/internal/core/balance/draw.go
+++ b/internal/core/balance/draw.go
@@ -104,7 +104,7 @@
 	// A cold one that this gateway holds gets nothing from the others, and one on trial
 	// waits for one of its requests.
 	for _, u := range list {
-		if u != home && (p.isCold(now, u) || u.onTrial(now)) {
+		if u != home && (p.isCold(now, u) || u.health.OnTrial(now)) {
 			drawn = append(drawn, u)
 		}
 	}
--- a/internal/core/balance/gone.go
+++ b/internal/core/balance/gone.go
@@ -60,7 +60,7 @@
 
 // toldAway reports whether others go before the upstream by the word of other gateways.
 func (u *upstream) toldAway(now time.Time) bool {
-	return u.toldGone(now) || u.toldClosed(now) || u.outvoted.now(now)
+	return u.toldGone(now) || u.toldClosed(now) || u.health.PutLast(now)
 }
 
 // believesAway reports whether the words of others on upstreams that are gone or closed,
@@ -72,7 +72,7 @@
 			continue
 		}
 		present++
-		if u.toldAway(now) || u.onTrial(now) {
+		if u.toldAway(now) || u.health.OnTrial(now) {
 			n++
 		}
 	}
--- a/internal/core/balance/hanging.go
+++ b/internal/core/balance/hanging.go
@@ -36,22 +36,17 @@
 }
 
 // noteIfHanging counts the prompt if it hangs, and reports whether it does so for the first
-// time. The vote lasts until it ends: callers leave after two seconds, and a vote of
-// one second was over by then, so that the next wave went there (0.155 of what would meet
-// the fault by chance, 0.125 with it).
+// time.
 func (p *pool) noteIfHanging(now time.Time, u *upstream, r *run) bool {
 	if r.tokens == 0 || r.begun || r.overdue(now) < hangsFrom || u.saysFull(now) || p.isFull(now, u, 0) {
 		return false
 	}
 	if r.hangs {
-		u.health.staysBad(now)
+		u.health = u.health.WithHanging(now)
 		return false
 	}
 	r.hangs = true
-	// What was sent before the last one that counted says nothing new.
-	if r.sentAt.Before(u.health.badAt) {
-		return false
-	}
-	u.health.wentBad(now)
-	return true
+	next, counts := u.health.WithHang(now, r.sentAt)
+	u.health = next
+	return counts
 }
--- a/internal/core/balance/hanging_test.go
+++ b/internal/core/balance/hanging_test.go
@@ -81,8 +81,8 @@
 				vote = served
 			}
 			is.Equal(vote, tt.vote)
-			is.Equal(u.health.bad, tt.bad)
-			is.True(!u.health.ejected(at(last)))
+			is.Equal(u.health.Failures(), tt.bad)
+			is.True(!u.ejected(at(last)))
 		})
 	}
 }
@@ -98,7 +98,7 @@
 	}
 	d := table.OthersHave(at(5000), pictureOf(nil))
 	is.Equal(len(d.Hanging), 1)
-	is.Equal(table.upstreams["i-0"].health.bad, 1)
+	is.Equal(table.upstreams["i-0"].health.Failures(), 1)
 }
 
 // A whole answer ends a row of failures, unless it had begun before the last of them.
@@ -111,12 +111,12 @@
 	table.Ended(at(110), failed, Faulty, Answer{})
 	table.Ended(at(200), old, Completed, Answer{})
 	u := table.upstreams["i-0"]
-	is.Equal(u.health.bad, 1)
+	is.Equal(u.health.Failures(), 1)
 	is.Equal(table.Loads(at(210))[u.start].Failing, 1)
 	fresh, _ := table.Pick(at(300), chat(3))
 	table.Began(at(310), fresh)
 	table.Ended(at(320), fresh, Completed, Answer{})
-	is.Equal(u.health.bad, 0)
+	is.Equal(u.health.Failures(), 0)
 	is.Equal(table.Loads(at(330))[u.start].Served, 1)
 }
 
--- a/internal/core/balance/outcome.go
+++ b/internal/core/balance/outcome.go
@@ -52,7 +52,7 @@
 	}
 	u.said = u.said.WithAnswer(now)
 	r.begun, r.begunAt = true, now
-	u.health.goodAt = now
+	u.health = u.health.WithBegun(now)
 	r.unread = 0
 	if r.least {
 		t.pool(u.Pool).queue.Began(now, now.Sub(r.sentAt))
@@ -126,7 +126,7 @@
 		if !r.begun {
 			r.begunAt = now // It was over at once.
 		}
-		u.health.succeeded(r.begunAt)
+		u.health = u.health.WithAnswer(r.begunAt)
 		u.pace.learn(now, now.Sub(r.sentAt))
 		if t.pool(u.Pool).pauses.isTight(r.pause) {
 			u.pausing.learn(now, milliseconds(a.LongestGap), pauseWeight)
@@ -140,17 +140,17 @@
 	case Declined:
 		u.heard(now)
 	case Faulty, Broken:
-		u.health.failed(now)
+		u.health = u.health.WithFailure(now)
 		t.judge(now, u)
 	case Replaced, Dead:
 		u.goneUntil = now.Add(goneFor)
 	case Unreachable:
-		u.health.failed(now)
+		u.health = u.health.WithFailure(now)
 		// It may come back cold, and says so only with its next heartbeat.
 		p := t.pools[u.Pool]
 		u.warmup = u.warmup.With(now.Add(p.cold.For))
 		if p.mayEject(now) {
-			u.health.eject(now, unreachableFor)
+			u.health = u.health.WithLeftOut(now, unreachableFor)
 		}
 	case Abandoned:
 		t.pool(u.Pool).noteIfHanging(now, u, r)
--- a/internal/core/balance/pick.go
+++ b/internal/core/balance/pick.go
@@ -109,7 +109,7 @@
 		}
 	}
 	best.Candidates = len(compared)
-	best.Trial = chosen.onTrial(now)
+	best.Trial = chosen.health.OnTrial(now)
 	if best.ComeBack = p.turnAway(now, chosen, r, best); best.ComeBack > 0 {
 		best.Standing = p.queue.Standing()
 		return best, false
@@ -179,9 +179,9 @@
 	for _, u := range p.members {
 		switch {
 		case !u.present(now) || u.gone(now) || u.flooded(now) || slices.Contains(r.Exclude, u.ID) || !t.mayGet(now, p, u):
-		case u.health.ejected(now) || t.spared(now, u, r),
+		case u.ejected(now) || t.spared(now, u, r),
 			believes && u.toldAway(now),
-			believes && u.onTrial(now) && !t.mayTry(now, u, r):
+			believes && u.health.OnTrial(now) && !t.mayTry(now, u, r):
 			doubted = append(doubted, u)
 		default:
 			good = append(good, u)
--- a/internal/core/balance/said_test.go
+++ b/internal/core/balance/said_test.go
@@ -121,7 +121,7 @@
 	}
 	is.Equal(table.Size("p"), 2)
 	is.True(table.pools["p"].mayEject(at(1)))
-	members[2].health.eject(at(1), time.Minute)
+	members[2].health = members[2].health.WithLeftOut(at(1), time.Minute)
 	is.True(!table.pools["p"].mayEject(at(1))) // one of the two that are left
 	is.Equal(table.RestLeft(at(1), "p", 0), time.Duration(0))
 	c, ok := table.Pick(at(3000), plainRequest(1))
--- a/internal/core/balance/shared.go
+++ b/internal/core/balance/shared.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/gladegauge/gladegauge/internal/core/health"
 	"github.com/gladegauge/gladegauge/internal/core/occupancy"
 )
 
@@ -71,12 +72,8 @@
 		if u.said.Closed(now) {
 			l.Closed = 1
 		}
-		switch {
-		case u.health.votesAgainst(now):
-			l.Failing = 1
-		case u.health.votesFor(now):
-			l.Served = 1
-		}
+		votes := health.Votes{}.With(u.health.Vote(now))
+		l.Failing, l.Served = votes.Failing, votes.Served
 		if l != (occupancy.Load{}) {
 			loads[u.start] = l
 		}
--- a/internal/core/balance/table.go
+++ b/internal/core/balance/table.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/gladegauge/gladegauge/internal/core/health"
 	"github.com/gladegauge/gladegauge/internal/core/ingress"
 	"github.com/gladegauge/gladegauge/internal/core/notice"
 	"github.com/gladegauge/gladegauge/internal/core/occupancy"
@@ -47,16 +48,14 @@
 	start uint64
 	// place is where it stands in the order of its pool, from 0 up to 1.
 	place float64
-	// said is what it has said of itself in its answers, outvoted what the votes of
-	// gateways make of it.
-	said     notice.State
-	outvoted outvoted
-	health   health
-	cache    *cache
-	warmup   warmup.State
-	load     load
-	pace     pace
-	tempo    tempo
+	// said is what it has said of itself in its answers, health what these show.
+	said   notice.State
+	health health.State
+	cache  *cache
+	warmup warmup.State
+	load   load
+	pace   pace
+	tempo  tempo
 	// strain is the mean gap between events of its streams, whatever it reads
 	// meanwhile; pausing is the mean of the longest gaps of its tight streams.
 	strain  recent
