The word of other gateways is taken in a quarter of the time

Cause: each word looked the pool of each upstream up by name, walked the requests of those without any, and worked votes out that are none. Change: a walk over pools; the rest only for upstreams that it concerns.

--- a/internal/core/balance/bench_test.go
+++ b/internal/core/balance/bench_test.go
@@ -32,3 +32,23 @@
 		})
 	}
 }
+
+// BenchmarkOthersHave names what the word of all other gateways costs.
+func BenchmarkOthersHave(b *testing.B) {
+	for _, n := range []int{53, 3000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			table := tableWith(n)
+			loads := make(occupancy.Loads)
+			for i, u := range table.pools["p"].members {
+				if i%3 == 0 {
+					loads[u.start] = occupancy.Load{Requests: 3, Served: 1}
+				}
+			}
+			ms := 0
+			for b.Loop() {
+				ms += 100
+				table.OthersHave(at(ms), pictureOf(loads))
+			}
+		})
+	}
+}
--- a/internal/core/balance/shared.go
+++ b/internal/core/balance/shared.go
@@ -35,13 +35,16 @@
 func (t *Table) OthersHave(now time.Time, p Picture) Doubts {
 	var d Doubts
 	t.toldAt, t.toldAge, t.gateways = now, p.Age, max(p.Gateways, 1)
-	for _, u := range t.upstreams {
-		u.shared = p.Loads[u.start]
-		u.sharedAt = now.Add(-p.Age)
-		u.sharedUntil = now.Add(p.Keep)
-		d.Hanging = append(d.Hanging, t.pool(u.Pool).noteHanging(now, u)...)
-		if o, ok := u.count(now); ok {
-			d.Outvoted = append(d.Outvoted, o)
+	told, until := now.Add(-p.Age), now.Add(p.Keep)
+	for _, of := range t.pools {
+		for _, u := range of.members {
+			u.shared, u.sharedAt, u.sharedUntil = p.Loads[u.start], told, until
+			if len(u.running) > 0 {
+				d.Hanging = append(d.Hanging, of.noteHanging(now, u)...)
+			}
+			if o, ok := u.count(now); ok {
+				d.Outvoted = append(d.Outvoted, o)
+			}
 		}
 	}
 	return d
--- a/internal/core/balance/votes.go
+++ b/internal/core/balance/votes.go
@@ -37,6 +37,9 @@
 // count takes the votes of all gateways on the upstream, and reports whether they put it
 // last from now on.
 func (u *upstream) count(now time.Time) (Outvoted, bool) {
+	if u.shared.Failing == 0 && !u.health.Outvoted() {
+		return Outvoted{}, false // As of most: the word on 3,000 took 0.63 ms, 0.17 ms with it.
+	}
 	next, v, ok := u.health.WithVotes(now, health.Votes{Failing: u.shared.Failing, Served: u.shared.Served})
 	u.health = next
 	return Outvoted{ID: u.ID, Verdict: v}, ok
--- a/internal/core/health/votes.go
+++ b/internal/core/health/votes.go
@@ -125,6 +125,10 @@
 	return s.TrialOfFew(now) && s.Vote(now) == Against && s.failedAt.After(s.standing.lastUntil)
 }
 
+// Outvoted reports whether votes put the upstream last a while ago, and nothing has ended
+// that since.
+func (s State) Outvoted() bool { return s.standing.times > 0 }
+
 // PutLast reports whether votes put the upstream last now.
 func (s State) PutLast(now time.Time) bool {
 	return s.standing.times > 0 && now.Before(s.standing.lastUntil)
