Soak: ends under a request are counted for each organisation that it was of

The logs show two prints, 72b6b7 for org-2 until version 3 of the configuration, 39b2ce for org-4 with version 4: publications of the soak give the key to another organisation, which makes the same call another request, as a caller's own would be. All gateways knew the first as blocked; the second was blocked at its third end. Conclusion: the case is allowed; no code of the product changes.

--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -45,6 +45,17 @@
 	}
 }
 
+// reassigned lets some of these calls come after the key was given to another organisation.
+func (r *Record) reassigned(from, to int) {
+	for i := from; i < to; i++ {
+		for j := range r.Runs {
+			if r.Runs[j].ID == r.Kills[i].ID {
+				r.Runs[j].Organisation = organisationPrefix + "2"
+			}
+		}
+	}
+}
+
 // Each check finds what it is there to find, and nothing in a sound record.
 func TestChecksCanFail(t *testing.T) {
 	tests := []struct {
@@ -96,6 +107,14 @@
 		{"", func(r *Record) { r.killed(3, 4, 5, 10, 11, 12) }},
 		{"", func(r *Record) { r.killed(3, 4, 5, 6, 7, 8) }},
 		{"", func(r *Record) { r.killed(3, 4, 5, 26, 27, 28, 29) }},
+		{"", func(r *Record) {
+			r.killed(3, 4, 5, 10, 11, 12, 13)
+			r.reassigned(3, 7)
+		}},
+		{"requests that end replicas are stopped", func(r *Record) {
+			r.killed(3, 4, 5, 6, 11, 12, 13, 14)
+			r.reassigned(0, 1)
+		}},
 		{"", func(r *Record) { r.Calls[0].Key, r.Calls[0].Sent = "old", at(3) }},
 		{"configuration never goes back", func(r *Record) { r.Runs[0].Organisation = organisationPrefix + "2" }},
 		{"configuration never goes back", func(r *Record) { r.Versions[2] = at(1) }},
--- a/internal/soak/crashes.go
+++ b/internal/soak/crashes.go
@@ -105,29 +105,40 @@
 }
 
 // killerStopped: long after the third end under the request, it reaches hardly any
-// replica through gateways that nothing disturbs.
+// replica through gateways that nothing disturbs. A configuration may give its key to
+// another organisation, and its request is another one then.
 func killerStopped(r *Record) []string {
 	runs := r.runsOf()
-	var ends []time.Time
+	ends := make(map[string][]time.Time)
 	for _, k := range r.Kills {
 		for _, run := range runs[k.ID] {
-			ends = append(ends, run.At)
+			ends[run.Organisation] = append(ends[run.Organisation], run.At)
 		}
 	}
-	slices.SortFunc(ends, time.Time.Compare)
+	var broken []string
+	for organisation, of := range ends {
+		if late := r.killsLate(runs, organisation, of); late > killsMost {
+			broken = append(broken, fmt.Sprintf("%d of %d ends of %q were long after the third", late, len(of), organisation))
+		}
+	}
+	return broken
+}
+
+// killsLate is the number of calls of the request, sent long after the third of the ends
+// through calm gateways, that still ran for the organisation.
+func (r *Record) killsLate(runs map[string][]Run, organisation string, ends []time.Time) int {
 	if len(ends) <= killsMost {
-		return nil
+		return 0
 	}
+	slices.SortFunc(ends, time.Time.Compare)
 	third := ends[2]
 	late := 0
 	for _, k := range r.Kills {
 		c := Call{Gateway: k.Gateway, Sent: k.Sent, Done: k.Done}
-		if k.Sent.After(third.Add(calmFor)) && len(runs[k.ID]) > 0 && r.calm(c) {
+		ran := slices.ContainsFunc(runs[k.ID], func(n Run) bool { return n.Organisation == organisation })
+		if ran && k.Sent.After(third.Add(calmFor)) && r.calm(c) {
 			late++
 		}
 	}
-	if late > killsMost {
-		return []string{fmt.Sprintf("%d of %d ends were long after the third", late, len(ends))}
-	}
-	return nil
+	return late
 }
