Soak: another start of a replica ends a rest

The logs show start asking for rest at 8.419, the list telling of a restart at 10.116, and the first request, to start, at 10.149, which refused it and asked for its own rest at 10.362. Ruled out: a gateway that forgets: none was picked between 8.419 and the restart. Conclusion: the case is allowed: a new start knows nothing of before. No code of the product changes.

--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -76,6 +76,13 @@
 			r.Starts["i-1"] = []time.Time{at(30)}
 			r.Arrivals = []Arrival{{ID: "c", Replica: "i-1", At: at(11)}, {ID: "r", Replica: "i-1", At: at(40)}}
 		}},
+		{"", func(r *Record) {
+			r.Starts["i-1"] = []time.Time{at(10.9)}
+			r.Arrivals = []Arrival{{ID: "w", Replica: "i-1", At: at(10), Rest: 3 * time.Second}}
+			for i := range 3 {
+				r.Arrivals = append(r.Arrivals, Arrival{ID: "c", Replica: "i-1", At: at(11 + float64(i)/10)})
+			}
+		}},
 		{"replicas that ask for rest get it", func(r *Record) {
 			r.Arrivals = []Arrival{{ID: "w", Replica: "i-1", At: at(10), Rest: 3 * time.Second}}
 			for i := range 3 {
--- a/internal/soak/notices.go
+++ b/internal/soak/notices.go
@@ -136,7 +136,8 @@
 }
 
 // restsKept: no more than a few requests reach a replica through a gateway that it has
-// asked for rest, those on their way aside.
+// asked for rest, those on their way aside. Another start under its identity has asked for
+// nothing.
 func restsKept(r *Record) []string {
 	var broken []string
 	calls := r.callsOf()
@@ -150,7 +151,8 @@
 		for _, a := range r.Arrivals {
 			c, known := calls[a.ID]
 			in := a.At.After(asked.At.Add(restOnTheWay)) && a.At.Before(end)
-			if known && in && a.Replica == asked.Replica && c.Gateway == by.Gateway && c.Life == by.Life {
+			same := a.Replica == asked.Replica && !r.startedBetween(a.Replica, asked.At, a.At)
+			if known && in && same && c.Gateway == by.Gateway && c.Life == by.Life {
 				n++
 			}
 		}
