--- a/internal/core/balance/hanging.go
+++ b/internal/core/balance/hanging.go
@@ -35,8 +35,8 @@
 	return out
 }
 
-// noteIfHanging counts the prompt if it hangs, and reports whether it does so for the first
-// time.
+// noteIfHanging takes note of a prompt that hangs, and reports whether it counts as a failure
+// from now on.
 func (p *pool) noteIfHanging(now time.Time, u *upstream, r *run) bool {
 	if r.tokens == 0 || r.begun || r.overdue(now) < hangsFrom || u.saysFull(now) || p.isFull(now, u, 0) {
 		return false
