Reread: one line for deadlines of connections; two comments set right

Cause: found on rereading the whole change: gateways had by themselves what clock.Deadline does for entries; a comment gave the gain of a guard without the walk over pools that it was measured with (0.63 ms before, 0.18 to 0.20 ms with both); another told of trials as they were before the mend of votes. Ruled out: counting what is present in one place for ejections and words: the count of a pool is only brought up to date by its picks.

--- a/internal/core/balance/replay_faulty_test.go
+++ b/internal/core/balance/replay_faulty_test.go
@@ -168,7 +168,7 @@
 // got 93 of 204 requests that hung, and no gateway had a word against it.
 //
 // Each has its share again eleven seconds after: a request hangs for a second before it
-// counts, four by votes, five until all others try, and the word.
+// counts, four by votes, five until a request of any kind is the trial, and the word.
 func TestReplaysOfHanging(t *testing.T) {
 	const length, back = 16 * time.Second, 11 * time.Second
 	tests := []faultRow{
--- a/internal/core/balance/votes.go
+++ b/internal/core/balance/votes.go
@@ -38,7 +38,7 @@
 // last from now on.
 func (u *upstream) count(now time.Time) (Outvoted, bool) {
 	if u.shared.Failing == 0 && !u.health.Outvoted() {
-		return Outvoted{}, false // As of most: the word on 3,000 took 0.63 ms, 0.17 ms with it.
+		return Outvoted{}, false // As of most: with a walk over pools, 0.63 ms for 3,000 -> 0.19 ms.
 	}
 	next, v, ok := u.health.WithVotes(now, health.Votes{Failing: u.shared.Failing, Served: u.shared.Served})
 	u.health = next
--- a/internal/edge/gatewayd/request.go
+++ b/internal/edge/gatewayd/request.go
@@ -12,6 +12,7 @@
 	"github.com/gladegauge/gladegauge/internal/core/gateway"
 	"github.com/gladegauge/gladegauge/internal/core/ingress"
 	"github.com/gladegauge/gladegauge/internal/core/suspect"
+	"github.com/gladegauge/gladegauge/internal/edge/clock"
 	"github.com/gladegauge/gladegauge/platform"
 )
 
@@ -138,8 +139,7 @@
 
 // steady is the time by the steady clock, for deadlines of connections.
 func (x *request) steady(t time.Time) time.Time {
-	//nolint:forbidigo // Package net counts by this clock.
-	return time.Now().Add(t.Sub(x.server.now()))
+	return clock.Deadline(t.Sub(x.server.now()))
 }
 
 // attempts tries upstreams until the request has its answer.
