A limit that an upstream names is read, and each change of it has a line

Cause of the gap: no line, counter or gauge spoke of the word, so that "nobody reads it" and "each gateway keeps it alone" differed only by numbers of picks. Answers on different connections overtake each other: an answer takes a limit back, or raises it, only if its request was sent after the limit was last read. Nothing chooses by it yet.

Ruled out: a word kept outside the upstream's own state. It is of one start, and must outlive a lapse of the entry as the words of leaving and rest do.

--- a/internal/core/balance/said.go
+++ b/internal/core/balance/said.go
@@ -35,6 +35,10 @@
 	// ends later now.
 	Leaves bool
 	Rests  bool
+	// Limits is true if it names another limit than before, or none any more.
+	Limits bool
+	// Garbles is true if it says what cannot be read, and said something else before.
+	Garbles bool
 }
 
 // Notice takes what an answer to a request that was sent to the upstream says of the start
@@ -59,11 +63,13 @@
 
 func saidOf(of Instance, listed bool, before, after notice.State) Said {
 	return Said{
-		Of:     of,
-		Listed: listed,
-		State:  after,
-		Leaves: after.Leaving() && !before.Leaving(),
-		Rests:  after.RestUntil().After(before.RestUntil()),
+		Of:      of,
+		Listed:  listed,
+		State:   after,
+		Leaves:  after.Leaving() && !before.Leaving(),
+		Rests:   after.RestUntil().After(before.RestUntil()),
+		Limits:  after.Limit() != before.Limit(),
+		Garbles: after.Unread() != before.Unread(),
 	}
 }
 
--- a/internal/core/notice/book.go
+++ b/internal/core/notice/book.go
@@ -75,3 +75,6 @@
 	s, ok := c[start]
 	return ok && s.Closed(now)
 }
+
+// Limited reports whether the start has named a limit.
+func (c Closed) Limited(start uint64) bool { return c[start].limit.Named }
--- a/internal/core/notice/state.go
+++ b/internal/core/notice/state.go
@@ -33,12 +33,18 @@
 	restUntil time.Time
 	// answered is the number of requests that it answered since.
 	answered int
+	limit    limitWord
+	unread   string
 }
 
 // With returns the state after a notice that came now. A rest never ends sooner by a
 // later word, and only another start takes back that it leaves.
 func (s State) With(now time.Time, n Notice) State {
 	s.leaving = s.leaving || n.Leaving
+	s.limit = s.limit.with(now, n)
+	if n.Unread != "" {
+		s.unread = n.Unread
+	}
 	if n.Rest <= 0 {
 		return s
 	}
@@ -58,7 +64,13 @@
 }
 
 // Any reports whether the upstream has said anything that still holds.
-func (s State) Any(now time.Time) bool { return s.leaving || s.Resting(now) || s.returns(now) }
+func (s State) Any(now time.Time) bool { return s.limit.Named || s.Away(now) }
+
+// Away reports whether the upstream leaves, rests, or has just returned.
+func (s State) Away(now time.Time) bool { return s.leaving || s.Resting(now) || s.returns(now) }
+
+// Unread is the latest text of the upstream that could not be read.
+func (s State) Unread() string { return s.unread }
 
 // Leaving reports whether the upstream has said that it leaves.
 func (s State) Leaving() bool { return s.leaving }
--- a/internal/edge/gatewayd/notice.go
+++ b/internal/edge/gatewayd/notice.go
@@ -14,6 +14,7 @@
 const (
 	noticeLeaving = "leaving"
 	noticeRest    = "rest"
+	noticeLimit   = "limit"
 	noticeUnread  = "unread"
 	// noticeNobody is of words that name no start that is listed.
 	noticeNobody = "nobody"
@@ -27,17 +28,20 @@
 // the platform's list alone, an upstream that left got requests 12.3 s after its word.
 func (x *request) notice(choice balance.Choice, r *http.Response) {
 	n := platform.DecodeNotice(r.StatusCode, r.Header)
-	if !n.Any() {
+	s := x.server
+	if !n.Any() && !(*s.closed.Load()).Limited(choice.Start()) {
 		return
 	}
-	s := x.server
+	if r.StatusCode >= http.StatusOK && x.owns(r) {
+		n.SentAt = x.sentAt
+	}
 	var said balance.Said
 	s.control.Must(func(now time.Time) {
 		said = s.table.Notice(now, choice.Instance, n)
 		switch {
 		case said.Leaves:
 			s.publish(now, s.roster.Current(now))
-		case said.Rests:
+		case said.Rests, said.Limits:
 			s.publishClosed(now)
 		}
 	})
@@ -47,7 +51,7 @@
 			Str("upstream", said.Of.ID).Uint64("start", said.Of.Start()).Bool("listed", said.Listed).
 			Str("address", choice.Address).Int("status", r.StatusCode)
 	}
-	if said.Of.ID == "" {
+	if said.Of.ID == "" && n.Any() {
 		line(noticeNobody).Str("sent_to", choice.ID).Str("named", n.Of).Msg("a word of nobody that is listed")
 	}
 	if said.Leaves {
@@ -57,7 +61,11 @@
 		rest := said.State.RestUntil().Sub(s.now())
 		line(noticeRest).Dur("asked", n.Rest).Dur("rest", rest).Msg("upstream asks for rest")
 	}
-	if n.Unread != "" {
+	if said.Limits {
+		limit := said.State.Limit()
+		line(noticeLimit).Bool("limited", limit.Named).Float64("per_second", limit.PerSecond).Msg("upstream changes its limit")
+	}
+	if said.Garbles {
 		text := n.Unread[:min(len(n.Unread), unreadMost)]
 		line(noticeUnread).Str("text", text).Msg("upstream says what cannot be read")
 	}
