Tests, failing: an upstream that names a limit gets as much as before

Two engines that named a limit of one request a second got 22 and 15 requests in 4 s from gateways that had passed such an answer on. In the replay with real tables, 4 and 30 gateways send 13 and 25 in 4 s.

--- a/internal/core/balance/replay_engine_test.go
+++ b/internal/core/balance/replay_engine_test.go
@@ -59,12 +59,15 @@
 	// rests are the times in which it refuses everything and asks for rest.
 	rests replayRests
 	fault replayFault
+	// limit is the limit that it names for a time.
+	limit replayLimit
 	// used is the memory of the admitted requests, beside the kept parts.
 	used int
 }
 
 // arrive takes a request. What it and the source of its copy lack has to be read.
 func (e *replayEngine) arrive(run *replayRun, from *replayEngine) {
+	e.limit.arrived(e.r.now, run.gateway)
 	keys := run.prompt.chain()
 	held, i := 0, 0
 	for ; i < len(keys) && e.has(keys[i]); i++ {
@@ -176,6 +179,7 @@
 		}
 		e.keep(run)
 		run.lastAt, run.heardAt = e.r.now, e.r.now
+		e.answers(run)
 		e.r.began(run)
 		e.running = append(e.running, run)
 	}
