Soak: replicas name limits, change them, take them back, and name nonsense

Checked by what arrives: while a replica names a limit it gets no more in any 4 s than that allows, from all gateways that it has told and nothing disturbs. The gateway that lies names limits of next to nothing for all replicas.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -48,7 +48,7 @@
 		c := Call{ID: fmt.Sprintf("%s-%d-%d", kind, n, i), Kind: kind, Key: key, Gateway: to, Life: w.procs[to].lifeNow(), Sent: time.Now()}
 		a := send(ctx, clients[to], requestOf(c, rng.IntN(paths)))
 		c.Done, c.Status, c.Whole, c.Sealed, c.Body = time.Now(), a.Status, a.Whole, a.Sealed(), a.Body
-		c.LeavingReplica = a.LeavingReplica()
+		c.LeavingReplica, c.LimitedReplica = a.LeavingReplica(), a.LimitedReplica()
 		w.record.call(c)
 		time.Sleep(upTo(rng, 2*thinkTime))
 	}
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -39,6 +39,7 @@
 	{"leaving replicas get nothing new", leavingLeft},
 	{"replicas that say that they leave get nothing new", leavingHeard},
 	{"replicas that ask for rest get it", restsKept},
+	{"replicas that name a limit get no more", limitsKept},
 	{"evacuated zones get nothing new", evacuatedLeft},
 	{"planned stops cut nothing", stopsCutNothing},
 	{"requests that end replicas are stopped", killerStopped},
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -45,6 +45,16 @@
 	}
 }
 
+// limited lets the replica of the first call name a limit with it, and so many requests
+// come there in a second.
+func (r *Record) limited(perSecond float64, n int) {
+	r.Calls[0].LimitedReplica = "i-1"
+	r.Limits = []Limit{{Replica: "i-1", At: at(9.9), Until: at(30), PerSecond: perSecond, Text: "x"}}
+	for i := range n {
+		r.Arrivals = append(r.Arrivals, Arrival{ID: "c", Replica: "i-1", At: at(14 + float64(i)/20)})
+	}
+}
+
 // reassigned lets some of these calls come after the key was given to another organisation.
 func (r *Record) reassigned(from, to int) {
 	for i := from; i < to; i++ {
@@ -96,6 +106,25 @@
 			}
 			r.Arrivals = append(r.Arrivals, Arrival{ID: "c", Replica: "i-1", At: at(12.9)})
 		}},
+		{"replicas that name a limit get no more", func(r *Record) { r.limited(1, 12) }},
+		{"", func(r *Record) { r.limited(1, 11) }},
+		{"", func(r *Record) { r.limited(2, 12) }},
+		{"", func(r *Record) {
+			r.limited(1, 12)
+			r.Limits[0].Nonsense = true
+		}},
+		{"", func(r *Record) {
+			r.limited(1, 12)
+			r.Calls[0].LimitedReplica = "" // nobody was told
+		}},
+		{"", func(r *Record) {
+			r.limited(1, 12)
+			r.Events = append(r.Events, Event{At: at(13), What: "freeze", Gateway: 0, Until: at(14)})
+		}},
+		{"", func(r *Record) {
+			r.limited(1, 12)
+			r.Starts["i-1"] = []time.Time{at(13.5)}
+		}},
 		{"", func(r *Record) {
 			again := r.Runs[1]
 			again.Continues = true
--- a/internal/soak/liar.go
+++ b/internal/soak/liar.go
@@ -25,8 +25,8 @@
 	lieMost = 1000
 )
 
-// Lie tells all gateways, until the context ends, that every replica is gone, closed and
-// failing. It speaks as one more gateway of an availability zone, which the others take for
+// Lie tells all gateways, until the context ends, that every replica is gone, closed,
+// failing and limited to next to nothing. It speaks as one more gateway of an availability zone, which the others take for
 // alive.
 func (w *World) Lie(ctx context.Context) {
 	client := &http.Client{Timeout: lieTimeout}
@@ -52,7 +52,7 @@
 	var list []*gladegaugev1.UpstreamLoad
 	for _, r := range w.replicas {
 		start := balance.Instance{ID: r.ID, Born: r.Born}.Start()
-		list = append(list, &gladegaugev1.UpstreamLoad{Upstream: start, Gone: lieMost, Closed: lieMost, Failing: lieMost})
+		list = append(list, &gladegaugev1.UpstreamLoad{Upstream: start, Gone: lieMost, Closed: lieMost, Failing: lieMost, Limited: lieMost, LimitLog: -lieMost})
 	}
 	return list
 }
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -24,6 +24,8 @@
 	Body   string
 	// LeavingReplica is the replica whose answer it is, if that says that it leaves.
 	LeavingReplica string
+	// LimitedReplica is the replica whose answer it is, if that names a limit.
+	LimitedReplica string
 }
 
 // Run is one request as a replica saw it.
@@ -76,6 +78,7 @@
 	Starts      map[string][]time.Time
 	Arrivals    []Arrival
 	Evacuations []Evacuation
+	Limits      []Limit
 	Kills       []Kill
 }
 
--- a/internal/soak/replicas.go
+++ b/internal/soak/replicas.go
@@ -24,6 +24,7 @@
 
 // startReplica starts a replica under the identity and lists it.
 func (w *World) startReplica(id, zone string) *replica {
+	delete(w.limits, id) // It has named nothing.
 	r := &replica{}
 	r.Replica = standin.NewReplica(w.t, id, func(_ int, req standin.Request) standin.Reply { return w.reply(id, req) })
 	r.Zone = zone
@@ -59,8 +60,15 @@
 	{1, func(r *standin.Reply) { r.CutAfter, r.CutInside, r.Mute = 2, true, true }},
 }
 
-// reply is what a replica does with a request; some fail by themselves.
+// reply is what a replica does with a request, and the limit that it names.
 func (w *World) reply(id string, req standin.Request) standin.Reply {
+	reply := w.act(id, req)
+	reply.Limit = w.limitOf(id)
+	return reply
+}
+
+// act is what a replica does with a request; some fail by themselves.
+func (w *World) act(id string, req standin.Request) standin.Reply {
 	if s, ok := w.sheds(id); ok {
 		w.record.arrived(Arrival{ID: req.ID, Replica: id, At: time.Now(), Rest: s.rest})
 		return s.reply()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -66,6 +66,10 @@
 		w.Notices(failing, seed)
 		return nil
 	})
+	group.Go(func() error {
+		w.Limits(failing, seed)
+		return nil
+	})
 	w.Faults(failing, seed)
 	time.Sleep(calmLength)
 	endLoad()
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -43,6 +43,8 @@
 	replicas []*replica
 	// shedding is what replicas do that refuse everything, by their identities.
 	shedding map[string]shedding
+	// limits are the limits that replicas name, by their identities.
+	limits map[string]Limit
 	// nextN is the number of the next replica.
 	nextN int
 }
@@ -58,6 +60,7 @@
 		rng:      rand.New(rand.NewPCG(seed, seed)), //nolint:gosec // Seeded on purpose.
 		spareKey: "spare-0",
 		shedding: make(map[string]shedding),
+		limits:   make(map[string]Limit),
 	}
 	w.publish()
 	for range replicas {
