A gateway that has no upstream left borrows a turn of a limited one

Cause: a gateway that holds few of a pool's limited upstreams refuses while their holders have turns left.

--- /dev/null
+++ b/internal/core/balance/lend_test.go
@@ -0,0 +1,93 @@
+package balance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gladegauge/gladegauge/internal/core/notice"
+)
+
+// A gateway that holds nothing borrows what a holder has left, and that is all that there
+// is: what the holder lends it does not send.
+func TestLend(t *testing.T) {
+	is := is.New(t)
+	holder, other := limitedTable(1, 2, 1), limitedTable(1, 2, 1)
+	other.holds = func(time.Time, uint64, int) bool { return false }
+	taken, lent := 0, 0
+	for ms := 0; ms < 20_000; ms += 10 {
+		r := plainRequest(ms)
+		if ms%20 == 0 {
+			if _, ok := holder.Pick(at(ms), r); ok {
+				taken++
+			}
+			continue
+		}
+		_, ok := other.Pick(at(ms), r)
+		is.True(!ok)
+		for _, l := range other.Borrowable(at(ms), r) {
+			wait, ok := holder.Lend(at(ms), l.Start(), false)
+			if !ok {
+				is.True(wait > 0)
+				other.NotLent(at(ms), l.Instance, wait)
+				continue
+			}
+			c, ok := other.PickLent(at(ms), r, l.Instance)
+			is.True(ok && c.Turn && c.Lent)
+			other.Ended(at(ms), c, Completed, Answer{})
+			lent++
+		}
+	}
+	t.Logf("%d were taken, %d lent", taken, lent)
+	is.True(lent > 0)
+	is.True(taken+lent >= 7 && taken+lent <= 10) // half of the limit, as one of two holders
+}
+
+// What may be borrowed of, and by whom.
+func TestBorrowable(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(table *Table, in Instance) Request
+		loans  int
+	}{
+		{"limited", func(*Table, Instance) Request { return plainRequest(1) }, 1},
+		{"no limit", func(table *Table, in Instance) Request {
+			table.Notice(at(2), in, notice.Notice{SentAt: at(1)})
+			return plainRequest(1)
+		}, 0},
+		{"tried already", func(_ *Table, in Instance) Request {
+			r := plainRequest(1)
+			r.Exclude = []string{in.ID}
+			return r
+		}, 0},
+		{"it leaves", func(table *Table, in Instance) Request {
+			table.Notice(at(1), in, leaves)
+			return plainRequest(1)
+		}, 0},
+		{"it rests", func(table *Table, in Instance) Request {
+			table.Notice(at(1), in, restOf(time.Second))
+			return plainRequest(1)
+		}, 0},
+		{"a holder had none a moment ago", func(table *Table, in Instance) Request {
+			table.NotLent(at(1), in, time.Second)
+			return plainRequest(1)
+		}, 0},
+		{"another pool", func(*Table, Instance) Request { return Request{Pool: "q"} }, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			table := limitedTable(1, 9, 1)
+			r := tt.change(table, table.pools["p"].members[0].Instance)
+			is.Equal(len(table.Borrowable(at(10), r)), tt.loans)
+		})
+	}
+	is := is.New(t)
+	is.Equal(len(limitedTable(9, 9, 1).Borrowable(at(10), plainRequest(7))), borrowMost)
+	table := tableWith(1)
+	_, ok := table.Lend(at(10), table.pools["p"].members[0].start, false)
+	is.True(!ok) // there is no limit to have a turn of
+	_, ok = table.Lend(at(10), 12345, false)
+	is.True(!ok)
+}
--- a/internal/core/balance/limited.go
+++ b/internal/core/balance/limited.go
@@ -73,6 +73,8 @@
 	bucket quota.Bucket
 	// turns is the number of turns that were taken.
 	turns int
+	// askAgainAt is when another holder may be asked for a turn.
+	askAgainAt time.Time
 }
 
 // relimit brings the limit that the upstream has now into force, and reports whether it is
--- a/internal/core/balance/pick.go
+++ b/internal/core/balance/pick.go
@@ -70,6 +70,8 @@
 	Cold bool
 	// Turn is true if the upstream has a limit, and this is one of its turns.
 	Turn bool
+	// Lent is true if another gateway lent the turn.
+	Lent bool
 	// Trial is true if the upstream has yet to show that it answers again.
 	Trial bool
 	// ToldAge is the age of the other gateways' word on the upstream; below 0 if
@@ -228,8 +230,18 @@
 	return c
 }
 
-// send counts the request at the upstream.
+// send counts the request at the upstream, with what bounds it.
 func (t *Table) send(now time.Time, p *pool, u *upstream, r Request, c *Choice) {
+	if p.isCold(now, u) {
+		c.Cold = true
+		u.warmup = u.warmup.Sent(now, p.cold.split)
+	}
+	c.Turn = t.takeTurn(now, u)
+	t.count(now, p, u, r, c)
+}
+
+// count counts the request at the upstream.
+func (t *Table) count(now time.Time, p *pool, u *upstream, r Request, c *Choice) {
 	t.lastRun++
 	c.run = t.lastRun
 	c.pickedAt = now
@@ -243,11 +255,6 @@
 		p.learnTokens(sent.tokens)
 		t.tell(u, u.cache.used(now, r.Prompt, c.keys, false))
 	}
-	if p.isCold(now, u) {
-		c.Cold = true
-		u.warmup = u.warmup.Sent(now, p.cold.split)
-	}
-	c.Turn = t.takeTurn(now, u)
 	u.running[c.run] = sent
 	p.sent.of(p.pauses.isTight(r.Pause)).note(now)
 }
--- a/internal/core/balance/replay_limit_test.go
+++ b/internal/core/balance/replay_limit_test.go
@@ -28,14 +28,15 @@
 	perSecond float64
 	// told is when each gateway first got an answer that names it.
 	told map[*replayGateway]time.Time
-	// came is what comes while it holds, of gateways that were told; all is what comes
-	// of anybody.
-	came, all []time.Time
+	// ofTold is what comes of gateways that were told by an answer, all what comes of
+	// anybody, since it has been known for a while.
+	ofTold, all []time.Time
 }
 
 // limit lets so many engines name a limit for a time.
 func (r *replay) limit(n int, perSecond, from, length float64) {
 	gateways := uint64(len(r.gateways))
+	r.lends = true
 	for i, g := range r.gateways {
 		g.table.holds = func(_ time.Time, key uint64, n int) bool { return (uint64(i)+key)%gateways < uint64(n) }
 		g.table.SetLimitBounds(LimitBounds{Window: limitWindow, Overrun: limitOverrun, Slack: limitSlack}, func() int { return len(r.gateways) })
@@ -49,15 +50,50 @@
 	}
 }
 
+// borrowMs is the time to a holder and back.
+const borrowMs = 3.0
+
+// borrow asks holders for a turn, one after the other, for a request without an engine.
+func (r *replay) borrow(q *replayRequest) {
+	ask := Request{Pool: "p", Route: q.class.name, Pause: q.class.pauseLimit(), Tier: q.class.tier, Target: q.class.target,
+		Prompt: q.prompt, Exclude: q.tried, Hash: r.rng.Uint64(), Least: q.class.tier == 2}
+	r.borrowOf(q, ask, q.gateway.table.Borrowable(r.now, ask))
+}
+
+// borrowOf asks a holder of the first of the loans.
+func (r *replay) borrowOf(q *replayRequest, ask Request, loans []Loan) {
+	if len(loans) == 0 {
+		r.turnedAwayByRest(q)
+		return
+	}
+	l := loans[0]
+	n := uint64(len(r.gateways))
+	// The holders are those for which (number + key) modulo n is below their number.
+	holder := r.gateways[(n-l.Key%n+uint64(r.rng.IntN(min(l.Holders, int(n)))))%n]
+	r.after(borrowMs, func() {
+		wait, ok := holder.table.Lend(r.now, l.Start(), ask.Least)
+		if !ok {
+			q.gateway.table.NotLent(r.now, l.Instance, wait)
+			r.borrowOf(q, ask, loans[1:])
+			return
+		}
+		r.lent++
+		if c, ok := q.gateway.table.PickLent(r.now, ask, l.Instance); ok {
+			r.sendTo(q, c)
+			return
+		}
+		r.turnedAwayByRest(q)
+	})
+}
+
 // arrived counts a request of the gateway.
 func (l *replayLimit) arrived(now time.Time, g *replayGateway) {
-	if now.Before(l.from) || !now.Before(l.to) {
+	if now.Sub(l.from) < limitKnownAfter || !now.Before(l.to) {
 		return
 	}
 	l.all = append(l.all, now)
-	told, ok := l.told[g]
-	if ok && now.Sub(told) >= toldBefore && now.Sub(l.from) >= limitKnownAfter {
-		l.came = append(l.came, now)
+	if told, ok := l.told[g]; ok && now.Sub(told) >= toldBefore {
+		l.ofTold = append(l.ofTold, now)
 	}
 }
 
@@ -115,15 +151,17 @@
 	r.limit(row.limited, row.limit, from, length)
 	r.run(from + length + 4)
 	r.report(t)
-	most, came := 0, 0
+	most, ofAll, came := 0, 0, 0
 	for _, e := range r.order[:row.limited] {
-		most = max(most, busiest(e.limit.came, limitWindow))
-		came += len(e.limit.came)
+		most = max(most, busiest(e.limit.ofTold, limitWindow))
+		ofAll = max(ofAll, busiest(e.limit.all, limitWindow))
+		came += len(e.limit.all)
 	}
 	counted := length - limitKnownAfter.Seconds()
 	used := float64(came) / float64(row.limited) / row.limit / counted
-	t.Logf("at most %d in %v, %.1f are borne, used %.2f", most, limitWindow, allowedIn(row.limit), used)
+	t.Logf("at most %d in %v, %d of anybody, %.1f are borne, used %.2f, lent %d", most, limitWindow, ofAll, allowedIn(row.limit), used, r.lent)
 	is.True(float64(most) <= allowedIn(row.limit))
+	is.True(float64(ofAll) <= allowedIn(row.limit))
 	is.True(r.share("check", inTime) >= row.check)
 	is.True(r.share("chat", inTime) >= row.chat)
 	is.True(used >= row.used)
@@ -138,12 +176,12 @@
 		{gateways: 30, limited: 2, limit: 1, load: 0.7, check: 0.98, chat: 0.98},
 		{gateways: 1, limited: 6, limit: 1, load: 1.2, check: 0.9, chat: 0.95, used: 0.85},
 		{gateways: 4, limited: 6, limit: 1, load: 1.2, check: 0.88, chat: 0.95, used: 0.8},
-		{gateways: 30, limited: 6, limit: 1, load: 1.2, check: 0.88, chat: 0.95, used: 0.4},
+		{gateways: 30, limited: 6, limit: 1, load: 1.2, check: 0.88, chat: 0.95, used: 0.65},
 		{gateways: 1, limited: 12, limit: 4, load: 0.7, check: 0.42, chat: 0.85, used: 0.85},
 		{gateways: 4, limited: 12, limit: 4, load: 0.7, check: 0.4, chat: 0.8, used: 0.8},
-		{gateways: 30, limited: 12, limit: 4, load: 0.7, check: 0.4, chat: 0.65, used: 0.6},
+		{gateways: 30, limited: 12, limit: 4, load: 0.7, check: 0.45, chat: 0.78, used: 0.72},
 		{gateways: 4, limited: 12, limit: 12, load: 0.7, check: 0.95, chat: 0.95},
-		{gateways: 30, limited: 12, limit: 12, load: 0.7, check: 0.85, chat: 0.9},
+		{gateways: 30, limited: 12, limit: 12, load: 0.7, check: 0.94, chat: 0.94},
 		{gateways: 30, limited: 12, limit: 50, load: 0.7, check: 0.95, chat: 0.95},
 	}
 	for _, row := range rows {
--- a/internal/core/balance/replay_world_test.go
+++ b/internal/core/balance/replay_world_test.go
@@ -76,8 +76,11 @@
 	outvoted, hanging int
 	// cutTokens are those that were read for answers that were cut.
 	cutTokens int
-	end       time.Time
-	listed    []Instance
+	// lends is true if gateways lend each other turns, lent is how many.
+	lends  bool
+	lent   int
+	end    time.Time
+	listed []Instance
 }
 
 // hintSpread is how far callers' guesses of their answers are off, as the deviation of
@@ -196,10 +199,19 @@
 		r.turnedAway(q, c.ComeBack)
 		return
 	}
+	if !ok && c.ComeBack == 0 && r.lends {
+		r.borrow(q)
+		return
+	}
 	if !ok || len(q.tried) == 4 {
 		r.turnedAwayByRest(q)
 		return
 	}
+	r.sendTo(q, c)
+}
+
+// sendTo sends the request to the engine of the choice.
+func (r *replay) sendTo(q *replayRequest, c Choice) {
 	q.tried = append(q.tried, c.ID)
 	e := r.engines[c.ID]
 	if e.fault.meets(r.now) {
--- a/internal/core/balance/shared.go
+++ b/internal/core/balance/shared.go
@@ -55,7 +55,7 @@
 			if len(u.running) > 0 {
 				d.Hanging = append(d.Hanging, of.noteHanging(now, u)...)
 			}
-			if o, ok := u.count(now); ok {
+			if o, ok := u.countVotes(now); ok {
 				d.Outvoted = append(d.Outvoted, o)
 			}
 		}
--- a/internal/core/balance/votes.go
+++ b/internal/core/balance/votes.go
@@ -34,9 +34,9 @@
 	return !u.health.TrialOfFew(now) || t.holds(now, u.hash, trialGateways)
 }
 
-// count takes the votes of all gateways on the upstream, and reports whether they put it
+// countVotes takes the votes of all gateways on the upstream, and reports whether they put it
 // last from now on.
-func (u *upstream) count(now time.Time) (Outvoted, bool) {
+func (u *upstream) countVotes(now time.Time) (Outvoted, bool) {
 	if u.shared.Failing == 0 && !u.health.Outvoted() {
 		return Outvoted{}, false // As of most: with a walk over pools, 0.63 ms for 3,000 -> 0.19 ms.
 	}
--- a/internal/core/fleet/hold.go
+++ b/internal/core/fleet/hold.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -30,5 +32,27 @@
 	return before < n
 }
 
+// Holder returns one of the other gateways that hold the key, of the first n in rendezvous
+// order: the roll of a dice says which of those that live. False if there is none.
+func (f *Fleet) Holder(now time.Time, key uint64, n int, roll uint64) (string, bool) {
+	type candidate struct {
+		rank    uint64
+		address string
+		alive   bool
+	}
+	keep := f.keep()
+	list := []candidate{{rank: rendezvous.Mix(key, xxhash.Sum64String(f.self.Address))}}
+	for _, h := range f.others {
+		alive := now.Sub(h.at) <= keep && !h.Leaving && !now.Before(h.downUntil)
+		list = append(list, candidate{rank: rendezvous.Mix(key, h.hash), address: h.Address, alive: alive})
+	}
+	slices.SortFunc(list, func(a, b candidate) int { return cmp.Compare(b.rank, a.rank) })
+	list = slices.DeleteFunc(list[:min(n, len(list))], func(c candidate) bool { return !c.alive })
+	if len(list) == 0 {
+		return "", false
+	}
+	return list[roll%uint64(len(list))].address, true
+}
+
 // Remembered is the number of gateways that Holds counts, with this one.
 func (f *Fleet) Remembered() int { return 1 + len(f.others) }
--- /dev/null
+++ b/internal/edge/gatewayd/lend.go
@@ -0,0 +1,80 @@
+package gatewayd
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+
+	"github.com/gladegauge/gladegauge/internal/core/balance"
+	gladegaugev1 "github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1"
+)
+
+// borrowTimeout bounds the call to a holder: several round trips between availability
+// zones. A request that got no turn by then is refused.
+const borrowTimeout = 60 * time.Millisecond
+
+// borrow asks holders for a turn of a limited upstream, for a request that has no other.
+func (x *request) borrow() (balance.Choice, bool) {
+	s := x.server
+	var loans []balance.Loan
+	s.control.Must(func(now time.Time) { loans = s.table.Borrowable(now, x.wants()) })
+	for _, l := range loans {
+		if x.left() <= borrowTimeout {
+			break
+		}
+		granted, err := x.borrowOf(l)
+		if err != nil {
+			x.log().Err(err).Str("upstream", l.ID).Msg("no turn could be borrowed")
+			break
+		}
+		if !granted {
+			continue
+		}
+		var choice balance.Choice
+		var ok bool
+		s.control.Must(func(now time.Time) { choice, ok = s.table.PickLent(now, x.wants(), l.Instance) })
+		if ok {
+			return choice, true
+		}
+	}
+	return balance.Choice{}, false
+}
+
+// borrowOf reports whether a holder lends a turn of the upstream. The error is of the call.
+func (x *request) borrowOf(l balance.Loan) (bool, error) {
+	s := x.server
+	var holder string
+	var ok bool
+	//nolint:gosec // Any holder will do.
+	s.control.Must(func(now time.Time) { holder, ok = s.fleet.Holder(now, l.Key, l.Holders, rand.Uint64()) })
+	if !ok {
+		return false, nil
+	}
+	ctx, cancel := context.WithTimeout(x.r.Context(), borrowTimeout)
+	defer cancel()
+	req := &gladegaugev1.BorrowTurnRequest{Upstream: l.Start(), Least: x.wants().Least}
+	resp, err := s.peer(holder).BorrowTurn(ctx, connect.NewRequest(req))
+	s.metrics.peerCall("borrow_turn", err)
+	if err != nil {
+		return false, errors.Wrapf(err, "borrow a turn of %s", holder)
+	}
+	if !resp.Msg.GetGranted() {
+		wait := time.Duration(resp.Msg.GetWaitMs()) * time.Millisecond
+		s.control.Must(func(now time.Time) { s.table.NotLent(now, l.Instance, wait) })
+	}
+	return resp.Msg.GetGranted(), nil
+}
+
+// BorrowTurn lends a turn of a limited upstream, if this gateway has one.
+func (s *Server) BorrowTurn(_ context.Context, req *connect.Request[gladegaugev1.BorrowTurnRequest]) (*connect.Response[gladegaugev1.BorrowTurnResponse], error) {
+	resp := &gladegaugev1.BorrowTurnResponse{}
+	s.control.Must(func(now time.Time) {
+		wait, ok := s.table.Lend(now, req.Msg.GetUpstream(), req.Msg.GetLeast())
+		resp.Granted = ok
+		resp.WaitMs = count32(int(wait.Milliseconds()))
+	})
+	return connect.NewResponse(resp), nil
+}
--- a/internal/edge/gatewayd/limit_test.go
+++ b/internal/edge/gatewayd/limit_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/gladegauge/gladegauge/internal/core/balance"
 	"github.com/gladegauge/gladegauge/internal/core/notice"
 	"github.com/gladegauge/gladegauge/platform/standin"
 )
@@ -145,3 +146,35 @@
 	w.is.Equal(w.call("/read/1").Status, 200)
 	w.await(func() bool { return limited(first) == 1 && limited(second) == 1 })
 }
+
+// A gateway without a turn of a limited upstream borrows one of the gateway that holds it.
+func TestBorrowedTurn(t *testing.T) {
+	w := &world{t: t, is: is.New(t), store: standin.NewStore(t)}
+	w.store.PutConfig(configuration(1))
+	r := standin.NewReplica(t, "i-a", func(int, standin.Request) standin.Reply {
+		return standin.Reply{Body: "done", Lines: "Server-Limit: 1000\r\n"}
+	})
+	w.store.PutReplica(r, "app", false)
+	first := startPeer(t, w.store)
+	second := startPeer(t, w.store, first.PeersAddress())
+	w.await(func() bool {
+		n, _ := first.known()
+		m, _ := second.known()
+		return n == 2 && m == 2 && first.version() == 1 && second.version() == 1
+	})
+	// The second one has just started, and holds nothing for a while.
+	second.control.Must(func(now time.Time) {
+		for _, in := range second.roster.Current(now) {
+			second.table.Notice(now, in, notice.Notice{Limit: notice.Limit{Named: true, PerSecond: 1000}, SentAt: now})
+		}
+		second.table.SetColdLimits(balance.ColdLimits{}, func(time.Time, uint64, int) bool { return false })
+	})
+	first.control.Must(func(now time.Time) {
+		for _, in := range first.roster.Current(now) {
+			first.table.Notice(now, in, notice.Notice{Limit: notice.Limit{Named: true, PerSecond: 1000}, SentAt: now})
+		}
+	})
+	w.caller = standin.NewCaller(t, second.CallersAddress())
+	w.await(func() bool { return w.call("/read/1").Status == 200 })
+	w.is.True(len(r.Arrived()) >= 1)
+}
--- a/internal/edge/gatewayd/lines.go
+++ b/internal/edge/gatewayd/lines.go
@@ -35,6 +35,7 @@
 		Bool("continues", x.continuing).
 		Bool("cold", c.Cold).
 		Bool("turn", c.Turn).
+		Bool("lent", c.Lent).
 		Bool("trial", c.Trial).
 		Bool("alone", x.progress.Suspect).
 		Int("urgency", x.admission.Urgency).
--- a/internal/edge/gatewayd/pick.go
+++ b/internal/edge/gatewayd/pick.go
@@ -17,6 +17,9 @@
 		}
 		choice, ok = x.server.table.Pick(now, x.wants())
 	})
+	if !ok && choice.ComeBack == 0 {
+		choice, ok = x.borrow()
+	}
 	return x.picked(choice, ok)
 }
 
--- a/internal/gen/gladegauge/v1/gladegaugev1connect/gateway.connect.go
+++ b/internal/gen/gladegauge/v1/gladegaugev1connect/gateway.connect.go
@@ -40,6 +40,9 @@
 	// GatewayServiceTellLoadsProcedure is the fully-qualified name of the GatewayService's TellLoads
 	// RPC.
 	GatewayServiceTellLoadsProcedure = "/gladegauge.v1.GatewayService/TellLoads"
+	// GatewayServiceBorrowTurnProcedure is the fully-qualified name of the GatewayService's BorrowTurn
+	// RPC.
+	GatewayServiceBorrowTurnProcedure = "/gladegauge.v1.GatewayService/BorrowTurn"
 )
 
 // GatewayServiceClient is a client for the gladegauge.v1.GatewayService service.
@@ -52,6 +55,8 @@
 	// TellLoads tells what the caller's side has at each upstream, and answers
 	// with what all others have there.
 	TellLoads(context.Context, *connect.Request[v1.TellLoadsRequest]) (*connect.Response[v1.TellLoadsResponse], error)
+	// BorrowTurn asks a holder of a limited upstream for one of its turns.
+	BorrowTurn(context.Context, *connect.Request[v1.BorrowTurnRequest]) (*connect.Response[v1.BorrowTurnResponse], error)
 }
 
 // NewGatewayServiceClient constructs a client for the gladegauge.v1.GatewayService service. By
@@ -83,14 +88,21 @@
 			connect.WithSchema(gatewayServiceMethods.ByName("TellLoads")),
 			connect.WithClientOptions(opts...),
 		),
+		borrowTurn: connect.NewClient[v1.BorrowTurnRequest, v1.BorrowTurnResponse](
+			httpClient,
+			baseURL+GatewayServiceBorrowTurnProcedure,
+			connect.WithSchema(gatewayServiceMethods.ByName("BorrowTurn")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // gatewayServiceClient implements GatewayServiceClient.
 type gatewayServiceClient struct {
-	exchange  *connect.Client[v1.GatewayExchangeRequest, v1.GatewayExchangeResponse]
-	follow    *connect.Client[v1.FollowRequest, v1.FollowResponse]
-	tellLoads *connect.Client[v1.TellLoadsRequest, v1.TellLoadsResponse]
+	exchange   *connect.Client[v1.GatewayExchangeRequest, v1.GatewayExchangeResponse]
+	follow     *connect.Client[v1.FollowRequest, v1.FollowResponse]
+	tellLoads  *connect.Client[v1.TellLoadsRequest, v1.TellLoadsResponse]
+	borrowTurn *connect.Client[v1.BorrowTurnRequest, v1.BorrowTurnResponse]
 }
 
 // Exchange calls gladegauge.v1.GatewayService.Exchange.
@@ -108,6 +120,11 @@
 	return c.tellLoads.CallUnary(ctx, req)
 }
 
+// BorrowTurn calls gladegauge.v1.GatewayService.BorrowTurn.
+func (c *gatewayServiceClient) BorrowTurn(ctx context.Context, req *connect.Request[v1.BorrowTurnRequest]) (*connect.Response[v1.BorrowTurnResponse], error) {
+	return c.borrowTurn.CallUnary(ctx, req)
+}
+
 // GatewayServiceHandler is an implementation of the gladegauge.v1.GatewayService service.
 type GatewayServiceHandler interface {
 	// Exchange swaps what two gateways know of all gateways.
@@ -118,6 +135,8 @@
 	// TellLoads tells what the caller's side has at each upstream, and answers
 	// with what all others have there.
 	TellLoads(context.Context, *connect.Request[v1.TellLoadsRequest]) (*connect.Response[v1.TellLoadsResponse], error)
+	// BorrowTurn asks a holder of a limited upstream for one of its turns.
+	BorrowTurn(context.Context, *connect.Request[v1.BorrowTurnRequest]) (*connect.Response[v1.BorrowTurnResponse], error)
 }
 
 // NewGatewayServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -145,6 +164,12 @@
 		connect.WithSchema(gatewayServiceMethods.ByName("TellLoads")),
 		connect.WithHandlerOptions(opts...),
 	)
+	gatewayServiceBorrowTurnHandler := connect.NewUnaryHandler(
+		GatewayServiceBorrowTurnProcedure,
+		svc.BorrowTurn,
+		connect.WithSchema(gatewayServiceMethods.ByName("BorrowTurn")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/gladegauge.v1.GatewayService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case GatewayServiceExchangeProcedure:
@@ -153,6 +178,8 @@
 			gatewayServiceFollowHandler.ServeHTTP(w, r)
 		case GatewayServiceTellLoadsProcedure:
 			gatewayServiceTellLoadsHandler.ServeHTTP(w, r)
+		case GatewayServiceBorrowTurnProcedure:
+			gatewayServiceBorrowTurnHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -173,3 +200,7 @@
 func (UnimplementedGatewayServiceHandler) TellLoads(context.Context, *connect.Request[v1.TellLoadsRequest]) (*connect.Response[v1.TellLoadsResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("gladegauge.v1.GatewayService.TellLoads is not implemented"))
 }
+
+func (UnimplementedGatewayServiceHandler) BorrowTurn(context.Context, *connect.Request[v1.BorrowTurnRequest]) (*connect.Response[v1.BorrowTurnResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("gladegauge.v1.GatewayService.BorrowTurn is not implemented"))
+}
