--- a/internal/core/warmup/warmup.go
+++ b/internal/core/warmup/warmup.go
@@ -1,19 +1,14 @@
 // Package warmup bounds what an upstream gets while it is cold.
 //
 // An upstream that has just started, or has lost what it had warmed up, bears only
-// some requests a second and falls over when it gets far more, from whomever. No
-// gateway sees what the others send there in the same second, and nothing may be
-// written that all of them read. So only a few gateways, its holders, send anything to
-// a cold upstream: the first ones in rendezvous order of all gateways that were heard
-// of lately, dead or alive. Each of them paces its requests.
+// some requests a second and falls over when it gets far more, from whomever. So only a
+// few gateways, its holders, send anything there, each at its pace (package quota).
 //
 // # The bound
 //
-// In any second one holder sends at most one request and those that its pace adds. Over
-// h holders that is h + r, with r the rate that they share, and Split keeps this below
-// what the upstream bears. Gateways that know other fleets choose other holders. Split
-// leaves room for as many again, if the upstream bears three requests in a second or
-// more: a whole second set, as in a fleet whose halves have never heard of each other.
+// In any second one holder sends at most one request and those that its pace adds. Split
+// leaves room for as many holders again, if the upstream bears three requests in a second
+// or more: a whole second set, as in a fleet whose halves have never heard of each other.
 //
 // # Usage
 //
@@ -24,7 +19,11 @@
 //	}
 package warmup
 
-import "time"
+import (
+	"time"
+
+	"github.com/gladegauge/gladegauge/internal/core/quota"
+)
 
 const (
 	// holdersMost is the number of holders of a cold upstream at most. With one
@@ -59,19 +58,12 @@
 
 // SplitOf returns the split that keeps the bounds.
 func SplitOf(b Bounds) Split {
-	rate := usedShare * b.PerSecond
-	holders := holdersMost
-	for holders > 1 && views*(float64(holders)+rate) > b.Most {
-		holders--
-	}
-	room := b.Most/views - float64(holders)
-	if room <= 0 {
-		room = b.Most - float64(holders)
-	}
-	if rate = min(rate, room); rate <= 0 {
+	policy := quota.Policy{Used: usedShare, Views: views, Holders: holdersMost}
+	split := policy.Divide(quota.Bound{Rate: b.PerSecond, Most: b.Most, Window: time.Second})
+	if split.Holders == 0 {
 		return Split{}
 	}
-	return Split{Holders: holders, Every: time.Duration(float64(holders) / rate * float64(time.Second))}
+	return Split{Holders: split.Holders, Every: split.Share(split.Holders).Every}
 }
 
 // State is what one gateway knows of one upstream. The zero value is warm.
