What others tell of a limit is published for as long as they tell it

Callers of a gateway that had been told of a limit, and by others of its end, would have got 503 for requests that only that upstream can take. The test waits for a request in vain without that.

With it: the parts that upstreams with a limit count for are worked out once for a choice, not once for each of them.

--- a/internal/core/balance/gone.go
+++ b/internal/core/balance/gone.go
@@ -67,11 +67,12 @@
 // and the votes against them, may be acted on: they leave enough of the pool.
 func (p *pool) believesAway(now time.Time) bool {
 	n, present := 0, 0.0
+	capacity := p.capacities()
 	for _, u := range p.members {
 		if !u.present(now) {
 			continue
 		}
-		present += p.capacity(u)
+		present += capacity(u)
 		if u.toldAway(now) || u.health.OnTrial(now) {
 			n++
 		}
--- a/internal/core/balance/health.go
+++ b/internal/core/balance/health.go
@@ -99,11 +99,12 @@
 // limit counts as what it may get.
 func (p *pool) mayEject(now time.Time) bool {
 	ejected, present := 0, 0.0
+	capacity := p.capacities()
 	for _, u := range p.members {
 		if !u.present(now) {
 			continue
 		}
-		present += p.capacity(u)
+		present += capacity(u)
 		if u.ejected(now) {
 			ejected++
 		}
--- a/internal/core/balance/limited.go
+++ b/internal/core/balance/limited.go
@@ -175,14 +175,19 @@
 	return n
 }
 
-// capacity is the part of what an upstream without a limit can take that this one may get,
-// up to 1.
-func (p *pool) capacity(u *upstream) float64 {
-	if !u.limited.Named {
-		return 1
-	}
-	work := p.usualWork() / milliseconds(time.Second)
-	return min(1, u.limited.PerSecond*work/float64(max(u.Slots, 1)))
+// capacities returns what each upstream may get, as a part of what one without a limit can
+// take.
+func (p *pool) capacities() func(*upstream) float64 {
+	work := 0.0
+	return func(u *upstream) float64 {
+		if !u.limited.Named {
+			return 1
+		}
+		if work == 0 {
+			work = p.usualWork() / milliseconds(time.Second)
+		}
+		return min(1, u.limited.PerSecond*work/float64(max(u.Slots, 1)))
+	}
 }
 
 // ComeBack is the time after which a caller is to come back if all upstreams of the pool
--- a/internal/core/balance/settle.go
+++ b/internal/core/balance/settle.go
@@ -51,13 +51,14 @@
 	}
 	streams, slots, unread := 0, 0.0, 0
 	perMs := p.speed.tokensPerMs()
+	capacity := p.capacities()
 	for _, u := range p.members {
 		if !u.present(now) {
 			continue
 		}
 		unread += u.unread(now, perMs)
 		streams += u.tight(now, p.pauses.limit)
-		slots += p.capacity(u) * float64(u.Slots)
+		slots += capacity(u) * float64(u.Slots)
 	}
 	need := float64(streams) / (comfortShare * max(slots, 1))
 	p.settlement = settlement{
--- a/internal/core/balance/shared.go
+++ b/internal/core/balance/shared.go
@@ -31,7 +31,8 @@
 	Hanging []Hanging
 	// Limited are those whose limit is another one by the word of others.
 	Limited []Limited
-	// Spoken is true if a limit is spoken of that was not, or the other way round.
+	// Spoken is true if a limit of any upstream is spoken of, or was until now: what others
+	// told of it counts for a moment only, and is to be published anew.
 	Spoken bool
 }
 
@@ -65,13 +66,12 @@
 
 // countLimits takes the votes of all gateways on the upstream's limit.
 func (t *Table) countLimits(now time.Time, u *upstream, d *Doubts) {
-	before := u.said.SaidLimited()
-	if !before && u.shared.Limited == 0 {
+	if !u.said.SaidLimited() && u.shared.Limited == 0 {
 		return
 	}
 	votes := notice.LimitVotes{Limited: u.shared.Limited, PerSecond: u.shared.Limit(), Free: u.shared.Free}
 	u.said = u.said.WithLimitVotes(votes, u.sharedUntil)
-	d.Spoken = d.Spoken || u.said.SaidLimited() != before
+	d.Spoken = true
 	if t.relimit(now, u, firstTurns) {
 		d.Limited = append(d.Limited, Limited{ID: u.ID, Limit: u.limited.Limit, Votes: votes})
 	}
--- a/internal/edge/gatewayd/limit_test.go
+++ b/internal/edge/gatewayd/limit_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/gladegauge/gladegauge/internal/core/balance"
 	"github.com/gladegauge/gladegauge/internal/core/notice"
+	"github.com/gladegauge/gladegauge/internal/core/occupancy"
 	"github.com/gladegauge/gladegauge/platform/standin"
 )
 
@@ -178,3 +179,37 @@
 	w.await(func() bool { return w.call("/read/1").Status == 200 })
 	w.is.True(len(r.Arrived()) >= 1)
 }
+
+// A gateway that has sent nothing since a limit was named is told by others that it ended,
+// and goes on sending there for as long as they say so. The last look before a request goes
+// out saw the state of the moment at which the limit was lifted: 0.7 s later the votes in it
+// had lapsed, and each request there failed as "withheld".
+func TestLimitThatOthersLift(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1, func(int, standin.Request) standin.Reply { return standin.Reply{Body: "done"} })
+	free := func(now time.Time, start uint64) {
+		for _, address := range []string{"a:1", "b:1"} {
+			w.server.occupancy.TakeMember(now, address, occupancy.Loads{start: {Free: 1}})
+		}
+		w.server.takeOthers(now, true)
+	}
+	w.server.control.Must(func(now time.Time) {
+		in := w.server.roster.Current(now)[0]
+		w.server.table.Notice(now, in, notice.Notice{Limit: notice.Limit{Named: true}, SentAt: now})
+		w.server.publishClosed(now)
+	})
+	is.Equal(w.call("/write/1").Status, 503)
+	tell := func() {
+		w.server.control.Must(func(now time.Time) { free(now, w.server.roster.Current(now)[0].Start()) })
+	}
+	for range 4 {
+		w.suspend(2 * time.Second)
+		tell()
+	}
+	// After so long the configuration has to be proved anew first.
+	w.await(func() bool {
+		tell()
+		return w.call("/write/1").Status == 200
+	})
+	is.True(!strings.Contains(w.logs.String(), `"failure":"withheld"`))
+}
--- a/internal/edge/gatewayd/loads.go
+++ b/internal/edge/gatewayd/loads.go
@@ -118,7 +118,7 @@
 			Keep:     s.occupancy.Keep(),
 			Gateways: s.fleet.Size(now),
 		})
-		if doubts.Spoken || len(doubts.Limited) > 0 {
+		if doubts.Spoken {
 			s.publishClosed(now)
 		}
 		for _, l := range doubts.Limited {
