Test, failing: requests of an urgent kind stand behind less urgent ones

Engines preempt the newest of the least urgent by the class that gateways set; by that class the more urgent ones were the ones that were preempted.

--- /dev/null
+++ b/internal/core/ingress/urgency_test.go
@@ -0,0 +1,44 @@
+package ingress
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// At an engine whose memory ran out, 14 requests of the most urgent kind were preempted
+// while less urgent ones ran on there.
+func TestNoKindBehindALessUrgentOne(t *testing.T) {
+	const steps = 10
+	for _, tiers := range []struct{ routes, organisations int }{{3, 1}, {3, 2}, {3, 3}, {3, 5}, {4, 4}, {10, 2}, {2, 40}} {
+		t.Run(fmt.Sprintf("%d tiers of routes, %d of organisations", tiers.routes, tiers.organisations), func(t *testing.T) {
+			is := is.New(t)
+			var routes []*Route
+			for i := range tiers.routes {
+				routes = append(routes, &Route{
+					Name: fmt.Sprint(i), Prefix: fmt.Sprintf("/%d/", i), Kind: Stream, Tier: i, Timeout: time.Second,
+					MaxAttempts: 1, Shares: []Share{{Pool: "p", Weight: 1}},
+				})
+			}
+			var organisations []Organisation
+			for i := range tiers.organisations {
+				organisations = append(organisations, Organisation{Name: fmt.Sprint("o", i), Tier: i})
+			}
+			table, faults := New(1, routes, []Pool{{Name: "p"}}, organisations, Limits{})
+			is.Equal(len(faults), 0)
+			least := -1
+			for _, r := range routes {
+				most := least
+				for i := range organisations {
+					u := table.Urgency(&organisations[i], r, steps)
+					is.True(u > least && u < steps) // the whole kind stands behind the one before
+					is.True(u >= most)              // and in it, the organisations in their order
+					most = u
+				}
+				least = most
+			}
+		})
+	}
+}
