The route's tier goes before the organisation's in an engine's order

Cause: the class that engines admit and preempt by followed the organisation's tier first, so that a report of one organisation preempted a ruling of another.

Where ranks outnumber classes, organisations share one and kinds do not.

--- a/internal/core/ingress/table.go
+++ b/internal/core/ingress/table.go
@@ -12,7 +12,8 @@
 // Organisation is one that sends requests.
 type Organisation struct {
 	Name string
-	// Tier ranks the organisation before the tier of the route; 0 is the highest.
+	// Tier ranks the organisation among others that ask for routes of the same tier; 0 is
+	// the highest.
 	Tier int
 	Keys []config.Key
 }
@@ -72,7 +73,7 @@
 	pools         map[string]Pool
 	organisations map[config.Key]*Organisation
 	open          bool
-	ranks         []rank
+	ranks         ranks
 	leasts        leasts
 }
 
--- a/internal/core/ingress/urgency.go
+++ b/internal/core/ingress/urgency.go
@@ -1,51 +1,47 @@
 package ingress
 
-import (
-	"cmp"
-	"slices"
-)
+import "slices"
 
-// rank orders requests: the organisation's tier goes before the route's.
-type rank struct {
-	organisation int
-	route        int
+// ranks are the tiers that the configuration knows, the highest first.
+type ranks struct {
+	routes        []int
+	organisations []int
 }
 
-func compareRanks(a, b rank) int {
-	if c := cmp.Compare(a.organisation, b.organisation); c != 0 {
-		return c
+func ranksOf(routes []*Route, organisations []Organisation) ranks {
+	var r ranks
+	for _, route := range routes {
+		r.routes = append(r.routes, route.Tier)
 	}
-	return cmp.Compare(a.route, b.route)
-}
-
-// ranksOf returns the ranks that the configuration can give, the highest first.
-func ranksOf(routes []*Route, organisations []Organisation) []rank {
-	tiers := []int{0}
+	r.organisations = []int{0} // of public routes
 	for _, o := range organisations {
-		tiers = append(tiers, o.Tier)
+		r.organisations = append(r.organisations, o.Tier)
 	}
-	var ranks []rank
-	for _, tier := range tiers {
-		for _, r := range routes {
-			ranks = append(ranks, rank{organisation: tier, route: r.Tier})
-		}
-	}
-	slices.SortFunc(ranks, compareRanks)
-	return slices.Compact(ranks)
+	r.routes, r.organisations = distinct(r.routes), distinct(r.organisations)
+	return r
+}
+
+func distinct(tiers []int) []int {
+	slices.Sort(tiers)
+	return slices.Compact(tiers)
 }
 
-// Urgency returns the place of a request among steps classes, 0 for the most
-// urgent. The organisation is nil on public routes.
+// Urgency returns the place of a request among steps classes, 0 for the most urgent. The
+// route's tier goes before the organisation's: no request is preempted, or waits, for a less
+// urgent kind of anybody. The organisation is nil on public routes.
 func (t *Table) Urgency(o *Organisation, r *Route, steps int) int {
-	want := rank{route: r.Tier}
+	tier := 0
 	if o != nil {
-		want.organisation = o.Tier
+		tier = o.Tier
 	}
-	i, _ := slices.BinarySearchFunc(t.ranks, want, compareRanks)
-	if len(t.ranks) <= steps {
-		return min(i, steps-1)
+	kind, _ := slices.BinarySearch(t.ranks.routes, r.Tier)
+	organisation, _ := slices.BinarySearch(t.ranks.organisations, tier)
+	kinds, organisations := len(t.ranks.routes), len(t.ranks.organisations)
+	if kinds*organisations <= steps {
+		return min(kind*organisations+organisation, steps-1)
 	}
-	return i * steps / (len(t.ranks) + 1)
+	first, next := kind*steps/kinds, (kind+1)*steps/kinds
+	return min(first+organisation*(next-first)/organisations, steps-1)
 }
 
 // leasts are the lowest tiers of the configuration.
--- a/internal/core/ingress/urgency_test.go
+++ b/internal/core/ingress/urgency_test.go
@@ -9,7 +9,10 @@
 )
 
 // At an engine whose memory ran out, 14 requests of the most urgent kind were preempted
-// while less urgent ones ran on there.
+// while less urgent ones ran on there. The organisation's tier went before the route's: of
+// 156 "picked" lines for that engine in the 5 s before, 110 were of that kind by
+// organisations of the second tier, with "urgency":3, and 19 of any kind by those of the
+// first one, with 0 and 1. With the route's tier first none were preempted so.
 func TestNoKindBehindALessUrgentOne(t *testing.T) {
 	const steps = 10
 	for _, tiers := range []struct{ routes, organisations int }{{3, 1}, {3, 2}, {3, 3}, {3, 5}, {4, 4}, {10, 2}, {2, 40}} {
