--- a/internal/core/balance/lend.go
+++ b/internal/core/balance/lend.go
@@ -6,9 +6,8 @@
 )
 
 // The load that this answers: a whole pool is limited, and some gateways of a large fleet
-// hold few of its upstreams, or none: they refused while holders had turns left. With
-// thirty gateways before twelve engines that take 48 requests a second in all, 0.67 of that
-// was used. So a gateway that has no upstream left for a request asks a holder for a turn.
+// hold few of its upstreams, or none. They would refuse while holders have turns left. So a
+// gateway that has no upstream left for a request asks a holder for a turn.
 
 // borrowMost is the number of upstreams that a request asks a turn of at most.
 const borrowMost = 4
@@ -62,7 +61,7 @@
 		}
 		return 0, true
 	}
-	return turnlessMost, false
+	return turnBacklogMost, false
 }
 
 // NotLent notes that a holder had no turn of the upstream for so long. Another one may have
@@ -70,7 +69,7 @@
 func (t *Table) NotLent(now time.Time, in Instance, wait time.Duration) {
 	if u, ok := t.upstreams[in.ID]; ok && u.start == in.Start() {
 		holders := max(1, min(u.limited.split.Holders, t.sharers()))
-		u.limited.askAgainAt = now.Add(min(wait, turnlessMost) / time.Duration(holders))
+		u.limited.askAgainAt = now.Add(min(wait, turnBacklogMost) / time.Duration(holders))
 	}
 }
 
--- a/internal/core/balance/limited.go
+++ b/internal/core/balance/limited.go
@@ -32,8 +32,8 @@
 	// the least urgent must get some.
 	leastTurnWait = 0.5
 	openTurn      = 8
-	// turnlessMost is the longest time over which callers are spread that found no turn.
-	turnlessMost = 4 * time.Second
+	// turnBacklogMost is the longest time over which callers are spread that found no turn.
+	turnBacklogMost = 4 * time.Second
 )
 
 // LimitBounds are what an upstream bears beyond the limit that it names.
@@ -142,7 +142,7 @@
 func (t *Table) turnLeft(now time.Time, u *upstream) time.Duration {
 	l := &u.limited
 	if l.split.Rate <= 0 {
-		return turnlessMost
+		return turnBacklogMost
 	}
 	if t.holds(now, u.hash, l.split.Holders) {
 		return max(0, l.bucket.Next(l.share).Sub(now))
@@ -150,9 +150,9 @@
 	return time.Duration(float64(time.Second) / l.split.Rate)
 }
 
-// turnless is the time over which callers come back that found no turn: until all gateways
+// turnBacklog is the time over which callers come back that found no turn: until all gateways
 // have had as many turns as callers were refused lately.
-func (t *Table) turnless(now time.Time, p *pool) time.Duration {
+func (t *Table) turnBacklog(now time.Time, p *pool) time.Duration {
 	rate := 0.0
 	for _, u := range p.members {
 		rate += u.limited.split.Rate
@@ -161,7 +161,7 @@
 		return 0
 	}
 	refused := p.refused.within(now, arrivalsMemory) * float64(t.sharers())
-	return min(turnlessMost, time.Duration(refused/rate*float64(time.Second)))
+	return min(turnBacklogMost, time.Duration(refused/rate*float64(time.Second)))
 }
 
 // LimitedUpstreams is the number of upstreams that have a limit.
@@ -219,7 +219,7 @@
 	}
 	spread := time.Duration(comeBackSpread * float64(after))
 	if isLimited {
-		spread = max(spread, t.turnless(now, p))
+		spread = max(spread, t.turnBacklog(now, p))
 	}
 	return after + time.Duration(float64(spread)*rendezvous.Part(hash)), isLimited
 }
--- a/internal/core/balance/said.go
+++ b/internal/core/balance/said.go
@@ -36,8 +36,8 @@
 	Rests  bool
 	// Limits is true if it names another limit than before, or none any more.
 	Limits bool
-	// Garbles is true if it says what cannot be read, and said something else before.
-	Garbles bool
+	// Unreadable is true if it says what cannot be read, and said something else before.
+	Unreadable bool
 }
 
 // Notice takes what an answer to a request that was sent to the upstream says of the start
@@ -63,13 +63,13 @@
 
 func saidOf(of Instance, listed bool, before, after notice.State) Said {
 	return Said{
-		Of:      of,
-		Listed:  listed,
-		State:   after,
-		Leaves:  after.Leaving() && !before.Leaving(),
-		Rests:   after.RestUntil().After(before.RestUntil()),
-		Limits:  after.Named() != before.Named(),
-		Garbles: after.Unread() != before.Unread(),
+		Of:         of,
+		Listed:     listed,
+		State:      after,
+		Leaves:     after.Leaving() && !before.Leaving(),
+		Rests:      after.RestUntil().After(before.RestUntil()),
+		Limits:     after.Named() != before.Named(),
+		Unreadable: after.Unread() != before.Unread(),
 	}
 }
 
--- a/internal/edge/gatewayd/notice.go
+++ b/internal/edge/gatewayd/notice.go
@@ -65,7 +65,7 @@
 		limit := said.State.Named()
 		line(noticeLimit).Bool("limited", limit.Named).Float64("per_second", limit.PerSecond).Msg("upstream changes its limit")
 	}
-	if said.Garbles {
+	if said.Unreadable {
 		text := n.Unread[:min(len(n.Unread), unreadMost)]
 		line(noticeUnread).Str("text", text).Msg("upstream says what cannot be read")
 	}
