--- a/internal/core/balance/replay_limit_test.go
+++ b/internal/core/balance/replay_limit_test.go
@@ -149,7 +149,11 @@
 	}
 	r := newAdmittingReplay(row.gateways, engines, steadyClasses(row.load*float64(left)/engines))
 	r.limit(row.limited, row.limit, from, length)
-	r.run(from + length + 4)
+	var still []int
+	for s := range limitGoneAfter {
+		r.after(1000*float64(from+length+s+1), func() { still = append(still, r.limitsKept()) })
+	}
+	r.run(from + length + limitGoneAfter)
 	r.report(t)
 	most, ofAll, came := 0, 0, 0
 	for _, e := range r.order[:row.limited] {
@@ -165,6 +169,20 @@
 	is.True(r.share("check", inTime) >= row.check)
 	is.True(r.share("chat", inTime) >= row.chat)
 	is.True(used >= row.used)
+	t.Logf("of %d limits at gateways are left after each second since the end: %v", row.gateways*row.limited, still)
+	is.Equal(still[limitGoneAfter-1], 0)
+}
+
+// limitGoneAfter is the number of seconds after which no gateway keeps a limit that ended.
+const limitGoneAfter = 8
+
+// limitsKept is the number of limits that gateways keep now, summed up over all of them.
+func (r *replay) limitsKept() int {
+	n := 0
+	for _, g := range r.gateways {
+		n += g.table.LimitedUpstreams()
+	}
+	return n
 }
 
 // Engines of a pool of twelve name a limit for 16 s. In any 4 s they get no more than they
