Whether a gateway holds a limited upstream is looked up twice a second

At 800 gateways before 3,000 upstreams that all name a limit, one choice took 60 ms, at 53 upstreams 1.4 ms: each asked for each upstream whether this gateway is a holder, a walk over the map of the fleet.

--- a/internal/core/balance/bench_test.go
+++ b/internal/core/balance/bench_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 
+	"github.com/gladegauge/gladegauge/internal/core/fleet"
 	"github.com/gladegauge/gladegauge/internal/core/occupancy"
 )
 
@@ -52,3 +53,26 @@
 		})
 	}
 }
+
+// All upstreams name a limit, and a fleet of 800 gateways shares it out.
+func BenchmarkPickLimited(b *testing.B) {
+	for _, n := range []int{53, 3000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			table := limitedTable(n, 800, 1)
+			f := fleet.New(fleet.Member{Address: "self", Zone: "a"})
+			var members []fleet.Member
+			for i := range 799 {
+				members = append(members, fleet.Member{Address: fmt.Sprint(i), Zone: "a", Start: 1})
+			}
+			f.Merge(t0, members)
+			table.holds = f.Holds
+			b.ReportAllocs()
+			for i := range b.N {
+				now := at(i)
+				if c, ok := table.Pick(now, plainRequest(i)); ok {
+					table.Ended(now, c, Completed, Answer{})
+				}
+			}
+		})
+	}
+}
--- a/internal/core/balance/limited.go
+++ b/internal/core/balance/limited.go
@@ -32,6 +32,9 @@
 	// the least urgent must get some.
 	leastTurnWait = 0.5
 	openTurn      = 8
+	// heldFor is how long a gateway goes by its last look at whether it is a holder, which
+	// takes a walk over the fleet.
+	heldFor = 500 * time.Millisecond
 	// turnBacklogMost is the longest time over which callers are spread that found no turn.
 	turnBacklogMost = 4 * time.Second
 )
@@ -73,6 +76,9 @@
 	bucket quota.Bucket
 	// turns is the number of turns that were taken.
 	turns int
+	// held is true if this gateway was a holder at heldAt.
+	held   bool
+	heldAt time.Time
 	// askAgainAt is when another holder may be asked for a turn.
 	askAgainAt time.Time
 }
@@ -91,6 +97,7 @@
 	split := t.limitBounds.split(l.PerSecond)
 	if u.limited.Named {
 		u.limited.Limit, u.limited.split = l, split
+		u.limited.heldAt = time.Time{} // There may be more holders, or fewer.
 		return true
 	}
 	share := split.Share(t.sharers())
@@ -105,6 +112,15 @@
 	}
 }
 
+// isHolder reports whether this gateway is one of the upstream's holders.
+func (t *Table) isHolder(now time.Time, u *upstream) bool {
+	l := &u.limited
+	if l.heldAt.IsZero() || now.Sub(l.heldAt) >= heldFor {
+		l.held, l.heldAt = t.holds(now, u.hash, l.split.Holders), now
+	}
+	return l.held
+}
+
 // hasTurn reports whether the upstream takes a request of this gateway now, as far as its
 // limit goes. The least urgent ones leave a turn to others for a while.
 func (t *Table) hasTurn(now time.Time, u *upstream, least bool) bool {
@@ -115,7 +131,7 @@
 	if !l.Named {
 		return true
 	}
-	if !t.holds(now, u.hash, l.split.Holders) {
+	if !t.isHolder(now, u) {
 		return false
 	}
 	t.reshare(now, l)
@@ -144,7 +160,7 @@
 	if l.split.Rate <= 0 {
 		return turnBacklogMost
 	}
-	if t.holds(now, u.hash, l.split.Holders) {
+	if t.isHolder(now, u) {
 		return max(0, l.bucket.Next(l.share).Sub(now))
 	}
 	return time.Duration(float64(time.Second) / l.split.Rate)
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -68,6 +68,8 @@
 type Fleet struct {
 	self   Member
 	others map[string]*heard
+	// hashes are those of the others' addresses; nil after one came or went.
+	hashes []uint64
 	// peak is the largest size of the last minute.
 	peak   int
 	peakAt time.Time
@@ -104,6 +106,7 @@
 		switch {
 		case !ok:
 			f.others[m.Address] = &heard{Member: m, at: now, hash: xxhash.Sum64String(m.Address)}
+			f.hashes = nil
 		case m.newer(held.Member):
 			held.Member = m
 			held.at = now
@@ -130,6 +133,7 @@
 	for address, h := range f.others {
 		if now.Sub(h.at) > keep {
 			delete(f.others, address)
+			f.hashes = nil
 		}
 	}
 }
--- a/internal/core/fleet/hold.go
+++ b/internal/core/fleet/hold.go
@@ -24,14 +24,26 @@
 	}
 	own := rendezvous.Mix(key, xxhash.Sum64String(f.self.Address))
 	before := 0
-	for _, h := range f.others {
-		if rendezvous.Mix(key, h.hash) > own {
+	for _, hash := range f.otherHashes() {
+		if rendezvous.Mix(key, hash) > own {
 			before++
 		}
 	}
 	return before < n
 }
 
+// otherHashes returns the hashes of the others' addresses, as a list: Holds is asked for
+// thousands of upstreams in a row, and to walk over the map takes several times as long.
+func (f *Fleet) otherHashes() []uint64 {
+	if f.hashes == nil {
+		f.hashes = make([]uint64, 0, len(f.others))
+		for _, h := range f.others {
+			f.hashes = append(f.hashes, h.hash)
+		}
+	}
+	return f.hashes
+}
+
 // Holder returns one of the other gateways that hold the key, of the first n in rendezvous
 // order: the roll of a dice says which of those that live. False if there is none.
 func (f *Fleet) Holder(now time.Time, key uint64, n int, roll uint64) (string, bool) {
