A line and a counter for attempts that the retry budget forbids

How many requests end unserved as their gateway's part of the retry budget is used up was not known.

--- a/internal/edge/gatewayd/meters.go
+++ b/internal/edge/gatewayd/meters.go
@@ -44,6 +44,8 @@
 	ends prometheus.Counter
 	// notices are what upstreams said of themselves in their answers, by kind.
 	notices *prometheus.CounterVec
+	// retriesDenied are attempts that could have followed, but for the retry budget.
+	retriesDenied prometheus.Counter
 	// limited are the upstreams with a limit.
 	limited prometheus.Gauge
 	// suspects are the requests under which upstreams ended, by verdict.
@@ -72,13 +74,14 @@
 		peerCalls:     family.Counters("peer_calls_total", "Calls to other gateways by kind and result.", "call", "result"),
 		gateways:      family.Gauge("gateways", "Gateways that the retry budget is split over."),
 		notices:       family.Counters("upstream_notices_total", "What upstreams said of themselves in their answers, by kind.", "kind"),
+		retriesDenied: family.Counter("retries_denied_total", "Attempts that were not made as this gateway's part of the retry budget was used up."),
 		limited:       family.Gauge("upstreams_limited", "Upstreams that name a limit of requests a second."),
 		suspects:      family.Gauges("suspects", "Requests under which upstreams ended one after the other, by verdict.", "verdict"),
 		ends:          family.Counter("upstream_ends_total", "Upstreams that were found ended while they were listed."),
 	}
 	m.registry.MustRegister(m.requests, m.refusals, m.attempts, m.storeCalls, m.inTime, m.firstByte,
 		m.completion, m.connections, m.resumes, m.continues, m.faults, m.version, m.upstreams, m.peerCalls, m.gateways,
-		m.zoneAttempts, m.zoneUpstreams, m.ends, m.notices, m.limited, m.suspects)
+		m.zoneAttempts, m.zoneUpstreams, m.ends, m.notices, m.retriesDenied, m.limited, m.suspects)
 	m.registry.MustRegister(family.GaugeOf("view_age_milliseconds", "Time since the configuration in force was proved to be the newest.", viewAge))
 	if logsDropped != nil {
 		m.registry.MustRegister(family.CounterOf("log_lines_dropped_total", "Log lines that did not fit the buffer.", logsDropped))
--- a/internal/edge/gatewayd/path_test.go
+++ b/internal/edge/gatewayd/path_test.go
@@ -180,4 +180,5 @@
 	repeats := len(w.ran()) - requests
 	is.True(repeats > 0)
 	is.True(float64(repeats) <= most)
+	is.True(strings.Contains(w.logs.String(), `"message":"retry budget is used up"`))
 }
--- a/internal/edge/gatewayd/pick.go
+++ b/internal/edge/gatewayd/pick.go
@@ -74,6 +74,14 @@
 // spend takes a retry from the budget of the request's pool.
 func (x *request) spend() bool {
 	ok := false
-	x.server.control.Must(func(now time.Time) { ok = x.server.budget(x.admission.Pool).Spend(now) })
+	gateways := 0
+	x.server.control.Must(func(now time.Time) {
+		ok = x.server.budget(x.admission.Pool).Spend(now)
+		gateways = x.server.gateways
+	})
+	if !ok {
+		x.server.metrics.retriesDenied.Inc()
+		x.log().Str("pool", x.admission.Pool).Int("gateways", gateways).Msg("retry budget is used up")
+	}
 	return ok
 }
