--- a/internal/soak/limits.go
+++ b/internal/soak/limits.go
@@ -26,9 +26,10 @@
 	// limitToldBefore how long before a request its gateway must have been told.
 	limitKnownAfter = 3 * time.Second
 	limitToldBefore = 500 * time.Millisecond
-	// limitedMost is the number of replicas that name a limit at a time: the others must
-	// bear the load.
+	// limitedMost is the number of replicas that name any limit at a time. While faults go
+	// on, the others may name highLimit: gateways lend each other turns then.
 	limitedMost = 2
+	highLimit   = 20.0
 )
 
 // limitFigures are what replicas name, in requests a second, and limitNonsense what no
@@ -52,29 +53,38 @@
 // seed plays the same faults beside it.
 func (w *World) Limits(ctx context.Context, seed uint64) {
 	rng := rand.New(rand.NewPCG(seed, 81)) //nolint:gosec // Seeded on purpose.
+	end, _ := ctx.Deadline()
 	for loop.Pause(ctx, upTo(rng, limitGap)) {
-		w.nameLimit(rng)
+		w.nameLimit(drawLimit(rng, time.Now()), rng.Uint64(), end)
 	}
 }
 
-// nameLimit lets a replica name a limit, or another one than before. Some cannot be read.
-func (w *World) nameLimit(rng *rand.Rand) {
-	now := time.Now()
+// drawLimit returns a limit that some replica names from now on. Some cannot be read.
+func drawLimit(rng *rand.Rand, now time.Time) Limit {
 	l := Limit{At: now, Until: now.Add(limitLeast + upTo(rng, limitMost-limitLeast)), PerSecond: limitFigures[rng.IntN(len(limitFigures))]}
 	l.Text = strconv.FormatFloat(l.PerSecond, 'f', -1, 64)
 	if rng.IntN(6) == 0 {
 		l.Text, l.Nonsense = limitNonsense[rng.IntN(len(limitNonsense))], true
 	}
+	return l
+}
+
+// nameLimit lets a replica, chosen by the roll of a dice, name the limit, or another one
+// than before. Faults end at the time.
+func (w *World) nameLimit(l Limit, roll uint64, end time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	l.Replica = w.replicas[rng.IntN(len(w.replicas))].ID
+	l.Replica = w.replicas[roll%uint64(len(w.replicas))].ID
 	for id, other := range w.limits {
-		if now.After(other.Until) {
+		if l.At.After(other.Until) {
 			delete(w.limits, id)
 		}
 	}
 	if _, ok := w.limits[l.Replica]; !ok && len(w.limits) >= limitedMost {
-		return
+		l.PerSecond, l.Text, l.Nonsense = highLimit, strconv.Itoa(highLimit), false
+		if end.Before(l.Until) {
+			l.Until = end
+		}
 	}
 	w.limits[l.Replica] = l
 	w.record.limit(l)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"flag"
 	"fmt"
@@ -75,7 +76,8 @@
 	endLoad()
 	_ = group.Wait()
 	broken := Check(w.record)
-	t.Logf("seed %d: %d calls, %d arrivals, %d runs, %d events", seed, len(w.record.Calls), len(w.record.Arrivals), len(w.record.Runs), len(w.record.Events))
+	t.Logf("seed %d: %d calls, %d arrivals, %d runs, %d events, %d limits, %d turns lent", seed, len(w.record.Calls), len(w.record.Arrivals),
+		len(w.record.Runs), len(w.record.Events), len(w.record.Limits), w.logged(`"lent":true`))
 	if len(broken) == 0 {
 		return
 	}
@@ -83,6 +85,17 @@
 	t.Errorf("seed %d broke %d promises (logs in %s):\n%s", seed, len(broken), dir, strings.Join(broken[:min(len(broken), 12)], "\n"))
 }
 
+// logged is how often the text stands in the logs of all gateways.
+func (w *World) logged(text string) int {
+	n := 0
+	for _, p := range w.procs {
+		p.out.mu.Lock()
+		n += bytes.Count(p.out.buf.Bytes(), []byte(text))
+		p.out.mu.Unlock()
+	}
+	return n
+}
+
 // keep writes the logs and events of a play.
 func keep(t *testing.T, w *World, seed uint64) string {
 	t.Helper()
