--- a/internal/core/quota/quota_test.go
+++ b/internal/core/quota/quota_test.go
@@ -160,42 +160,75 @@
 	g.swappedAt = now
 }
 
+// disturbance is what may befall a fleet.
+type disturbance int
+
+const (
+	nothing disturbance = iota
+	// dies is the end of a gateway, or of some of a large fleet; joins a new one.
+	dies
+	joins
+	// suspended means that a gateway stands still, cut that half of the fleet is cut off
+	// from the other half.
+	suspended
+	cut
+	restarts
+	disturbances
+)
+
 // disturb lets something befall the fleet.
 func (f *drawnFleet) disturb(now time.Time) {
-	g := f.gateways[f.rng.IntN(len(f.gateways))]
-	d := time.Duration(f.rng.IntN(6000)) * time.Millisecond
-	switch f.rng.IntN(5) {
-	case 0:
+	what := nothing + 1 + disturbance(f.rng.IntN(int(disturbances)-1))
+	f.befall(now, what, f.rng.IntN(len(f.gateways)), time.Duration(f.rng.IntN(6000))*time.Millisecond)
+}
+
+// befall lets it befall the gateway with that number, for the time.
+func (f *drawnFleet) befall(now time.Time, what disturbance, i int, d time.Duration) {
+	i %= len(f.gateways)
+	g := f.gateways[i]
+	switch what {
+	case dies:
 		if n := 1 + len(f.gateways)/50; len(f.gateways) > 2*n {
-			f.gateways = slices.Delete(f.gateways, 0, n)
+			first := min(i, len(f.gateways)-n)
+			f.gateways = slices.Delete(f.gateways, first, first+n)
 		}
-	case 1:
+	case joins:
 		f.add(now, false)
-	case 2:
+	case suspended:
 		g.stopped = now.Add(d)
 		g.excused = g.stopped.Add(excusedFor)
-	case 3:
+	case cut:
 		for _, g := range f.gateways[:len(f.gateways)/2] {
 			g.away = now.Add(d)
 			g.excused = g.away.Add(excusedFor)
 		}
-	case 4:
+	case restarts:
 		g.bucket, g.started = quota.Bucket{}, false
 		g.excused = now.Add(excusedFor)
+	case nothing, disturbances:
 	}
 }
 
 // disturbOne is the mean number of steps between two disturbances.
 const disturbOne = 100
 
+// disturbed lets something befall the fleet now and then.
+func (f *drawnFleet) disturbed(now time.Time) {
+	if f.rng.IntN(disturbOne) == 0 {
+		f.disturb(now)
+	}
+}
+
+// calm lets nothing befall it.
+func calm(time.Time) {}
+
 // play lets every gateway send whenever it may, and returns what came of those that count.
-func (f *drawnFleet) play(split quota.Split, key uint64, from time.Time, length time.Duration, calm bool) []time.Time {
+// Before each step something may befall the fleet.
+func (f *drawnFleet) play(split quota.Split, key uint64, from time.Time, length time.Duration, before func(now time.Time)) []time.Time {
 	const step = 25 * time.Millisecond
 	var came []time.Time
 	for now := from; now.Before(from.Add(length)); now = now.Add(step) {
-		if !calm && f.rng.IntN(disturbOne) == 0 {
-			f.disturb(now)
-		}
+		before(now)
 		for _, g := range f.gateways {
 			if now.Sub(g.swappedAt) > fleet.ExchangeEvery && f.rng.IntN(10+len(f.gateways)/2) == 0 {
 				f.swap(now, g)
@@ -251,8 +284,8 @@
 	}
 	for _, tt := range fleets {
 		for _, perSecond := range tt.limits {
-			for _, calm := range []bool{true, false} {
-				t.Run(fmt.Sprintf("%d gateways, %v a second, calm %t", tt.gateways, perSecond, calm), func(t *testing.T) {
+			for _, isCalm := range []bool{true, false} {
+				t.Run(fmt.Sprintf("%d gateways, %v a second, calm %t", tt.gateways, perSecond, isCalm), func(t *testing.T) {
 					t.Parallel()
 					is := is.New(t)
 					bound := limitOf(perSecond)
@@ -265,7 +298,11 @@
 							f.add(t0, true)
 						}
 						f.settle(t0)
-						came := f.play(split, f.rng.Uint64(), from, length, calm)
+						befalls := f.disturbed
+						if isCalm {
+							befalls = calm
+						}
+						came := f.play(split, f.rng.Uint64(), from, length, befalls)
 						most = max(most, busiest(came, bound.Window))
 						for _, at := range came {
 							if at.Sub(from) >= length/2 {
@@ -276,7 +313,7 @@
 					used := float64(late) / float64(tt.plays) / (length / 2).Seconds() / bound.Rate
 					t.Logf("at most %d in %v, %.1f are borne, used %.2f", most, bound.Window, bound.Most, used)
 					is.True(float64(most) <= bound.Most)
-					if calm && tt.gateways > 1 {
+					if isCalm && tt.gateways > 1 {
 						// Up to one turn of each holder comes after the end.
 						cut := float64(split.Holders) / (length / 2).Seconds() / bound.Rate
 						is.True(used >= policy.Used-cut)
@@ -286,3 +323,40 @@
 		}
 	}
 }
+
+// Small fleets, with everything that may befall them: two disturbances in any order, of any
+// gateway, at any of three distances, with the second one while the first one lasts, or after.
+func TestSumOfSmallFleets(t *testing.T) {
+	is := is.New(t)
+	const length, lasts = 16 * time.Second, 3 * time.Second
+	bound := limitOf(1)
+	split := policy.Divide(bound)
+	from := t0.Add(10 * time.Second)
+	most, plays := 0, 0
+	for n := 2; n <= 4; n++ {
+		for first := range n * int(disturbances) {
+			for second := range n * int(disturbances) {
+				for _, apart := range []time.Duration{0, time.Second, 5 * time.Second} {
+					f := &drawnFleet{rng: rand.New(rand.NewPCG(1, uint64(n)))}
+					for range n {
+						f.add(t0, true)
+					}
+					f.settle(t0)
+					befalls := func(now time.Time) {
+						if now.Equal(from.Add(5 * time.Second)) {
+							f.befall(now, disturbance(first/n), first%n, lasts)
+						}
+						if now.Equal(from.Add(5*time.Second + apart)) {
+							f.befall(now, disturbance(second/n), second%n, lasts)
+						}
+					}
+					came := f.play(split, 7, from, length, befalls)
+					most = max(most, busiest(came, bound.Window))
+					plays++
+				}
+			}
+		}
+	}
+	t.Logf("%d plays, at most %d in %v, %.1f are borne", plays, most, bound.Window, bound.Most)
+	is.True(float64(most) <= bound.Most)
+}
