--- a/internal/core/balance/cold.go
+++ b/internal/core/balance/cold.go
@@ -9,7 +9,7 @@
 
 // The load that this answers: a part of a pool comes back after a crash, in the midst
 // of a burst. The upstreams look idle, get everything, and fall over while they are
-// cold: 42 of them in one burst of 34 s, with 1,067 answers that broke off.
+// cold.
 
 // ColdLimits are what the operators let cold upstreams get from all gateways together:
 // Overrun times the requests of a second that one handles, and Slack on top.
--- a/internal/core/balance/cost.go
+++ b/internal/core/balance/cost.go
@@ -16,8 +16,7 @@
 	patientTarget   = 400 * time.Millisecond
 	leastWaitWeight = 0.3
 	// harmWeight is what a millisecond of reading costs for each tight stream
-	// that runs beside it, of any gateway. 0.05 served prompts better and
-	// streams worse, 0.5 the other way round.
+	// that runs beside it, of any gateway.
 	harmWeight = 0.12
 	// slotCost is what one more request in a batch costs.
 	slotCost = 0.6
--- a/internal/core/balance/draw.go
+++ b/internal/core/balance/draw.go
@@ -17,30 +17,25 @@
 
 const (
 	// drawnShare is the number of requests of others that may go to the best engine
-	// before its picture changes. 7 to 14 were alike in the replay of streams; at 20
-	// they were late where they settle.
+	// before its picture changes.
 	drawnShare = 14.0
 	// drawnShareBusy is that of prompts while all engines have much to read: what others
-	// send meanwhile takes an engine longer than the picture is old. In the replay of
-	// more than fits, the worth in time was 0.78 at 14 and 0.82 at 4. Where streams
-	// run on every engine that reads little, prompts must find the ones that read
-	// nothing: 0.76 of the streams were in time at 14, 0.69 at 4.
+	// send meanwhile takes an engine longer than the picture is old. Not so where streams
+	// run on every engine that reads little: there prompts must find the ones that read
+	// nothing.
 	drawnShareBusy = 4.0
 	// busyFrom and busyTo are the mean times, in milliseconds, that the engines of a pool
 	// need to read what they have, between which the share falls. They are one long
-	// prompt and three. From 150 to 400 the worth was the same within 0.01, and fewer
-	// notes were in time.
+	// prompt and three.
 	busyFrom = 50.0
 	busyTo   = 150.0
 	// leastDrawn is the least number of engines that a choice compares, however old the
 	// picture, and leastDrawnTight that of a tight stream, which settles on few of
-	// them: fewer would miss these. With words 0.9 s old, 8 for all served 0.84 of the
-	// prompts and 0.82 of the chats in time, 3 and 16 served 0.95 and 0.86.
+	// them: fewer would miss these.
 	leastDrawn      = 3
 	leastDrawnTight = 16
 	// leastDrawnService is that of a plain service. Its requests take a tenth of the
-	// time that the picture is old: with words 0.3 s old, comparing all six replicas
-	// made a tenth of a burst late, and comparing two none.
+	// time that the picture is old, so that comparing more sends a burst to a few.
 	leastDrawnService = 2
 	// drawAllBelow: where so many times the number to draw are there, all are compared.
 	drawAllBelow = 2
--- a/internal/core/balance/gone.go
+++ b/internal/core/balance/gone.go
@@ -4,8 +4,7 @@
 
 // The load that this answers: a part of a pool crashes at once. Dead engines look
 // idle, so that every gateway sends its next requests there, and finds each of them
-// out for itself; with 103 gateways and 45 crashed engines that took 9,300 refused
-// connections until the list told of the crash.
+// out for itself until the list tells of the crash.
 
 const (
 	// goneWitnesses is the number of other gateways whose word is taken for a dead
--- a/internal/core/balance/hanging.go
+++ b/internal/core/balance/hanging.go
@@ -4,11 +4,9 @@
 
 // The load that this answers: an upstream lets most requests hang. Their callers leave, so
 // that none of them fails; then nothing is left there, the upstream looks idle, and the
-// next requests go there: one engine of seventeen that hung got 93 of the 204 requests
-// that did, in waves as far apart as callers wait.
+// next requests go there, in waves as far apart as callers wait.
 //
-// A prompt that hangs counts as a request that failed, for votes and trials: with it the
-// engines of the replay got 0.14 of what would meet them by chance, 0.44 before. Ejection
+// A prompt that hangs counts as a request that failed, for votes and trials. Ejection
 // stays a matter of answers, as a long wait may be the request's own. At an engine that is
 // full prompts wait for others to end, and how long the work of a plain service takes is
 // not known beforehand: neither is a fault.
--- a/internal/core/balance/room.go
+++ b/internal/core/balance/room.go
@@ -4,8 +4,7 @@
 
 // fullShare is the part of an engine's slots from which on it is taken to be full.
 // The rest is for what other gateways send before they have told of it: beyond its
-// slots an engine breaks into streams that run. At 1.0 bursts still overfilled
-// engines, at 0.8 streams had to go to engines that read.
+// slots an engine breaks into streams that run.
 const fullShare = 0.9
 
 // withRoom leaves out the engines that are nearly full while others have room. Plain
--- a/internal/core/balance/said.go
+++ b/internal/core/balance/said.go
@@ -8,8 +8,7 @@
 
 // The load that this answers: upstreams that leave, or refuse and ask for rest, while the
 // platform's list says nothing of it. An upstream that refuses has nothing in flight and
-// looks idle: four of twelve that refused everything for 3 s drew half of their pool's
-// requests, 210 of 414, and 173 of these ended unserved.
+// looks idle, and draws its pool's requests.
 //
 // What an upstream says of itself goes before the list and before every judgement of ours:
 // while it rests it is absent, and its pool is that much smaller.
@@ -87,8 +86,8 @@
 	return u.Instance, true
 }
 
-// Closed returns the starts that have said something of themselves, for a last look
-// before a request goes out.
+// Closed returns the starts that have said something of themselves, or whose limit others
+// tell of, for a last look before a request goes out.
 func (t *Table) Closed(now time.Time) notice.Closed {
 	closed := make(notice.Closed)
 	for _, u := range t.upstreams {
--- a/internal/core/balance/settle.go
+++ b/internal/core/balance/settle.go
@@ -17,14 +17,12 @@
 const (
 	// settleWeight is what the last engine in the order costs a tight stream more
 	// than the first one, in milliseconds. It is less than a first event may take.
-	// At 150 more streams paused, at 500 no fewer.
 	settleWeight = 300.0
 	// giveWayWeight is what the first engine costs other prompts for each tier that
-	// they stand below the streams. At half of it, half as many again of the streams
-	// paused.
+	// they stand below the streams, in milliseconds.
 	giveWayWeight = 200.0
 	// comfortShare is the part of an engine's slots that tight streams fill while
-	// there is room: with twice as many, their own prompts made them pause.
+	// there is room: their own prompts make them pause where there are more.
 	comfortShare = 0.2
 	// settledMost is the part of a pool that may be kept for tight streams.
 	settledMost = 0.5
--- a/internal/core/balance/votes.go
+++ b/internal/core/balance/votes.go
@@ -8,8 +8,7 @@
 
 // The load that this answers: a part of a pool refuses or fails most requests. Each
 // gateway found each such upstream out for itself, so that the loss grew with their
-// number: with 30 gateways and 17 of 55 engines that refused nine requests of ten for 18 s,
-// 1,565 of some 14,000 requests were not served, and 258 with votes and trials.
+// number.
 //
 // Each gateway tells of the latest that it saw of an upstream: an answer, or a failure or
 // refusal. Where most votes are against it, all put it last for a time, and then a few of
--- a/internal/core/health/state.go
+++ b/internal/core/health/state.go
@@ -62,9 +62,7 @@
 
 // WithAnswer returns the state after a whole answer that began at the time. One that began
 // before the last failure says nothing newer: streams of engines that had just begun to hang
-// ended well for seconds, and spoke for them. With answers that began as votes, the replay's
-// faulty engines got 0.26 of what would meet their refusals by chance, 0.35 before, over
-// four seeds.
+// end well for seconds, and would speak for them.
 func (s State) WithAnswer(begunAt time.Time) State {
 	s.rate -= failureMemory * s.rate
 	s.refusals = max(0, s.refusals-1)
@@ -109,9 +107,8 @@
 }
 
 // WithHanging returns the state while a request still hangs that was counted: its vote
-// goes on, unless something was answered since. Callers leave after two seconds, and a vote
-// of one second was over by then, so that the next wave went there: 0.155 of what would
-// meet the fault by chance, 0.125 with it.
+// goes on, unless something was answered since. Callers leave after two seconds: a vote of
+// one second would be over by then, and the next wave go there.
 func (s State) WithHanging(now time.Time) State {
 	if s.failures > 0 && !s.begunAt.After(s.failedAt) {
 		s.failedAt = now
--- a/internal/core/health/votes.go
+++ b/internal/core/health/votes.go
@@ -141,8 +141,7 @@
 }
 
 // Untried reports whether none of the least urgent requests came for such a trial in time.
-// Without it all gateways tried at once then: 30 of 126 prompts that hung on a day did so
-// within 0.3 s.
+// Without it all gateways would try at once then.
 func (s State) Untried(now time.Time) bool {
 	return s.TrialOfFew(now) && now.Sub(s.standing.lastUntil) >= trialFor
 }
--- a/internal/core/notice/book.go
+++ b/internal/core/notice/book.go
@@ -66,7 +66,8 @@
 	}
 }
 
-// Closed is the starts that have said something of themselves, as they are at one moment.
+// Closed is the starts that have said something of themselves, or whose limit others tell
+// of, as they are at one moment.
 // It never changes, so that requests may read it beside the control state.
 type Closed map[uint64]State
 
--- a/internal/core/notice/state.go
+++ b/internal/core/notice/state.go
@@ -20,8 +20,7 @@
 	returnEvery  = 10 * time.Millisecond
 	returnLatest = time.Second
 	// floodedFrom is how many times as many requests an upstream may have that is back
-	// while all others rest. Without a limit the first one of twelve got 31 requests in the
-	// half second after its rest, ten times its share.
+	// while all others rest: it would get all of its pool's requests otherwise.
 	floodedFrom = 4
 )
 
--- a/internal/core/occupancy/book.go
+++ b/internal/core/occupancy/book.go
@@ -8,7 +8,7 @@
 // Times of telling.
 const (
 	// Every is how often a gateway tells what it has. Prompts take about as long to
-	// be read; a word each 50 ms cost twice the processor time.
+	// be read.
 	Every = 100 * time.Millisecond
 	// MembersMost is the number of gateways of an availability zone that tell that
 	// often; more of them tell less often, so that the relay's work is bounded.
--- a/internal/core/overload/overload.go
+++ b/internal/core/overload/overload.go
@@ -6,9 +6,7 @@
 // More prompts come than the engines can read, for many seconds. If all are taken, all
 // wait until few are in time and many are given up after they were read. Streams pause
 // beside engines that never stop reading, so that more of them run at once, and each
-// token takes still longer. In a replay of a sixth more than fits, over 18 s with a
-// fifth of the engines away, 0.44 of the checks, 0.51 of the notes and 0.70 of the chats
-// were in time when only waits of more than a whole target were turned away.
+// token takes still longer.
 //
 // So a request that would wait for too long before it is read is turned away at once,
 // with the time after which it is expected to fit. Only the least urgent requests of a
@@ -48,19 +46,16 @@
 
 const (
 	// burstShare is the part of its target that a request may wait while no queue
-	// stands. In eight replays of a burst that three gateways can carry, 0.98 of the
-	// checks were in time, and 0.95 at 0.6 with queues that stand from 0.4 on: what was
-	// turned away would have been in time.
+	// stands: most of what is turned away below it would have been in time.
 	burstShare = 0.8
 	// lightShare is that of organisations that got less than others (shares.go).
 	lightShare = 1.0
 	// standingFrom is the mean wait, as a part of the target, from which on a queue
-	// stands. From 0.6 on streams were hurt more, and those three gateways had 0.99.
+	// stands.
 	standingFrom = 0.45
 	// standingShare is the part of its target that a request may wait while a queue
 	// stands. It is about two long prompts: enough that engines have something to read
-	// until the next ones come. In the replay of more than fits, 0.79 of the worth was
-	// in time with it and 0.68 without a queue that stands.
+	// until the next ones come.
 	standingShare = 0.15
 	// memory is the time over which waits are averaged: longer than a word of the other
 	// gateways takes, and shorter than the bursts that are to be told from it.
@@ -71,8 +66,6 @@
 	// growingFrom is the mean wait, as a part of the target, from which on those are
 	// turned away that will not be complete in time: at the pace of that moment their
 	// answers would end later than fitShare of the time that their callers have left.
-	// With smaller limits of the wait it added 0.02 to the worth in time of the replay
-	// of more than fits.
 	growingFrom = 0.3
 	// fitShare is below one as callers' guesses of their answers are far off.
 	fitShare = 0.8
--- a/internal/core/quota/quota.go
+++ b/internal/core/quota/quota.go
@@ -16,7 +16,7 @@
 //
 // # Usage
 //
-//	split := quota.Policy{Used: 0.9, Views: 1.5, Holders: 100}.Divide(bound)
+//	split := quota.Policy{Used: 0.9, Views: 1.2, Holders: 100}.Divide(bound)
 //	share := split.Share(gateways)
 //	bucket := quota.NewBucket(now, share, 1)
 //	if bucket.Has(now, share) {
--- a/internal/core/suspect/sound.go
+++ b/internal/core/suspect/sound.go
@@ -17,8 +17,7 @@
 )
 
 // sound is the requests that were answered a while ago. Requests that are asked for by
-// many are at the ends of upstreams by chance: without it 320 of 95,900 requests were
-// refused while two upstreams a second ended, with it none (TestReplays).
+// many are at the ends of upstreams by chance, and would be refused (TestReplays).
 type sound struct {
 	latest, before map[uint64]struct{}
 	// turnedAt is when the latest ones began.
--- a/internal/edge/gatewayd/notice.go
+++ b/internal/edge/gatewayd/notice.go
@@ -24,8 +24,8 @@
 const unreadMost = 60
 
 // notice takes what the head of an answer says of its upstream. It is shown each head
-// that comes: those of refusals and errors, and of answers to other requests. Known from
-// the platform's list alone, an upstream that left got requests 12.3 s after its word.
+// that comes: those of refusals and errors, and of answers to other requests. The platform's
+// list may tell of them many seconds later, or never.
 func (x *request) notice(choice balance.Choice, r *http.Response) {
 	n := platform.DecodeNotice(r.StatusCode, r.Header)
 	s := x.server
--- a/internal/edge/gatewayd/patience.go
+++ b/internal/edge/gatewayd/patience.go
@@ -20,8 +20,7 @@
 	streamPatience = time.Second
 	// pauseFactor is how many pause targets a stream may say nothing before it
 	// goes on from the copy of its run. Callers give up a silent stream some time
-	// after that. At 0.7 busy engines that were well lost 22 streams on a quiet
-	// day; at 3 they lost none.
+	// after that; busy engines that are well pause for longer than one.
 	pauseFactor = 3
 )
 
