--- /dev/null
+++ b/internal/core/balance/capacity.go
@@ -0,0 +1,18 @@
+package balance
+
+import "time"
+
+// capacities returns what each upstream may get, as a part of what one without a limit can
+// take.
+func (p *pool) capacities() func(*upstream) float64 {
+	work := 0.0
+	return func(u *upstream) float64 {
+		if !u.limited.Named {
+			return 1
+		}
+		if work == 0 {
+			work = p.usualWork() / milliseconds(time.Second)
+		}
+		return min(1, u.limited.PerSecond*work/float64(max(u.Slots, 1)))
+	}
+}
--- a/internal/core/balance/limited.go
+++ b/internal/core/balance/limited.go
@@ -5,7 +5,6 @@
 
 	"github.com/gladegauge/gladegauge/internal/core/notice"
 	"github.com/gladegauge/gladegauge/internal/core/quota"
-	"github.com/gladegauge/gladegauge/internal/core/rendezvous"
 )
 
 // The load that this answers: an upstream in need names the requests a second that it takes
@@ -35,8 +34,6 @@
 	// heldFor is how long a gateway goes by its last look at whether it is a holder, which
 	// takes a walk over the fleet.
 	heldFor = 500 * time.Millisecond
-	// turnBacklogMost is the longest time over which callers are spread that found no turn.
-	turnBacklogMost = 4 * time.Second
 )
 
 // LimitBounds are what an upstream bears beyond the limit that it names.
@@ -166,20 +163,6 @@
 	return time.Duration(float64(time.Second) / l.split.Rate)
 }
 
-// turnBacklog is the time over which callers come back that found no turn: until all gateways
-// have had as many turns as callers were refused lately.
-func (t *Table) turnBacklog(now time.Time, p *pool) time.Duration {
-	rate := 0.0
-	for _, u := range p.members {
-		rate += u.limited.split.Rate
-	}
-	if rate <= 0 {
-		return 0
-	}
-	refused := p.refused.within(now, arrivalsMemory) * float64(t.sharers())
-	return min(turnBacklogMost, time.Duration(refused/rate*float64(time.Second)))
-}
-
 // LimitedUpstreams is the number of upstreams that have a limit.
 func (t *Table) LimitedUpstreams() int {
 	n := 0
@@ -190,52 +173,3 @@
 	}
 	return n
 }
-
-// capacities returns what each upstream may get, as a part of what one without a limit can
-// take.
-func (p *pool) capacities() func(*upstream) float64 {
-	work := 0.0
-	return func(u *upstream) float64 {
-		if !u.limited.Named {
-			return 1
-		}
-		if work == 0 {
-			work = p.usualWork() / milliseconds(time.Second)
-		}
-		return min(1, u.limited.PerSecond*work/float64(max(u.Slots, 1)))
-	}
-}
-
-// ComeBack is the time after which a caller is to come back if all upstreams of the pool
-// that are there rest, have just returned and would be flooded, or have no turn: when the
-// first of them takes more, and for some callers a while later. It is 0 while there is
-// another one. Limited tells that turns are what lacks.
-func (t *Table) ComeBack(now time.Time, pool string, hash uint64) (after time.Duration, isLimited bool) {
-	p, ok := t.pools[pool]
-	if !ok {
-		return 0, false
-	}
-	for _, u := range p.members {
-		if !u.open() || u.gone(now) {
-			continue
-		}
-		left := u.said.RestUntil().Sub(now)
-		switch {
-		case left > 0 || u.flooded(now):
-		case u.limited.Named:
-			left = t.turnLeft(now, u)
-			isLimited = true
-		default:
-			return 0, false
-		}
-		left = max(left, returnWait)
-		if after == 0 || left < after {
-			after = left
-		}
-	}
-	spread := time.Duration(comeBackSpread * float64(after))
-	if isLimited {
-		spread = max(spread, t.turnBacklog(now, p))
-	}
-	return after + time.Duration(float64(spread)*rendezvous.Part(hash)), isLimited
-}
--- a/internal/core/balance/said.go
+++ b/internal/core/balance/said.go
@@ -13,14 +13,6 @@
 // What an upstream says of itself goes before the list and before every judgement of ours:
 // while it rests it is absent, and its pool is that much smaller.
 
-// comeBackSpread is the part of the time until an upstream's rest ends over which the
-// callers that it turned away come back: so long as they came for, so long they return.
-const comeBackSpread = 0.5
-
-// returnWait is when the callers come back that would flood the first upstream that is
-// back from its rest: after about one answer, when it may get more.
-const returnWait = 100 * time.Millisecond
-
 // Said is what became of a notice.
 type Said struct {
 	// Of is the start whose word it is, as far as it is known; the zero value if the answer
