--- /dev/null
+++ b/internal/edge/gatewayd/resources.go
@@ -0,0 +1,45 @@
+package gatewayd
+
+import (
+	"runtime/metrics"
+	"time"
+)
+
+// resourcesEvery is how often a gateway writes what it holds and used.
+const resourcesEvery = 10 * time.Second
+
+// Names of what the runtime tells of the process (package runtime/metrics).
+const (
+	heapMetric       = "/memory/classes/heap/objects:bytes"
+	heapUnusedMetric = "/memory/classes/heap/unused:bytes"
+	heapFreeMetric   = "/memory/classes/heap/free:bytes"
+	stacksMetric     = "/memory/classes/heap/stacks:bytes"
+	metadataMetric   = "/memory/classes/metadata/other:bytes"
+	liveMetric       = "/gc/heap/live:bytes"
+	goroutinesMetric = "/sched/goroutines:goroutines"
+	collectorMetric  = "/cpu/classes/gc/total:cpu-seconds"
+	userMetric       = "/cpu/classes/user:cpu-seconds"
+)
+
+// logResources writes a line on what the process holds and used, in bytes and seconds. It
+// runs in the control goroutine.
+func (s *Server) logResources(time.Time) {
+	samples := []metrics.Sample{
+		{Name: heapMetric}, {Name: heapUnusedMetric}, {Name: heapFreeMetric}, {Name: stacksMetric},
+		{Name: metadataMetric}, {Name: liveMetric}, {Name: goroutinesMetric},
+		{Name: collectorMetric}, {Name: userMetric},
+	}
+	metrics.Read(samples)
+	s.log.Info().
+		Uint64("heap", samples[0].Value.Uint64()).
+		Uint64("heap_unused", samples[1].Value.Uint64()).
+		Uint64("heap_free", samples[2].Value.Uint64()).
+		Uint64("stacks", samples[3].Value.Uint64()).
+		Uint64("metadata", samples[4].Value.Uint64()).
+		Uint64("live", samples[5].Value.Uint64()).
+		Uint64("goroutines", samples[6].Value.Uint64()).
+		Float64("collector_s", samples[7].Value.Float64()).
+		Float64("user_s", samples[8].Value.Float64()).
+		Int("gateways", s.gateways).
+		Msg("resources")
+}
--- a/internal/edge/gatewayd/server.go
+++ b/internal/edge/gatewayd/server.go
@@ -172,6 +172,7 @@
 		group.Go(func() error { return s.tellLoop(work) })
 	}
 	group.Go(func() error { return s.control.Every(work, sweepEvery, s.sweep) })
+	group.Go(func() error { return s.control.Every(work, resourcesEvery, s.logResources) })
 	listeners.serve(work, group, s)
 	group.Go(func() error {
 		defer cancel()
