Work for others goes to the strong hosts of a zone

Cause: relay and parents are the first in rendezvous order, whatever their hosts give them. A relay's work grows with the zone and with the upstreams that have work.

Change: gateways tell the part of a core that their hosts give them; those with half of the largest or more come first in the order, rendezvous within both groups. The list of others in order of address is kept, instead of sorted anew some fifteen times a second.

Ruled out: a threshold in cores, which is a figure of one deployment.

--- a/internal/core/fleet/ask.go
+++ b/internal/core/fleet/ask.go
@@ -1,11 +1,8 @@
 package fleet
 
 import (
-	"maps"
 	"slices"
 	"time"
-
-	"github.com/gladegauge/gladegauge/internal/core/rendezvous"
 )
 
 // Down notes that a call to the gateway failed.
@@ -19,7 +16,7 @@
 // order; of all availability zones if none is named.
 func (f *Fleet) askable(now time.Time, zone string) []string {
 	var addresses []string
-	for _, h := range f.alive(now) {
+	for h := range f.living(now) {
 		if !h.Leaving && !now.Before(h.downUntil) && (zone == "" || h.Zone == zone) {
 			addresses = append(addresses, h.Address)
 		}
@@ -55,7 +52,7 @@
 // lately.
 func (f *Fleet) unheard(now time.Time, seeds []string) []string {
 	known := map[string]bool{f.self.Address: true}
-	for _, h := range f.alive(now) {
+	for h := range f.living(now) {
 		known[h.Address] = true
 	}
 	var list []string
@@ -75,51 +72,6 @@
 	return list
 }
 
-// Parent returns the gateway that this one follows; false if it is the first of
-// its availability zone, and reads the store itself.
-func (f *Fleet) Parent(now time.Time) (string, bool) {
-	zone := append(f.askable(now, f.self.Zone), f.self.Address)
-	ranked := rendezvous.Rank("follow/"+f.self.Zone, zone)
-	at := slices.Index(ranked, f.self.Address)
-	if at == 0 {
-		return "", false
-	}
-	return ranked[(at-1)/FanOut], true
-}
-
-// Relay returns the gateway that sums up the loads of the availability zone, and
-// whether it is this one. It is another one than the first to follow, if there is
-// a choice, so that the work is spread.
-func (f *Fleet) Relay(now time.Time) (address string, self bool) {
-	address = f.relayOf(now, f.self.Zone)
-	return address, address == f.self.Address
-}
-
-// Relays returns the relays of the other availability zones.
-func (f *Fleet) Relays(now time.Time) []string {
-	zones := make(map[string]bool)
-	for _, h := range f.alive(now) {
-		if h.Zone != f.self.Zone {
-			zones[h.Zone] = true
-		}
-	}
-	var list []string
-	for _, zone := range slices.Sorted(maps.Keys(zones)) {
-		if address := f.relayOf(now, zone); address != "" {
-			list = append(list, address)
-		}
-	}
-	return list
-}
-
-// RelayDown notes that a relay did not answer: another one takes its place for a
-// while. It says nothing about other calls, for which there is more time.
-func (f *Fleet) RelayDown(now time.Time, address string) {
-	if h, ok := f.others[address]; ok {
-		h.relayDownUntil = now.Add(downFor)
-	}
-}
-
 // IsNeighbour reports whether the address is of another gateway of the availability zone
 // that is believed to live.
 func (f *Fleet) IsNeighbour(now time.Time, address string) bool {
@@ -129,18 +81,3 @@
 
 // ZoneSize returns the number of gateways of the availability zone.
 func (f *Fleet) ZoneSize(now time.Time) int { return 1 + len(f.askable(now, f.self.Zone)) }
-
-// relayOf returns the first gateway of the availability zone in rendezvous order;
-// empty if none is known.
-func (f *Fleet) relayOf(now time.Time, zone string) string {
-	members := slices.DeleteFunc(f.askable(now, zone), func(address string) bool {
-		return now.Before(f.others[address].relayDownUntil)
-	})
-	if zone == f.self.Zone {
-		members = append(members, f.self.Address)
-	}
-	if len(members) == 0 {
-		return ""
-	}
-	return rendezvous.Rank("relay/"+zone, members)[0]
-}
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -23,6 +23,8 @@
 
 import (
 	"cmp"
+	"iter"
+	"maps"
 	"slices"
 	"time"
 
@@ -68,8 +70,10 @@
 type Fleet struct {
 	self   Member
 	others map[string]*heard
-	// hashes are those of the others' addresses; nil after one came or went.
+	// hashes are those of the others' addresses, and order the others by address; nil
+	// after one came or went.
 	hashes []uint64
+	order  []*heard
 	// peak is the largest size of the last minute.
 	peak   int
 	peakAt time.Time
@@ -106,7 +110,7 @@
 		switch {
 		case !ok:
 			f.others[m.Address] = &heard{Member: m, at: now, hash: xxhash.Sum64String(m.Address)}
-			f.hashes = nil
+			f.changed()
 		case m.newer(held.Member):
 			held.Member = m
 			held.at = now
@@ -133,26 +137,51 @@
 	for address, h := range f.others {
 		if now.Sub(h.at) > keep {
 			delete(f.others, address)
-			f.hashes = nil
+			f.changed()
 		}
 	}
 }
 
 // alive returns the other gateways that are believed to live, in order.
-func (f *Fleet) alive(now time.Time) []*heard {
+func (f *Fleet) alive(now time.Time) []*heard { return slices.Collect(f.living(now)) }
+
+// living goes over the other gateways that are believed to live, in order.
+func (f *Fleet) living(now time.Time) iter.Seq[*heard] {
 	keep := f.keep()
-	var list []*heard
-	for _, h := range f.others {
-		if now.Sub(h.at) <= keep {
-			list = append(list, h)
+	return func(yield func(*heard) bool) {
+		for _, h := range f.sorted() {
+			if now.Sub(h.at) <= keep && !yield(h) {
+				return
+			}
 		}
 	}
-	slices.SortFunc(list, func(a, b *heard) int { return cmp.Compare(a.Address, b.Address) })
-	return list
+}
+
+// sorted returns all others by address. It is asked for many times a second and changes
+// only when one comes or is forgotten.
+func (f *Fleet) sorted() []*heard {
+	if f.order == nil {
+		f.order = slices.SortedFunc(maps.Values(f.others), func(a, b *heard) int {
+			return cmp.Compare(a.Address, b.Address)
+		})
+	}
+	return f.order
+}
+
+// changed drops what is kept of who there is.
+func (f *Fleet) changed() {
+	f.hashes = nil
+	f.order = nil
 }
 
 // Known is the number of gateways that are believed to live, with this one.
-func (f *Fleet) Known(now time.Time) int { return 1 + len(f.alive(now)) }
+func (f *Fleet) Known(now time.Time) int {
+	n := 1
+	for range f.living(now) {
+		n++
+	}
+	return n
+}
 
 // Share returns what the next message tells a gateway that knows so many: this one
 // and some others, chosen by the roll of a dice.
--- a/internal/core/fleet/member.go
+++ b/internal/core/fleet/member.go
@@ -12,6 +12,9 @@
 	Beat  uint64
 	// Leaving is true once it takes nobody new.
 	Leaving bool
+	// Capacity is the part of a core that its host gives it, in thousandths; 0 if it
+	// does not say.
+	Capacity uint32
 }
 
 // newer reports whether m says more of its gateway than other does.
--- a/internal/edge/gatewayd/listen.go
+++ b/internal/edge/gatewayd/listen.go
@@ -25,6 +25,9 @@
 	defaultIdleTimeout   = 15 * time.Second
 )
 
+// thousandths are those of a core, in which gateways tell what their hosts give them.
+const thousandths = 1000
+
 // listeners are the open ports of a gateway.
 type listeners struct {
 	callers   net.Listener
@@ -65,9 +68,10 @@
 // member is this gateway as the others know it.
 func (s *Server) member(address string) fleet.Member {
 	return fleet.Member{
-		Address: address,
-		Zone:    s.o.Settings.Zone,
-		Start:   uint64(s.now().UnixNano()),
+		Address:  address,
+		Zone:     s.o.Settings.Zone,
+		Start:    uint64(s.now().UnixNano()),
+		Capacity: count32(int(thousandths * s.o.Settings.Cores)),
 	}
 }
 
--- a/internal/edge/gatewayd/messages.go
+++ b/internal/edge/gatewayd/messages.go
@@ -16,14 +16,24 @@
 	return uint32(min(max(0, d.Milliseconds()), math.MaxUint32-1))
 }
 
+// millisecondsSince returns what has passed since the moment, rounded up: an age may be
+// overstated, never understated. It is nil for none.
+func millisecondsSince(now, at time.Time) *uint32 {
+	if at.IsZero() {
+		return nil
+	}
+	ms := wholeMilliseconds(now.Sub(at)) + 1
+	return &ms
+}
+
 // encodeMember returns the message of a gateway.
 func encodeMember(m fleet.Member) *gladegaugev1.GatewayMember {
-	return &gladegaugev1.GatewayMember{Address: m.Address, Zone: m.Zone, Start: m.Start, Beat: m.Beat, Leaving: m.Leaving}
+	return &gladegaugev1.GatewayMember{Address: m.Address, Zone: m.Zone, Start: m.Start, Beat: m.Beat, Leaving: m.Leaving, Capacity: m.Capacity}
 }
 
 // decodeMember returns the gateway in a message.
 func decodeMember(g *gladegaugev1.GatewayMember) fleet.Member {
-	return fleet.Member{Address: g.GetAddress(), Zone: g.GetZone(), Start: g.GetStart(), Beat: g.GetBeat(), Leaving: g.GetLeaving()}
+	return fleet.Member{Address: g.GetAddress(), Zone: g.GetZone(), Start: g.GetStart(), Beat: g.GetBeat(), Leaving: g.GetLeaving(), Capacity: g.GetCapacity()}
 }
 
 // encodeEntry returns the message of an entry of the store.
