One gateway of a region reads the store; who cannot reach it follows others

Cause: each zone had its own reader, each follower asked the store itself as soon as its view was late, and a parent that did not answer sent its follower to the store at once.

Change: - The first gateway of each zone follows the first of the region's first zone. - A gateway whose call failed leaves the store to others for 3 s and tells its followers at once; they turn to the next one in the order. While what is known is late, the first of each zone and four others of the fleet a second ask the store, the rest ask each other. One that reaches no other gateway reads the store itself, as before. - A poll is answered as soon as the parent's proof is newer by 0.4 s: the age of a view no longer grows by half a second with each level of the tree. - Failed calls are told on, so that a gateway that did not ask in an outage keeps the upstreams that may have lapsed in it.

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -6,18 +6,18 @@
 // here is needed to keep a promise: what is known may be late or wrong, and a
 // gateway that knows nobody acts alone.
 //
-// The gateways of an availability zone form a tree over the rendezvous order of
-// their addresses. The first one reads the platform's store, the others follow
-// their parent in the tree. Nobody is set aside: when one goes, the order moves
-// up.
+// The gateways of a region form a tree over the rendezvous order of their
+// addresses, an availability zone each branch of it. The first one reads the
+// platform's store, the others follow their parent in the tree. Nobody is set
+// aside: when one goes, the order moves up.
 //
 // # Usage
 //
 //	f := fleet.New(self)
 //	f.Beat()
 //	f.Merge(now, heard)
-//	if parent, ok := f.Parent(now); ok {
-//		follow(parent)
+//	if address, ok := f.Next(now, late, roll); ok {
+//		follow(address)
 //	}
 package fleet
 
@@ -78,6 +78,14 @@
 	peak   int
 	peakAt time.Time
 	start  start
+	// zones are those of the region, in the order in which they read the store.
+	zones []string
+	// blindUntil is until when this gateway leaves the store to others.
+	blindUntil time.Time
+	// lateTurn counts the questions since what is known became too old; drawnAt is when
+	// the dice was rolled last for one to the store.
+	lateTurn int
+	drawnAt  time.Time
 	// joinedAt is when the first other gateway was heard of; zero before.
 	joinedAt time.Time
 }
--- a/internal/edge/gatewayd/apply.go
+++ b/internal/edge/gatewayd/apply.go
@@ -34,16 +34,14 @@
 	s.configUnread = t == nil && (s.configUnread || !sound)
 	if t == nil {
 		if !s.configUnread && view.Table != nil {
-			view = view.WithProof(asked)
-			s.view.Store(&view)
+			s.prove(view, asked)
 		}
 		return
 	}
 	next, taken := view.WithTable(t, asked)
 	if !taken {
 		if t.Version == view.Table.Version {
-			view = view.WithProof(asked)
-			s.view.Store(&view)
+			s.prove(view, asked)
 			return
 		}
 		s.log.Warn().Int64("version", t.Version).Int64("in_force", view.Table.Version).Msg("configuration: an older version changes nothing")
@@ -55,6 +53,16 @@
 	s.log.Info().Int64("version", t.Version).Int("routes", t.Routes()).Msg("configuration: in force")
 }
 
+// prove takes the moment at which the configuration in force was the newest; followers
+// learn of it at once. It runs in the control goroutine.
+func (s *Server) prove(view ingress.View, at time.Time) {
+	next := view.WithProof(at)
+	s.view.Store(&next)
+	if next.NewestAt.After(view.NewestAt) {
+		s.wakeFollowers()
+	}
+}
+
 // replaceRoster takes a whole list of upstreams, and all availability zones that are
 // evacuated. It runs in the control goroutine.
 func (s *Server) replaceRoster(now time.Time, list []balance.Instance, unfit, evacuated []string) {
--- /dev/null
+++ b/internal/edge/gatewayd/blind.go
@@ -0,0 +1,50 @@
+package gatewayd
+
+import (
+	"time"
+
+	gladegaugev1 "github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1"
+)
+
+// storeFailed notes that the store did not answer this gateway: it leaves the store to
+// others, and those who follow it learn so at once. It runs in the control goroutine.
+func (s *Server) storeFailed(now time.Time) {
+	s.fleet.StoreFailed(now)
+	s.blindAt = now
+	s.storeFailedAt = now
+	s.wakeFollowers()
+}
+
+// storeAnswered notes that the store answered this gateway. If a call has failed since
+// what is known was proved, of this gateway or of another one, entries may have lapsed in
+// between. It runs in the control goroutine.
+func (s *Server) storeAnswered(now time.Time) {
+	s.fleet.StoreAnswered()
+	view := s.view.Load()
+	if view.Table != nil && s.storeFailedAt.After(view.NewestAt) && view.Age(now) > outageAfter {
+		s.roster.Recovered(s.storeFailedAt)
+	}
+}
+
+// hearOfStore takes what another gateway says of its calls to the store. It runs in the
+// control goroutine.
+func (s *Server) hearOfStore(now time.Time, address string, resp *gladegaugev1.FollowResponse) {
+	if ms := resp.GetBlindMs(); ms > 0 {
+		s.fleet.Blind(now, address, time.Duration(ms)*time.Millisecond)
+	}
+	if resp.FailedAgeMs == nil {
+		return
+	}
+	if at := now.Add(-time.Duration(resp.GetFailedAgeMs()) * time.Millisecond); at.After(s.storeFailedAt) {
+		s.storeFailedAt = at
+	}
+}
+
+// ageToTell is the age of the proof of the configuration in force; nil if there is none.
+func (s *Server) ageToTell(now time.Time) *uint32 {
+	view := s.view.Load()
+	if view.Table == nil || view.NewestAt.IsZero() {
+		return nil
+	}
+	return millisecondsSince(now, view.NewestAt)
+}
--- /dev/null
+++ b/internal/edge/gatewayd/blind_test.go
@@ -0,0 +1,137 @@
+package gatewayd
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/matryer/is"
+
+	gladegaugev1 "github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1"
+	"github.com/gladegauge/gladegauge/platform/standin"
+)
+
+// heldPoll is the question of a follower that a gateway holds for long.
+type heldPoll struct {
+	w    *world
+	done chan *gladegaugev1.FollowResponse
+}
+
+// holdPoll asks as a follower whose proof has the age, in milliseconds, and knows every entry.
+func holdPoll(w *world, age uint32) *heldPoll {
+	var revision int64
+	w.server.control.Must(func(time.Time) {
+		batch, _ := w.server.feed.Since(0)
+		revision = batch.Revision
+	})
+	p := &heldPoll{w: w, done: make(chan *gladegaugev1.FollowResponse, 1)}
+	w.group.Go(func() error {
+		resp, err := w.server.Follow(context.Background(), connect.NewRequest(&gladegaugev1.FollowRequest{
+			Revision: revision, WaitMs: wholeMilliseconds(followWaitMost), AgeMs: &age,
+		}))
+		if err != nil {
+			return err
+		}
+		p.done <- resp.Msg
+		return nil
+	})
+	return p
+}
+
+// answer returns the answer; it fails if the question was held to its end.
+func (p *heldPoll) answer() *gladegaugev1.FollowResponse {
+	p.w.t.Helper()
+	select {
+	case resp := <-p.done:
+		return resp
+	case <-time.After(followWaitMost * 3 / 4):
+		p.w.t.Fatal("the question was held")
+		return nil
+	}
+}
+
+// A follower hears of a much newer proof at once, and need not wait for its next question
+// at each level of the tree.
+func TestProofIsPassedOnAtOnce(t *testing.T) {
+	tests := []struct {
+		name string
+		// age is of the follower's proof, in milliseconds, when it asks; newer is by how
+		// much the proof of the gateway is newer than that from then on.
+		age   uint32
+		newer time.Duration
+	}{
+		{"newer when asked", 5000, 4 * time.Second},
+		{"newer afterwards", 100, time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w := newWorld(t, 1, nil)
+			w.store.SetTrouble(standin.Silent)
+			p := holdPoll(w, tt.age)
+			w.server.control.Must(func(now time.Time) {
+				at := now.Add(tt.newer - time.Duration(tt.age)*time.Millisecond)
+				w.server.prove(*w.server.view.Load(), at)
+			})
+			w.is.Equal(p.answer().GetVersion(), int64(1))
+		})
+	}
+}
+
+// A gateway that loses the store tells its followers at once, and for how long it leaves
+// the store to others.
+func TestLostStoreIsToldOn(t *testing.T) {
+	w := newWorld(t, 1, nil)
+	w.store.SetTrouble(standin.Silent)
+	p := holdPoll(w, 0)
+	var resp *gladegaugev1.FollowResponse
+	w.await(func() bool {
+		// One that comes before the question is no news to it.
+		w.server.control.Must(w.server.storeFailed)
+		select {
+		case resp = <-p.done:
+			return true
+		default:
+			return false
+		}
+	})
+	w.is.True(resp.GetHeldMs() < wholeMilliseconds(followWaitMost))
+	w.is.True(resp.GetBlindMs() > 0)
+	w.is.True(resp.FailedAgeMs != nil)
+}
+
+// Entries that lapsed in an outage are kept by a gateway that never asked the store in
+// it: others told that their calls failed.
+func TestOutageThatOthersSaw(t *testing.T) {
+	failed := func(ms uint32) *gladegaugev1.FollowResponse {
+		return &gladegaugev1.FollowResponse{FailedAgeMs: &ms}
+	}
+	tests := []struct {
+		name string
+		resp *gladegaugev1.FollowResponse
+		// age is of the proof when the store answers.
+		age  time.Duration
+		kept bool
+	}{
+		{"a call failed since the proof", failed(500), 4 * time.Second, true},
+		{"a call failed before it", failed(5000), 4 * time.Second, false},
+		{"no call failed", &gladegaugev1.FollowResponse{}, 4 * time.Second, false},
+		{"a single call, and what is known is new", failed(100), 500 * time.Millisecond, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t, 1, nil)
+			w.store.SetTrouble(standin.Silent)
+			w.server.control.Must(func(now time.Time) {
+				w.server.storeFailedAt = time.Time{}
+				view := *w.server.view.Load()
+				view.NewestAt = now.Add(-tt.age)
+				w.server.view.Store(&view)
+				w.server.hearOfStore(now, "10.0.0.9:1", tt.resp)
+				w.server.storeAnswered(now)
+				is.Equal(!w.server.roster.RecoveredAt().IsZero(), tt.kept)
+			})
+		})
+	}
+}
--- a/internal/edge/gatewayd/feed.go
+++ b/internal/edge/gatewayd/feed.go
@@ -28,6 +28,10 @@
 
 var errNothingKnown = errors.New("nothing is known of the store yet")
 
+// renewAfter is by how much a proof has to be newer than a follower's to answer it at
+// once: the age of a view then does not grow with the levels of the tree.
+const renewAfter = 400 * time.Millisecond
+
 // Follow answers another gateway as soon as there is news for it.
 func (s *Server) Follow(ctx context.Context, req *connect.Request[gladegaugev1.FollowRequest]) (*connect.Response[gladegaugev1.FollowResponse], error) {
 	began := s.now()
@@ -37,10 +41,14 @@
 	for {
 		var resp *gladegaugev1.FollowResponse
 		var changed <-chan struct{}
-		if !s.control.Must(func(now time.Time) { resp, changed = s.news(now, began, req.Msg.GetRevision()) }) || resp == nil {
+		var tell bool
+		if !s.control.Must(func(now time.Time) {
+			resp, changed = s.news(now, began, req.Msg.GetRevision())
+			tell = resp != nil && s.worthTelling(began, req.Msg, resp)
+		}) || resp == nil {
 			return nil, connect.NewError(connect.CodeFailedPrecondition, errNothingKnown)
 		}
-		if len(resp.GetEntries()) > 0 {
+		if tell {
 			return connect.NewResponse(resp), nil
 		}
 		select {
@@ -55,6 +63,20 @@
 	}
 }
 
+// worthTelling reports whether the follower is to learn at once what the answer says: new
+// entries, a much newer proof, or that this gateway lost the store meanwhile. It runs in
+// the control goroutine.
+func (s *Server) worthTelling(began time.Time, req *gladegaugev1.FollowRequest, resp *gladegaugev1.FollowResponse) bool {
+	if len(resp.GetEntries()) > 0 || s.blindAt.After(began) {
+		return true
+	}
+	if req.AgeMs == nil || resp.GetVersion() == 0 {
+		return false
+	}
+	theirs := began.Add(-time.Duration(req.GetAgeMs()) * time.Millisecond)
+	return s.view.Load().NewestAt.Sub(theirs) > renewAfter
+}
+
 // news returns what a follower at the revision does not know; nil if nothing is
 // known here. The channel is closed by the next change. It runs in the control
 // goroutine.
@@ -78,6 +100,8 @@
 		resp.Outage = true
 		resp.OutageAgeMs = wholeMilliseconds(now.Sub(at))
 	}
+	resp.BlindMs = wholeMilliseconds(s.fleet.BlindFor(now))
+	resp.FailedAgeMs = millisecondsSince(now, s.storeFailedAt)
 	for _, e := range batch.Entries {
 		resp.Entries = append(resp.Entries, encodeEntry(now, e))
 	}
--- a/internal/edge/gatewayd/follow.go
+++ b/internal/edge/gatewayd/follow.go
@@ -36,6 +36,9 @@
 	// startPause is the least pause between two questions of a gateway that starts to
 	// others, and half of the longest. A hundred gateways ask three.
 	startPause = 100 * time.Millisecond
+	// unansweredMost is the number of gateways that do not answer, one after the other,
+	// after which the store is asked instead.
+	unansweredMost = 2
 	// leastWatchShare is the part of the usual time that a watch waits at least when
 	// the view has become old meanwhile.
 	leastWatchShare = 0.25
@@ -59,6 +62,8 @@
 	// tryPeer is true after a call to the store failed: another gateway may still
 	// reach it.
 	tryPeer bool
+	// unanswered is the number of questions to other gateways in a row that had no answer.
+	unanswered int
 }
 
 // follow learns what is published and then every change, from its parent or from
@@ -79,7 +84,7 @@
 // step asks once.
 func (f *follower) step(ctx context.Context) {
 	wait, timeout := f.poll(f.server.now())
-	if address, ok := f.source(); ok && f.askPeer(ctx, address, wait, timeout) {
+	if address, ok := f.source(); ok && f.answered(ctx, address, wait, timeout) {
 		return
 	}
 	if f.waitsForOthers(f.server.now()) {
@@ -93,6 +98,22 @@
 	f.watch(ctx)
 }
 
+// answered asks the gateway at the address. It reports false if the store is to be asked
+// instead: one gateway that does not answer is left for the next one, but a gateway that
+// reaches no other reads the store itself.
+func (f *follower) answered(ctx context.Context, address string, wait, timeout time.Duration) bool {
+	if f.askPeer(ctx, address, wait, timeout) {
+		f.unanswered = 0
+		return true
+	}
+	f.unanswered++
+	if f.revision == 0 || f.unanswered >= unansweredMost {
+		f.unanswered = 0
+		return false
+	}
+	return true
+}
+
 // waitsForOthers reports whether a gateway that starts lets others read the store
 // first.
 func (f *follower) waitsForOthers(now time.Time) bool {
@@ -218,6 +239,7 @@
 		f.server.log.Warn().Err(err).Int64("revision", f.revision).Msg("store: lost")
 	}
 	f.tryPeer = true
+	f.server.control.Must(f.server.storeFailed)
 	backoff := f.contact.failed(f.server.now())
 	//nolint:gosec // Jitter needs no secret randomness.
 	loop.Pause(ctx, backoff/2+rand.N(backoff/2))
@@ -227,6 +249,7 @@
 // their entries.
 func (f *follower) succeeded() {
 	now := f.server.now()
+	f.server.control.Must(f.server.storeAnswered)
 	if f.contact.lost() {
 		f.server.log.Info().Dur("after", now.Sub(f.contact.lostAt)).Msg("store: regained")
 		if f.contact.outage(now) {
--- a/internal/edge/gatewayd/listen.go
+++ b/internal/edge/gatewayd/listen.go
@@ -60,6 +60,7 @@
 			return err
 		}
 		s.fleet = fleet.New(s.member(l.peers.Addr().String()))
+		s.fleet.Region(s.o.Settings.Region)
 	}
 	s.listeners = l
 	return nil
--- a/internal/edge/gatewayd/source.go
+++ b/internal/edge/gatewayd/source.go
@@ -22,12 +22,12 @@
 	var address string
 	var ok bool
 	f.server.control.Must(func(now time.Time) {
-		switch {
-		case f.tryPeer:
-			address, ok = f.server.fleet.Other(now, rand.Uint64()) //nolint:gosec // Any one will do.
-		case !f.late(now):
-			address, ok = f.server.fleet.Source(now, rand.Uint64()) //nolint:gosec // Any one will do.
+		roll := rand.Uint64() //nolint:gosec // Any one will do.
+		if f.tryPeer {
+			address, ok = f.server.fleet.Other(now, roll)
+			return
 		}
+		address, ok = f.server.fleet.Next(now, f.late(now), roll)
 	})
 	f.tryPeer = false
 	return address, ok
@@ -72,6 +72,7 @@
 	resp, err := f.server.peer(address).Follow(ctx, connect.NewRequest(&gladegaugev1.FollowRequest{
 		Revision: f.revision,
 		WaitMs:   wholeMilliseconds(wait),
+		AgeMs:    f.server.ageToTell(asked),
 	}))
 	f.server.metrics.peerCall("follow", err)
 	if err != nil {
@@ -79,6 +80,7 @@
 		return false
 	}
 	f.contact.answeredByPeer(f.server.now())
+	f.server.control.Must(func(now time.Time) { f.server.hearOfStore(now, address, resp.Msg) })
 	f.takeFrom(asked, resp.Msg)
 	return true
 }
@@ -133,8 +135,7 @@
 	if view.Table == nil || view.Table.Version != version || s.configUnread {
 		return
 	}
-	view = view.WithProof(proof)
-	s.view.Store(&view)
+	s.prove(view, proof)
 }
 
 // feedFrom passes what was read on to the followers. It runs in the control
