A fleet that starts tells of more gateways until it knows itself

Cause: a message tells of 16 gateways, and of 128 only to one that knows less than half of the teller.

Change: a message of which more than one in twelve was new makes its receiver tell of 128 for two exchanges: what is news to one is news to others.

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -42,8 +42,14 @@
 	// control may cost a gateway.
 	ShareMost = 16
 	// IntroduceMost is the number that a gateway is told of that knows less than half
-	// as many: it has just started. It is told so once or twice.
+	// as many: it has just started. It is told so once or twice. As many are told while
+	// the fleet gets to know itself.
 	IntroduceMost = 128
+	// learningPart is the part of the gateways in a message from which on so many new
+	// ones show that others lack as many.
+	learningPart = 0.08
+	// learningFor is how long more are told after such a message. It is two exchanges.
+	learningFor = 2 * time.Second
 	// FanOut is the number of gateways that follow the same parent: their polls
 	// stay within 4 KB/s, and three levels below the first reach over 500
 	// gateways.
@@ -86,6 +92,8 @@
 	// the dice was rolled last for one to the store.
 	lateTurn int
 	drawnAt  time.Time
+	// learningUntil is until when more gateways are told of than in calm times.
+	learningUntil time.Time
 	// joinedAt is when the first other gateway was heard of; zero before.
 	joinedAt time.Time
 }
@@ -106,6 +114,7 @@
 
 // Merge takes what another gateway knows.
 func (f *Fleet) Merge(now time.Time, members []Member) {
+	before := len(f.others)
 	for _, m := range members {
 		if m.Address == f.self.Address && m.Start > f.self.Start {
 			// An earlier start had a clock that was ahead.
@@ -124,6 +133,9 @@
 			held.at = now
 		}
 	}
+	if float64(len(f.others)-before) > learningPart*float64(len(members)) {
+		f.learningUntil = now.Add(learningFor)
+	}
 	if len(f.others) > 0 && f.joinedAt.IsZero() {
 		f.joinedAt = now
 	}
@@ -196,7 +208,7 @@
 func (f *Fleet) Share(now time.Time, known int, roll uint64) []Member {
 	list := f.alive(now)
 	most := ShareMost
-	if 2*known <= len(list) {
+	if 2*known <= len(list) || now.Before(f.learningUntil) {
 		most = IntroduceMost
 	}
 	slices.SortFunc(list, func(a, b *heard) int {
