--- a/internal/core/fleet/start_test.go
+++ b/internal/core/fleet/start_test.go
@@ -71,7 +71,9 @@
 		f.Merge(t0, []Member{{Address: fmt.Sprintf("b-%d", i), Zone: "b", Start: 1, Beat: 1}})
 	}
 	is.Equal(len(f.Share(t0, 1, 7)), 101)
-	is.Equal(len(f.Share(t0, 100, 7)), ShareMost)
+	is.Equal(len(f.Share(t0, 100, 7)), 101) // the fleet gets to know itself
+	is.Equal(len(f.Share(t0.Add(learningFor), 1, 7)), 101)
+	is.Equal(len(f.Share(t0.Add(learningFor), 100, 7)), ShareMost)
 	for i := range 900 {
 		f.Merge(t0, []Member{{Address: fmt.Sprintf("c-%d", i), Zone: "c", Start: 1, Beat: 1}})
 	}
