--- a/internal/edge/gatewayd/peers.go
+++ b/internal/edge/gatewayd/peers.go
@@ -131,12 +131,22 @@
 	if n == s.gateways {
 		return
 	}
-	s.log.Info().Int("gateways", n).Int("before", s.gateways).Msg("fleet: size changed")
+	if changedMuch(s.sizeLogged, n) {
+		s.log.Info().Int("gateways", n).Int("before", s.sizeLogged).Msg("fleet: size changed")
+		s.sizeLogged = n
+	}
 	s.gateways = n
 	s.metrics.gateways.Set(float64(n))
 	s.boundBudgets()
 }
 
+// changedMuch reports whether the size of the fleet is to be logged anew. Of a large fleet
+// each gateway hears one by one: a line for each would be as many as the square of its size.
+func changedMuch(logged, n int) bool {
+	const part = 8
+	return part*max(logged-n, n-logged) >= logged
+}
+
 // budget returns that of the pool, which is made if it is not there. It runs in the
 // control goroutine.
 func (s *Server) budget(pool string) *retry.Window {
--- a/internal/edge/gatewayd/peers_test.go
+++ b/internal/edge/gatewayd/peers_test.go
@@ -206,6 +206,23 @@
 	})
 }
 
+// A gateway that hears of a fleet one by one writes lines in proportion to the logarithm
+// of its size, and in the end the line is nearly right.
+func TestLinesOnTheSizeOfTheFleet(t *testing.T) {
+	for _, size := range []int{30, 357, 800, 1600} {
+		is := is.New(t)
+		logged, lines := assumedGateways, 0
+		for n := assumedGateways; n <= size; n++ {
+			if changedMuch(logged, n) {
+				logged = n
+				lines++
+			}
+		}
+		is.True(lines <= 60)
+		is.True(8*(size-logged) < size)
+	}
+}
+
 // A time that does not fit its field is a long time, not a short one.
 func TestLongTimesDoNotWrap(t *testing.T) {
 	is := is.New(t)
