--- a/internal/core/balance/cache.go
+++ b/internal/core/balance/cache.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math"
 	"time"
 
 	"github.com/gladegauge/gladegauge/internal/core/occupancy"
@@ -18,14 +19,21 @@
 	cacheKeep = 30 * time.Second
 )
 
-// cachedPart is one part of a prompt in the picture.
+// cachedPart is one part of a prompt in the picture. There are tens of thousands of them
+// where hundreds of engines keep what a whole fleet sends, so that it is kept small.
 type cachedPart struct {
-	tokens int
-	usedAt time.Time
+	// usedAt is when it was used last, in nanoseconds since 1970.
+	usedAt int64
+	tokens int32
 	// read is true once the engine has read it; before, it is on its way there.
 	read bool
 }
 
+// unused is how long the part has not been used.
+func (p cachedPart) unused(now time.Time) time.Duration {
+	return time.Duration(now.UnixNano() - p.usedAt)
+}
+
 // cache is what one engine is believed to keep, by what was sent to it.
 type cache struct {
 	parts map[uint64]cachedPart
@@ -58,7 +66,7 @@
 	tokens := 0
 	for i, key := range keys {
 		part, ok := c.parts[key]
-		if !ok || (read && !part.read) || now.Sub(part.usedAt) > cacheKeep {
+		if !ok || (read && !part.read) || part.unused(now) > cacheKeep {
 			break
 		}
 		tokens += p.Parts[i].Tokens
@@ -87,8 +95,8 @@
 	if !ok {
 		c.tokens += tokens
 	}
-	c.parts[key] = cachedPart{tokens: tokens, usedAt: now, read: read || held.read}
-	return !ok || (read && !held.read) || now.Sub(held.usedAt) > cacheKeep/3
+	c.parts[key] = cachedPart{usedAt: now.UnixNano(), tokens: int32(min(tokens, math.MaxInt32)), read: read || held.read}
+	return !ok || (read && !held.read) || held.unused(now) > cacheKeep/3
 }
 
 // unread forgets the parts that were on their way and will not be read after all.
@@ -96,7 +104,17 @@
 	for _, key := range keys {
 		if part, ok := c.parts[key]; ok && !part.read {
 			delete(c.parts, key)
-			c.tokens -= part.tokens
+			c.tokens -= int(part.tokens)
+		}
+	}
+}
+
+// forget drops the parts that are no longer believed to be kept.
+func (c *cache) forget(now time.Time) {
+	for key, part := range c.parts {
+		if part.unused(now) > cacheKeep {
+			delete(c.parts, key)
+			c.tokens -= int(part.tokens)
 		}
 	}
 }
@@ -113,9 +131,9 @@
 // evict forgets the part that was unused for the longest, as the engine does.
 func (c *cache) evict() bool {
 	var oldest uint64
-	var at time.Time
+	at := int64(math.MaxInt64)
 	for key, part := range c.parts {
-		if at.IsZero() || part.usedAt.Before(at) || (part.usedAt.Equal(at) && key < oldest) {
+		if part.usedAt < at || (part.usedAt == at && key < oldest) {
 			oldest, at = key, part.usedAt
 		}
 	}
@@ -124,6 +142,6 @@
 		return false
 	}
 	delete(c.parts, oldest)
-	c.tokens -= part.tokens
+	c.tokens -= int(part.tokens)
 	return true
 }
--- a/internal/core/balance/parts.go
+++ b/internal/core/balance/parts.go
@@ -40,3 +40,18 @@
 		}
 	}
 }
+
+// forgetShare divides the upstreams whose pictures are looked through at a time.
+const forgetShare = 8
+
+// ForgetParts drops parts that no engine is believed to keep any more, of some upstreams
+// at each call. A gateway would otherwise hold, of each engine, all that its memory can
+// ever have kept.
+func (t *Table) ForgetParts(now time.Time) {
+	t.forgetTurn = (t.forgetTurn + 1) % forgetShare
+	for _, u := range t.upstreams {
+		if u.hash%forgetShare == t.forgetTurn {
+			u.cache.forget(now)
+		}
+	}
+}
--- a/internal/core/balance/table.go
+++ b/internal/core/balance/table.go
@@ -128,6 +128,8 @@
 	sharers     func() int
 	// news are parts that other gateways may not know of yet.
 	news []occupancy.Part
+	// forgetTurn says whose picture is looked through next for parts to forget.
+	forgetTurn uint64
 }
 
 // New returns a table without upstreams for a gateway in the zone.
