--- a/internal/core/fleet/blind.go
+++ b/internal/core/fleet/backoff.go
@@ -3,18 +3,18 @@
 import "time"
 
 // The load that this answers: the store answers a third of the gateways not at all, or
-// nobody. Each of them asked it once a second, while others knew what it held, or while
-// nobody could.
+// nobody. If each of them goes on asking, the calls grow with the fleet, though others
+// know what the store holds, or nobody can.
 //
 // So a gateway whose call failed leaves the store to others for a while and tells those
-// who follow it, which turn to the next one in the order. While what is known gets too
-// old nevertheless, the first of each availability zone and a few others ask the store,
+// who follow it, which turn to the next one in the order. While what is known is too old
+// nevertheless, the first of each availability zone and a few others ask the store,
 // whatever the size of the fleet; the rest ask each other, so that the first answer
 // reaches all of them.
 
 const (
-	// blindFor is how long a gateway leaves the store to others after its call failed.
-	blindFor = 3 * time.Second
+	// storeBackoff is how long a gateway leaves the store to others after its call failed.
+	storeBackoff = 3 * time.Second
 	// lateReaders is the number of gateways, beside the first of each availability
 	// zone, that ask the store in each drawEvery while what is known is too old.
 	lateReaders = 4
@@ -23,18 +23,18 @@
 
 // StoreFailed notes that a call of this gateway to the store failed. It leaves the store
 // to others if it knows any.
-func (f *Fleet) StoreFailed(now time.Time) { f.blindUntil = now.Add(blindFor) }
+func (f *Fleet) StoreFailed(now time.Time) { f.backoffUntil = now.Add(storeBackoff) }
 
 // StoreAnswered notes that the store answered this gateway.
-func (f *Fleet) StoreAnswered() { f.blindUntil = time.Time{} }
+func (f *Fleet) StoreAnswered() { f.backoffUntil = time.Time{} }
 
-// BlindFor returns for how long this gateway leaves the store to others; 0 if it does not.
-func (f *Fleet) BlindFor(now time.Time) time.Duration { return max(0, f.blindUntil.Sub(now)) }
+// Backoff returns for how long this gateway leaves the store to others; 0 if it does not.
+func (f *Fleet) Backoff(now time.Time) time.Duration { return max(0, f.backoffUntil.Sub(now)) }
 
-// Blind notes for how long the gateway at the address leaves the store to others.
-func (f *Fleet) Blind(now time.Time, address string, d time.Duration) {
+// BacksOff notes for how long the gateway at the address leaves the store to others.
+func (f *Fleet) BacksOff(now time.Time, address string, d time.Duration) {
 	if h, ok := f.others[address]; ok {
-		h.blindUntil = now.Add(min(d, blindFor))
+		h.backoffUntil = now.Add(min(d, storeBackoff))
 	}
 }
 
@@ -53,13 +53,13 @@
 	if f.lateTurn%2 == 1 {
 		return f.Source(now, roll)
 	}
-	return f.sighted(now, roll)
+	return f.anyReader(now, roll)
 }
 
 // asksWhenLate reports whether this gateway is one of those that ask the store now, as
 // what is known is too old.
 func (f *Fleet) asksWhenLate(now time.Time, roll uint64) bool {
-	if f.BlindFor(now) > 0 {
+	if f.Backoff(now) > 0 {
 		return false
 	}
 	return f.firstOfZone(now) || f.drawn(now, roll)
@@ -75,9 +75,9 @@
 	return roll%uint64(f.Known(now)) < lateReaders
 }
 
-// sighted returns another gateway that may reach the store, chosen by the roll of a dice;
-// any other one if all are blind, and false if none is known.
-func (f *Fleet) sighted(now time.Time, roll uint64) (string, bool) {
+// anyReader returns another gateway that may reach the store, chosen by the roll of a dice;
+// any other one if all back off, and false if none is known.
+func (f *Fleet) anyReader(now time.Time, roll uint64) (string, bool) {
 	var addresses []string
 	for h := range f.living(now) {
 		if !h.Leaving && f.mayFollow(now, h) {
--- a/internal/core/fleet/blind_test.go
+++ b/internal/core/fleet/backoff_test.go
@@ -108,8 +108,8 @@
 		return
 	}
 	j := w.index[address]
-	if d := w.list[j].BlindFor(w.now); d > 0 {
-		f.Blind(w.now, address, d)
+	if d := w.list[j].Backoff(w.now); d > 0 {
+		f.BacksOff(w.now, address, d)
 	}
 	if w.proof[j].After(w.proof[i]) {
 		w.proof[i] = w.proof[j]
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -86,8 +86,8 @@
 	start  start
 	// zones are those of the region, in the order in which they read the store.
 	zones []string
-	// blindUntil is until when this gateway leaves the store to others.
-	blindUntil time.Time
+	// backoffUntil is until when this gateway leaves the store to others.
+	backoffUntil time.Time
 	// lateTurn counts the questions since what is known became too old; drawnAt is when
 	// the dice was rolled last for one to the store.
 	lateTurn int
--- a/internal/core/fleet/member.go
+++ b/internal/core/fleet/member.go
@@ -36,6 +36,6 @@
 	downUntil time.Time
 	// relayDownUntil is until when it is not taken for a relay.
 	relayDownUntil time.Time
-	// blindUntil is until when it leaves the store to others, as its own call failed.
-	blindUntil time.Time
+	// backoffUntil is until when it leaves the store to others, as its own call failed.
+	backoffUntil time.Time
 }
--- a/internal/core/fleet/start.go
+++ b/internal/core/fleet/start.go
@@ -61,8 +61,8 @@
 // Source returns the gateway to follow, chosen by the roll of a dice where there is a
 // choice; false if this one reads the store itself.
 func (f *Fleet) Source(now time.Time, roll uint64) (string, bool) {
-	if f.BlindFor(now) > 0 {
-		return f.sighted(now, roll)
+	if f.Backoff(now) > 0 {
+		return f.anyReader(now, roll)
 	}
 	if f.start.at.IsZero() || now.Sub(f.start.at) > introducedAfter {
 		return f.Parent(now)
--- a/internal/core/fleet/tree.go
+++ b/internal/core/fleet/tree.go
@@ -77,5 +77,5 @@
 
 // mayFollow reports whether the gateway answers and reaches the store, as far as is known.
 func (f *Fleet) mayFollow(now time.Time, h *heard) bool {
-	return !now.Before(h.downUntil) && !now.Before(h.blindUntil)
+	return !now.Before(h.downUntil) && !now.Before(h.backoffUntil)
 }
--- a/internal/edge/gatewayd/feed.go
+++ b/internal/edge/gatewayd/feed.go
@@ -67,7 +67,7 @@
 // entries, a much newer proof, or that this gateway lost the store meanwhile. It runs in
 // the control goroutine.
 func (s *Server) worthTelling(began time.Time, req *gladegaugev1.FollowRequest, resp *gladegaugev1.FollowResponse) bool {
-	if len(resp.GetEntries()) > 0 || s.blindAt.After(began) {
+	if len(resp.GetEntries()) > 0 || s.storeLostAt.After(began) {
 		return true
 	}
 	if req.AgeMs == nil || resp.GetVersion() == 0 {
@@ -100,7 +100,7 @@
 		resp.Outage = true
 		resp.OutageAgeMs = wholeMilliseconds(now.Sub(at))
 	}
-	resp.BlindMs = wholeMilliseconds(s.fleet.BlindFor(now))
+	resp.BackoffMs = wholeMilliseconds(s.fleet.Backoff(now))
 	resp.FailedAgeMs = millisecondsSince(now, s.storeFailedAt)
 	for _, e := range batch.Entries {
 		resp.Entries = append(resp.Entries, encodeEntry(now, e))
--- a/internal/edge/gatewayd/blind.go
+++ b/internal/edge/gatewayd/outage.go
@@ -10,7 +10,7 @@
 // others, and those who follow it learn so at once. It runs in the control goroutine.
 func (s *Server) storeFailed(now time.Time) {
 	s.fleet.StoreFailed(now)
-	s.blindAt = now
+	s.storeLostAt = now
 	s.storeFailedAt = now
 	s.wakeFollowers()
 }
@@ -29,8 +29,8 @@
 // hearOfStore takes what another gateway says of its calls to the store. It runs in the
 // control goroutine.
 func (s *Server) hearOfStore(now time.Time, address string, resp *gladegaugev1.FollowResponse) {
-	if ms := resp.GetBlindMs(); ms > 0 {
-		s.fleet.Blind(now, address, time.Duration(ms)*time.Millisecond)
+	if ms := resp.GetBackoffMs(); ms > 0 {
+		s.fleet.BacksOff(now, address, time.Duration(ms)*time.Millisecond)
 	}
 	if resp.FailedAgeMs == nil {
 		return
--- a/internal/edge/gatewayd/blind_test.go
+++ b/internal/edge/gatewayd/outage_test.go
@@ -96,7 +96,7 @@
 		}
 	})
 	w.is.True(resp.GetHeldMs() < wholeMilliseconds(followWaitMost))
-	w.is.True(resp.GetBlindMs() > 0)
+	w.is.True(resp.GetBackoffMs() > 0)
 	w.is.True(resp.FailedAgeMs != nil)
 }
 
--- a/internal/edge/gatewayd/server.go
+++ b/internal/edge/gatewayd/server.go
@@ -112,9 +112,9 @@
 	feed     *feed.Feed
 	// feedChanged is closed when there is news for followers.
 	feedChanged chan struct{}
-	// blindAt is when a call to the store failed last, storeFailedAt the same for any
+	// storeLostAt is when a call to the store failed last, storeFailedAt the same for any
 	// gateway that this one heard of.
-	blindAt       time.Time
+	storeLostAt   time.Time
 	storeFailedAt time.Time
 	// configUnread is true while the newest configuration cannot be read.
 	configUnread bool
