--- a/internal/core/balance/cache_test.go
+++ b/internal/core/balance/cache_test.go
@@ -25,9 +25,8 @@
 			}
 			table := New("a")
 			table.SetInstances(t0, list)
-			now := t0
 			for s := range seconds {
-				now = t0.Add(time.Duration(s) * time.Second)
+				now := t0.Add(time.Duration(s) * time.Second)
 				parts := make([]occupancy.Part, perSecond)
 				for i := range parts {
 					n := uint64(s*perSecond + i)
