Connections to partners of exchanges are not kept in a large fleet

Cause: each gateway swaps with a random other once a second, and is asked as often.

Change: above 16 gateways the connection of an exchange is closed after it.

--- a/internal/edge/gatewayd/peers.go
+++ b/internal/edge/gatewayd/peers.go
@@ -24,6 +24,10 @@
 	exchangeTimeout = 700 * time.Millisecond
 	// peerIdle is how long a connection to another gateway is kept.
 	peerIdle = 30 * time.Second
+	// partnersMost is the size of a fleet up to which connections to partners of
+	// exchanges are kept: in a larger one they are closed for their age before the same
+	// partner comes again, and each holds buffers and goroutines on both sides.
+	partnersMost = 16
 )
 
 // newPeerClient returns the client of calls to other gateways.
@@ -86,14 +90,17 @@
 func (s *Server) exchange(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	req := &gladegaugev1.GatewayExchangeRequest{}
+	req := connect.NewRequest(&gladegaugev1.GatewayExchangeRequest{})
 	s.control.Must(func(now time.Time) {
 		s.fleet.Beat()
 		known := s.fleet.Known(now)
-		req.Known = count32(known)
-		req.Members = s.share(now, known)
+		req.Msg.Known = count32(known)
+		req.Msg.Members = s.share(now, known)
 	})
-	resp, err := s.peer(address).Exchange(ctx, connect.NewRequest(req))
+	if req.Msg.GetKnown() > partnersMost {
+		req.Header().Set("Connection", "close")
+	}
+	resp, err := s.peer(address).Exchange(ctx, req)
 	s.metrics.peerCall("exchange", err)
 	s.control.Must(func(now time.Time) {
 		if err != nil {
--- a/internal/edge/gatewayd/peers_test.go
+++ b/internal/edge/gatewayd/peers_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -12,9 +16,11 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/gladegauge/gladegauge/internal/core/feed"
+	"github.com/gladegauge/gladegauge/internal/core/fleet"
 	"github.com/gladegauge/gladegauge/internal/core/gateway"
 	"github.com/gladegauge/gladegauge/internal/core/ingress"
 	gladegaugev1 "github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1"
+	"github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1/gladegaugev1connect"
 	"github.com/gladegauge/gladegauge/platform"
 	"github.com/gladegauge/gladegauge/platform/standin"
 )
@@ -206,6 +212,42 @@
 	})
 }
 
+// A connection to a partner of an exchange is kept in a small fleet, where it comes again
+// soon, and not in a large one.
+func TestPartnersConnections(t *testing.T) {
+	for _, tt := range []struct {
+		known int
+		kept  bool
+	}{{4, true}, {partnersMost, true}, {40, false}, {800, false}} {
+		t.Run(strconv.Itoa(tt.known), func(t *testing.T) {
+			w := newWorld(t, 1, nil)
+			states := make(chan http.ConnState, 100)
+			_, handler := gladegaugev1connect.NewGatewayServiceHandler(w.server)
+			partner := httptest.NewUnstartedServer(handler)
+			partner.Config.ConnState = func(_ net.Conn, state http.ConnState) { states <- state }
+			partner.Start()
+			defer partner.Close()
+			w.server.control.Must(func(now time.Time) {
+				var members []fleet.Member
+				for i := range tt.known - 1 {
+					members = append(members, fleet.Member{Address: strconv.Itoa(i), Zone: "a", Start: 1, Beat: 1})
+				}
+				w.server.fleet.Merge(now, members)
+			})
+			w.server.exchange(context.Background(), partner.Listener.Addr().String())
+			last := http.StateNew
+			w.await(func() bool {
+				select {
+				case last = <-states:
+				default:
+				}
+				return last == http.StateIdle || last == http.StateClosed
+			})
+			w.is.Equal(last == http.StateIdle, tt.kept)
+		})
+	}
+}
+
 // A gateway that hears of a fleet one by one writes lines in proportion to the logarithm
 // of its size, and in the end the line is nearly right.
 func TestLinesOnTheSizeOfTheFleet(t *testing.T) {
