A gateway that does not answer is tried less and less often until its beat rises

Cause: a dead gateway is believed to live for 5 s x (1 + n/16), 115 s at 357 gateways and 255 s at 800, and was tried again each 3 s: each of its zone's gateways loses a word to the picture each time, 250 ms.

Change: 3 s, doubled with each failure up to 48 s, until its beat rises. TestDeadGatewaysAreTriedSeldom: six tries at most in a minute, twenty before.

--- a/internal/core/fleet/ask.go
+++ b/internal/core/fleet/ask.go
@@ -8,10 +8,20 @@
 // Down notes that a call to the gateway failed.
 func (f *Fleet) Down(now time.Time, address string) {
 	if h, ok := f.others[address]; ok {
-		h.downUntil = now.Add(downFor)
+		h.downUntil = now.Add(h.failed())
 	}
 }
 
+// failed notes that a call to the gateway failed, and returns for how long it is left
+// alone: twice as long each time, for as long as its beat does not rise. The larger the
+// fleet, the longer a dead gateway is believed to live, and who first asks it each time
+// would lose the answer again and again.
+func (h *heard) failed() time.Duration {
+	d := downFor << h.failures
+	h.failures = min(h.failures+1, failuresMost)
+	return d
+}
+
 // askable returns the addresses of the other gateways that may be asked, in
 // order; of all availability zones if none is named.
 func (f *Fleet) askable(now time.Time, zone string) []string {
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -66,6 +66,8 @@
 	// downFor is how long a gateway is not asked after a call to it failed. It is
 	// shorter than keepFor: one call may be lost though the gateway lives.
 	downFor = 3 * time.Second
+	// failuresMost bounds how often that time is doubled.
+	failuresMost = 4
 	// sizeMemory is how long the largest size of the fleet is remembered: the
 	// parts of a fleet that was cut must not count themselves as the whole.
 	sizeMemory = time.Minute
@@ -131,6 +133,7 @@
 		case m.newer(held.Member):
 			held.Member = m
 			held.at = now
+			held.failures = 0
 		}
 	}
 	if float64(len(f.others)-before) > learningPart*float64(len(members)) {
--- a/internal/core/fleet/member.go
+++ b/internal/core/fleet/member.go
@@ -34,6 +34,9 @@
 	hash uint64
 	// downUntil is until when it is not asked.
 	downUntil time.Time
+	// failures is the number of calls to it that failed since its beat rose last, up to
+	// failuresMost.
+	failures int
 	// relayDownUntil is until when it is not taken for a relay.
 	relayDownUntil time.Time
 	// backoffUntil is until when it leaves the store to others, as its own call failed.
--- a/internal/core/fleet/relay.go
+++ b/internal/core/fleet/relay.go
@@ -88,7 +88,7 @@
 // while. It says nothing about other calls, for which there is more time.
 func (f *Fleet) RelayDown(now time.Time, address string) {
 	if h, ok := f.others[address]; ok {
-		h.relayDownUntil = now.Add(downFor)
+		h.relayDownUntil = now.Add(h.failed())
 	}
 }
 
--- a/internal/core/fleet/relay_test.go
+++ b/internal/core/fleet/relay_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -48,3 +50,42 @@
 		})
 	}
 }
+
+// A gateway that is dead, and believed to live for minutes in a large fleet, is tried less
+// and less often; one whose beat rises is tried as soon as before.
+func TestDeadGatewaysAreTriedSeldom(t *testing.T) {
+	for _, n := range []int{30, 357, 800} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			is := is.New(t)
+			f := New(Member{Address: "self", Zone: "z"})
+			var members []Member
+			for i := range n {
+				members = append(members, Member{Address: fmt.Sprint(i), Zone: "z", Start: 1, Beat: 1, Capacity: 100})
+			}
+			f.Merge(t0, members)
+			dead, _ := f.Relay(t0)
+			tries := 0
+			for ms := 0; ms < 60_000; ms += 100 {
+				now := t0.Add(time.Duration(ms) * time.Millisecond)
+				for i := range members {
+					if members[i].Address != dead {
+						members[i].Beat++
+					}
+				}
+				f.Merge(now, members)
+				if relay, _ := f.Relay(now); relay == dead {
+					tries++
+					f.RelayDown(now, relay)
+				}
+			}
+			is.True(tries <= 6)
+			back := members[slices.IndexFunc(members, func(m Member) bool { return m.Address == dead })]
+			back.Beat = 1000
+			now := t0.Add(time.Minute)
+			f.Merge(now, []Member{back})
+			f.RelayDown(now, dead)
+			relay, _ := f.Relay(now.Add(downFor))
+			is.Equal(relay, dead)
+		})
+	}
+}
