--- a/internal/edge/gatewayd/server.go
+++ b/internal/edge/gatewayd/server.go
@@ -112,9 +112,9 @@
 	feed     *feed.Feed
 	// feedChanged is closed when there is news for followers.
 	feedChanged chan struct{}
-	// blindAt is when a call to the store failed last, storeFailedAt the same for any
+	// storeLostAt is when a call to the store failed last, storeFailedAt the same for any
 	// gateway that this one heard of.
-	blindAt       time.Time
+	storeLostAt   time.Time
 	storeFailedAt time.Time
 	// configUnread is true while the newest configuration cannot be read.
 	configUnread bool
@@ -203,6 +203,7 @@
 // sweep forgets what is no longer used. It runs in the control goroutine.
 func (s *Server) sweep(now time.Time) {
 	s.suspects.Sweep(now, s.metrics.suspects)
+	s.table.ForgetParts(now)
 	if end, ok := s.roster.NextEnd(); ok && !now.Before(end) {
 		// The timer goes off late after a suspension.
 		s.applyRoster(now)
