--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -175,8 +175,9 @@
 		is.Equal(self, address == f.self.Address)
 		note(f.self.Zone, address)
 		for _, other := range f.Relays(now) {
-			is.True(zoneOf[other] != f.self.Zone)
-			note(zoneOf[other], other)
+			is.True(zoneOf[other.Address] != f.self.Zone)
+			is.Equal(zoneOf[other.Address], other.Zone)
+			note(other.Zone, other.Address)
 		}
 	}
 	is.Equal(len(relays), zones)
--- a/internal/core/fleet/relay.go
+++ b/internal/core/fleet/relay.go
@@ -67,18 +67,24 @@
 	return address, address == f.self.Address
 }
 
+// ZoneRelay is the relay of an availability zone.
+type ZoneRelay struct {
+	Zone    string
+	Address string
+}
+
 // Relays returns the relays of the other availability zones.
-func (f *Fleet) Relays(now time.Time) []string {
+func (f *Fleet) Relays(now time.Time) []ZoneRelay {
 	zones := make(map[string]bool)
 	for h := range f.living(now) {
 		if h.Zone != f.self.Zone {
 			zones[h.Zone] = true
 		}
 	}
-	var list []string
+	var list []ZoneRelay
 	for _, zone := range slices.Sorted(maps.Keys(zones)) {
 		if address := f.relayOf(now, zone); address != "" {
-			list = append(list, address)
+			list = append(list, ZoneRelay{Zone: zone, Address: address})
 		}
 	}
 	return list
--- a/internal/core/occupancy/book.go
+++ b/internal/core/occupancy/book.go
@@ -69,6 +69,17 @@
 	b.everybody.take(now, zoneName(zone), l)
 }
 
+// swappedShare is the part of the time between two words within which a word of another
+// availability zone says that its relay has asked already.
+const swappedShare = 0.75
+
+// Swapped reports whether the relay of the other availability zone has just told its word,
+// and been told this one's: a call takes both, and bytes between zones are dear.
+func (b *Book) Swapped(now time.Time, zone string, every time.Duration) bool {
+	w, ok := b.everybody.by[zoneName(zone)]
+	return ok && now.Sub(w.at) < time.Duration(swappedShare*float64(every))
+}
+
 // TakeAll takes the relay's word on what all others have.
 func (b *Book) TakeAll(now time.Time, l Loads) { b.all = word{loads: l, at: now} }
 
--- a/internal/core/occupancy/occupancy_test.go
+++ b/internal/core/occupancy/occupancy_test.go
@@ -198,3 +198,30 @@
 	is.Equal(l.WithoutVerdicts()[7], Load{Requests: 3})
 	is.Equal(l[7].Failing, 1) // it is as it was
 }
+
+// Of two relays that tell each other as often, one asks and the other is asked, whatever
+// their moments: each hears the other's word as often as when both asked.
+func TestRelaysAskInTurn(t *testing.T) {
+	const every = 100 * time.Millisecond
+	for offset := range 10 {
+		t.Run(fmt.Sprint(offset), func(t *testing.T) {
+			is := is.New(t)
+			a, b := New(), New()
+			calls, oldest := 0, time.Duration(0)
+			heard := t0
+			for ms := range 3000 {
+				now := at(ms)
+				asks := func(book *Book, zone string) bool { return !book.Swapped(now, zone, every) }
+				if (ms%100 == 0 && asks(a, "b")) || (ms%100 == 10*offset && asks(b, "a")) {
+					calls++
+					a.TakeZone(now, "b", requests(1))
+					b.TakeZone(now, "a", requests(1))
+					oldest = max(oldest, now.Sub(heard))
+					heard = now
+				}
+			}
+			is.True(calls <= 40) // 60 when both ask
+			is.True(oldest <= every)
+		})
+	}
+}
--- a/internal/edge/gatewayd/loads.go
+++ b/internal/edge/gatewayd/loads.go
@@ -37,7 +37,7 @@
 		switch {
 		case duty.To == "":
 			pause = pace.Zones
-			s.tellRelays(ctx)
+			s.tellRelays(ctx, pace.Zones)
 		case duty.Sums:
 			pause = pace.Cells
 			s.tellZoneRelay(ctx, duty.To)
@@ -94,11 +94,15 @@
 }
 
 // tellRelays tells the other relays what the gateways of this availability zone
-// have, and takes what theirs have.
-func (s *Server) tellRelays(ctx context.Context) {
+// have, and takes what theirs have. Those that have just asked know it.
+func (s *Server) tellRelays(ctx context.Context, every time.Duration) {
 	var to []string
 	s.control.Must(func(now time.Time) {
-		to = s.fleet.Relays(now)
+		for _, r := range s.fleet.Relays(now) {
+			if !s.occupancy.Swapped(now, r.Zone, every) {
+				to = append(to, r.Address)
+			}
+		}
 		s.takeOwn(now)
 		s.kept.Add(s.PeersAddress(), s.table.News())
 		s.takeOthers(now, true)
