A gateway that starts asks a seed for the proof before it asks the store

Change: its first question then goes to a seed, which answers as soon as it has a proof; the next one goes to the store as before. TestProofAtTheStart.

--- a/internal/core/fleet/backoff.go
+++ b/internal/core/fleet/backoff.go
@@ -59,7 +59,7 @@
 // asksWhenLate reports whether this gateway is one of those that ask the store now, as
 // what is known is too old.
 func (f *Fleet) asksWhenLate(now time.Time, roll uint64) bool {
-	if f.Backoff(now) > 0 {
+	if f.Backoff(now) > 0 || f.asksSeedFirst(now) {
 		return false
 	}
 	return f.firstOfZone(now) || f.drawn(now, roll)
--- a/internal/core/fleet/start.go
+++ b/internal/core/fleet/start.go
@@ -58,6 +58,14 @@
 // leaves the reading to others.
 func (f *Fleet) WaitsForOthers(now time.Time) bool { return now.Before(f.start.aloneAt) }
 
+// asksSeedFirst reports whether a gateway that has just read everything, and lacks the
+// proof that it is the newest, asks a seed for it before it asks the store: where all
+// start at once, each takes itself for the first of its zone.
+func (f *Fleet) asksSeedFirst(now time.Time) bool {
+	starts := !f.start.at.IsZero() && now.Sub(f.start.at) <= introducedAfter
+	return starts && !f.start.reads && f.lateTurn == 1
+}
+
 // Source returns the gateway to follow, chosen by the roll of a dice where there is a
 // choice; false if this one reads the store itself.
 func (f *Fleet) Source(now time.Time, roll uint64) (string, bool) {
--- a/internal/core/fleet/start_test.go
+++ b/internal/core/fleet/start_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -79,3 +80,33 @@
 	}
 	is.Equal(len(f.Share(t0, 1, 7)), IntroduceMost)
 }
+
+// A gateway that has read everything at its start asks a seed for the proof of it, once;
+// the seeds themselves ask the store.
+func TestProofAtTheStart(t *testing.T) {
+	seeds := []string{"s-1", "s-2"}
+	tests := []struct {
+		name  string
+		self  string
+		after time.Duration
+		// first is true if the first question goes to the store.
+		first bool
+	}{
+		{"a seed", "s-1", 0, true},
+		{"another", "x", 0, false},
+		{"another, later", "x", introducedAfter + 1, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			f := New(Member{Address: tt.self, Zone: "a"})
+			f.Started(t0, seeds, false, 7)
+			now := t0.Add(tt.after)
+			address, ok := f.Next(now, true, 1)
+			is.Equal(!ok, tt.first)
+			is.True(!ok || slices.Contains(seeds, address))
+			_, ok = f.Next(now, true, 1)
+			is.True(!ok) // it is the first of its zone, as far as it knows
+		})
+	}
+}
--- a/internal/edge/gatewayd/outage.go
+++ b/internal/edge/gatewayd/outage.go
@@ -1,6 +1,7 @@
 package gatewayd
 
 import (
+	"math"
 	"time"
 
 	gladegaugev1 "github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1"
@@ -40,11 +41,19 @@
 	}
 }
 
-// ageToTell is the age of the proof of the configuration in force; nil if there is none.
+// unproved is the age that is told of a configuration that nothing proves.
+const unproved = math.MaxInt32
+
+// ageToTell is the age of the proof of the configuration in force; nil if there is none in
+// force.
 func (s *Server) ageToTell(now time.Time) *uint32 {
 	view := s.view.Load()
-	if view.Table == nil || view.NewestAt.IsZero() {
+	if view.Table == nil {
 		return nil
 	}
+	if view.NewestAt.IsZero() {
+		age := uint32(unproved)
+		return &age
+	}
 	return millisecondsSince(now, view.NewestAt)
 }
