A follower that cannot take a proof does not ask to be told of it at once

Found in the reread: a parent answers at once while its proof is newer than the follower's. One that cannot take it, as it cannot read the configuration that it is of, would ask and be answered without a pause. TestProofThatCannotBeTaken.

--- a/internal/edge/gatewayd/follow.go
+++ b/internal/edge/gatewayd/follow.go
@@ -64,6 +64,9 @@
 	tryPeer bool
 	// unanswered is the number of questions to other gateways in a row that had no answer.
 	unanswered int
+	// stuckAt is the proof that was in force when another gateway answered at once and
+	// brought nothing that could be taken; zero otherwise.
+	stuckAt time.Time
 }
 
 // follow learns what is published and then every change, from its parent or from
--- a/internal/edge/gatewayd/outage_test.go
+++ b/internal/edge/gatewayd/outage_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -9,6 +11,7 @@
 	"github.com/matryer/is"
 
 	gladegaugev1 "github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1"
+	"github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1/gladegaugev1connect"
 	"github.com/gladegauge/gladegauge/platform/standin"
 )
 
@@ -135,3 +138,43 @@
 		})
 	}
 }
+
+// A follower that cannot take its parent's proof, as it cannot read the configuration that
+// the proof is of, does not ask to be told of it at once again and again.
+func TestProofThatCannotBeTaken(t *testing.T) {
+	w := newWorld(t, 1, nil)
+	w.store.SetTrouble(standin.Silent)
+	ages := make(chan *uint32, 10)
+	parent := &standinParent{ages: ages}
+	_, handler := gladegaugev1connect.NewGatewayServiceHandler(parent)
+	server := httptest.NewServer(handler)
+	defer server.Close()
+	f := &follower{server: w.server, revision: 1}
+	ask := func() *uint32 {
+		w.is.True(f.askPeer(context.Background(), server.Listener.Addr().String(), followWait, time.Second))
+		return <-ages
+	}
+	parent.version, parent.held = 1, followWait
+	w.is.True(ask() != nil)
+	w.is.True(ask() != nil) // nothing came until the end of the wait, as usual
+	parent.version, parent.held = 2, 0
+	ask()
+	w.is.True(ask() == nil)
+	w.is.True(ask() == nil)
+}
+
+// standinParent answers at once with a proof of its version.
+type standinParent struct {
+	gladegaugev1connect.UnimplementedGatewayServiceHandler
+	version int64
+	held    time.Duration
+	ages    chan *uint32
+}
+
+// Follow answers, and notes the age that it was told.
+func (p *standinParent) Follow(_ context.Context, req *connect.Request[gladegaugev1.FollowRequest]) (*connect.Response[gladegaugev1.FollowResponse], error) {
+	p.ages <- req.Msg.AgeMs
+	return connect.NewResponse(&gladegaugev1.FollowResponse{
+		Revision: 1, Version: p.version, HeldMs: wholeMilliseconds(p.held), AgeMs: math.MaxInt32,
+	}), nil
+}
--- a/internal/edge/gatewayd/source.go
+++ b/internal/edge/gatewayd/source.go
@@ -72,7 +72,7 @@
 	resp, err := f.server.peer(address).Follow(ctx, connect.NewRequest(&gladegaugev1.FollowRequest{
 		Revision: f.revision,
 		WaitMs:   wholeMilliseconds(wait),
-		AgeMs:    f.server.ageToTell(asked),
+		AgeMs:    f.ageToTell(asked),
 	}))
 	f.server.metrics.peerCall("follow", err)
 	if err != nil {
@@ -81,10 +81,25 @@
 	}
 	f.contact.answeredByPeer(f.server.now())
 	f.server.control.Must(func(now time.Time) { f.server.hearOfStore(now, address, resp.Msg) })
+	before := f.server.view.Load().NewestAt
 	f.takeFrom(asked, resp.Msg)
+	f.stuckAt = time.Time{}
+	atOnce := wholeMilliseconds(wait) > resp.Msg.GetHeldMs()
+	if atOnce && len(resp.Msg.GetEntries()) == 0 && f.server.view.Load().NewestAt.Equal(before) {
+		f.stuckAt = before
+	}
 	return true
 }
 
+// ageToTell is the age of the proof to tell a parent, which answers at once if it has a
+// newer one; nil while such answers bring none that can be taken.
+func (f *follower) ageToTell(now time.Time) *uint32 {
+	if !f.stuckAt.IsZero() && f.server.view.Load().NewestAt.Equal(f.stuckAt) {
+		return nil
+	}
+	return f.server.ageToTell(now)
+}
+
 // peerFailed notes a gateway that did not answer. One that knows nothing of the store
 // yet may know it in a moment.
 func (f *follower) peerFailed(address string, err error) {
