--- a/internal/edge/gatewayd/loads.go
+++ b/internal/edge/gatewayd/loads.go
@@ -65,12 +65,7 @@
 	if !ok {
 		return
 	}
-	s.control.Must(func(now time.Time) {
-		s.occupancy.TakeZone(now, beyondCell, decodeLoads(resp.GetLoads()))
-		s.takePartsOfZone(now, decodeParts(resp.GetParts()))
-		s.suspects.Hear(now, address, resp.GetSuspects(), 0)
-		s.takeOthers(now, true)
-	})
+	s.control.Must(func(now time.Time) { s.takeAnswer(now, address, beyondCell, resp) })
 }
 
 // tellRelay tells the relay what this gateway has, and takes what all others have.
@@ -118,15 +113,19 @@
 		if !ok {
 			continue
 		}
-		s.control.Must(func(now time.Time) {
-			s.occupancy.TakeZone(now, resp.GetZone(), decodeLoads(resp.GetLoads()))
-			s.takePartsOfZone(now, decodeParts(resp.GetParts()))
-			s.suspects.Hear(now, address, resp.GetSuspects(), 0)
-			s.takeOthers(now, true)
-		})
+		s.control.Must(func(now time.Time) { s.takeAnswer(now, address, resp.GetZone(), resp) })
 	}
 }
 
+// takeAnswer takes what another relay answered, as the word of the availability zone. It
+// runs in the control goroutine.
+func (s *Server) takeAnswer(now time.Time, address, zone string, resp *gladegaugev1.TellLoadsResponse) {
+	s.occupancy.TakeZone(now, zone, decodeLoads(resp.GetLoads()))
+	s.takePartsOfZone(now, decodeParts(resp.GetParts()))
+	s.suspects.Hear(now, address, resp.GetSuspects(), 0)
+	s.takeOthers(now, true)
+}
+
 // takePartsOfZone takes the parts that another availability zone told of, and passes
 // them on. It runs in the control goroutine.
 func (s *Server) takePartsOfZone(now time.Time, parts []occupancy.Part) {
--- a/internal/edge/gatewayd/loads_test.go
+++ b/internal/edge/gatewayd/loads_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"github.com/gladegauge/gladegauge/internal/core/balance"
+	"github.com/gladegauge/gladegauge/internal/core/fleet"
 	"github.com/gladegauge/gladegauge/internal/core/occupancy"
 	gladegaugev1 "github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1"
 	"github.com/gladegauge/gladegauge/platform/standin"
@@ -124,3 +126,37 @@
 		return sum[42].Requests == 0
 	})
 }
+
+// Only the relay of a cell speaks for several gateways; any other one that claims so is
+// one witness.
+func TestWhoSpeaksForSeveral(t *testing.T) {
+	w := &world{t: t, is: is.New(t), store: standin.NewStore(t)}
+	w.store.PutConfig(configuration(1))
+	p := startPeer(t, w.store)
+	const upstream, gone = 7, 5
+	var members []fleet.Member
+	for i := range 3 * fleet.CellMost {
+		members = append(members, fleet.Member{Address: fmt.Sprint("10.0.0.", i, ":1"), Zone: "a", Start: 1, Beat: 1})
+	}
+	p.control.Must(func(now time.Time) { p.fleet.Merge(now, members) })
+	relays := 0
+	for _, m := range members {
+		var speaks bool
+		p.control.Must(func(now time.Time) { speaks = p.fleet.IsCellRelay(now, m.Address) })
+		_, err := p.TellLoads(context.Background(), connect.NewRequest(&gladegaugev1.TellLoadsRequest{
+			Gateway: m.Address, Gateways: fleet.CellMost,
+			Loads: []*gladegaugev1.UpstreamLoad{{Upstream: upstream, Gone: gone}},
+		}))
+		w.is.NoErr(err)
+		want := 1
+		if speaks {
+			want = gone
+			relays++
+		}
+		p.control.Must(func(now time.Time) {
+			w.is.Equal(p.occupancy.Zone(now)[upstream].Gone, want)
+			p.occupancy.TakeMember(now, m.Address, nil)
+		})
+	}
+	w.is.True(relays >= 3) // four cells, one of them perhaps this gateway's own
+}
