--- a/internal/core/fleet/ask.go
+++ b/internal/core/fleet/ask.go
@@ -47,7 +47,7 @@
 // Partner returns the gateway to swap with next, chosen by the roll of a dice;
 // false if none is known. Now and then it is one that was not heard of lately, or
 // a seed: that is how the parts of a fleet that was cut find each other again. In a large
-// availability zone it is mostly a neighbour, as bytes between zones are dear.
+// availability zone it is a neighbour half of the time, as bytes between zones are dear.
 func (f *Fleet) Partner(now time.Time, roll uint64, seeds []string) (string, bool) {
 	list := f.askable(now, "")
 	switch {
--- a/internal/edge/rpc/rpc.go
+++ b/internal/edge/rpc/rpc.go
@@ -44,8 +44,8 @@
 var SmallMessages = connect.WithCompressMinBytes(compressFrom)
 
 // FastCompression compresses the large messages of a service at the least cost in
-// processor time and memory. What a relay tells its zone, many times a second, is a third
-// of its size then, and with the usual effort not much smaller.
+// processor time and memory. What a relay tells its zone, many times a second, is hardly
+// smaller with more effort.
 var FastCompression = connect.WithCompression("gzip", newDecompressor, newCompressor)
 
 func newDecompressor() connect.Decompressor { return new(gzip.Reader) }
