--- a/internal/core/balance/shared.go
+++ b/internal/core/balance/shared.go
@@ -104,7 +104,7 @@
 		}
 		if v := u.said.LimitVote(now); v.Limited > 0 {
 			l = l.WithLimit(v.PerSecond)
-		} else if u.said.SaidLimited() || v.Free > 0 {
+		} else {
 			l.Free = v.Free
 		}
 		votes := health.Votes{}.With(u.health.Vote(now))
