Listings of the store say at which revision

No line said how far a gateway knew the store after it had read everything anew, nor that the revision was lower than before. 'store: everything read' does, with the one before and the number of entries; it tells whether positions in the store went back, the first hypothesis on the incident, or only the followers were not served. No logic changes.

--- a/internal/edge/gatewayd/follow.go
+++ b/internal/edge/gatewayd/follow.go
@@ -141,6 +141,7 @@
 		return
 	}
 	f.succeeded()
+	f.server.log.Info().Int64("revision", l.Revision).Int64("before", f.revision).Int("entries", len(l.Entries)).Msg("store: everything read")
 	f.revision = l.Revision
 	f.compacted = false
 	f.listed = true
