Failing tests: followers after a restore, revisions given out again

Two tests fail on the present code:

- one gateway that asks when the revisions are as high as before: its watch is answered, and what was written below is missed by everybody.

--- /dev/null
+++ b/internal/edge/gatewayd/restore_test.go
@@ -0,0 +1,83 @@
+package gatewayd
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gladegauge/gladegauge/internal/core/balance"
+	"github.com/gladegauge/gladegauge/platform/standin"
+)
+
+// leaves reports whether the gateway knows that the upstream leaves.
+func (g *testPeer) leaves(id string) bool {
+	return slices.ContainsFunc(g.listed(), func(in balance.Instance) bool { return in.ID == id && in.Leaving })
+}
+
+// listed returns the upstreams on the gateway's list.
+func (g *testPeer) listed() []balance.Instance {
+	var list []balance.Instance
+	g.control.Must(func(now time.Time) { list = g.roster.Current(now) })
+	return list
+}
+
+// restoredWorld is three gateways, one of which reads the store for the others, that know
+// more of it than the copy from which it comes back.
+func restoredWorld(t *testing.T) (w *world, all []*testPeer) {
+	t.Helper()
+	w = &world{t: t, is: is.New(t), store: standin.NewStore(t)}
+	w.store.PutConfig(configuration(1))
+	r := standin.NewReplica(t, "i-a", nil)
+	w.replicas = append(w.replicas, r)
+	w.store.PutReplica(r, "app", false)
+	first := startPeer(t, w.store)
+	all = []*testPeer{first, startPeer(t, w.store, first.PeersAddress()), startPeer(t, w.store, first.PeersAddress())}
+	everyone := func(ok func(g *testPeer) bool) func() bool {
+		return func() bool { return !slices.ContainsFunc(all, func(g *testPeer) bool { return !ok(g) }) }
+	}
+	w.await(everyone(func(g *testPeer) bool {
+		n, _ := g.known()
+		return n == len(all) && g.version() == 1 && len(g.listed()) == 1
+	}))
+	w.store.Backup()
+	for version := int64(2); version <= 6; version++ {
+		w.store.PutConfig(configuration(version))
+	}
+	w.await(everyone(func(g *testPeer) bool { return g.version() == 6 }))
+	return w, all
+}
+
+// The store came back from a copy and gave its revisions out again. Only the gateway that
+// read it learned that an upstream leaves; those that followed it knew a higher revision.
+func TestFollowersLearnWhatIsWrittenAfterARestore(t *testing.T) {
+	w, all := restoredWorld(t)
+	w.store.Restore()
+	w.store.PutConfig(configuration(6))
+	later := time.Now()
+	w.await(func() bool {
+		return all[0].provedAfter(later) && all[1].provedAfter(later) && all[2].provedAfter(later)
+	})
+	w.store.PutReplica(w.replicas[0], "app", true)
+	for _, g := range all {
+		w.await(func() bool { return g.leaves("i-a") })
+	}
+}
+
+// A gateway that was without the store while it came back from a copy, and asks again when
+// its revisions are as high as before, is told only what came after.
+func TestRevisionsThatAreGivenOutAgain(t *testing.T) {
+	w := newWorld(t, 1, nil)
+	w.store.Backup()
+	w.store.PutConfig(configuration(2))
+	w.await(func() bool { return w.server.view.Load().Table.Version == 2 })
+	w.store.SetTrouble(standin.Busy)
+	w.store.Restore()
+	w.store.PutReplica(w.replicas[0], "app", true)
+	w.store.PutConfig(configuration(2))
+	w.store.PutConfig(configuration(2))
+	w.store.SetTrouble(standin.Well)
+	g := &testPeer{Server: w.server}
+	w.await(func() bool { return g.leaves("i-a") })
+}
