A position in the store has an epoch

Callers saw nothing; an upstream that had said that it leaves got requests 2.2 and 2.4 s later, from gateways that never learned of it.

Cause: the store came back from a copy and gave its revisions out again. All gateways compared bare revisions: the feed stamped what it learned with the highest revision ever, a follower kept its own highest one, and neither was ever behind. What the store numbered up to there reached the reader alone. Worse, found while the first was reproduced: a gateway whose next question comes when the revisions are as high as before is answered as if nothing had happened, and what was written below is missed by everybody, the reader too.

The class: an order kept across a restart of the numbers that it rests on.

A position is an epoch and a revision now, ordered by the epoch first, in the feed, in what followers ask and are told, in listings and watches. The epoch is what the store's answers say of it. A watch that is answered from another epoch says nothing of what followed: everything is read anew. A follower of an earlier epoch gets everything. An answer of a gateway that has yet to learn of the return is not taken, nor its proof, so that a follower asks the store itself in time.

--- a/internal/core/feed/feed.go
+++ b/internal/core/feed/feed.go
@@ -4,14 +4,15 @@
 // Each entry is kept with the revision at which this feed learned of it, so that
 // a follower that tells how far it knows the store gets what is new to it, and
 // nothing else. Removed entries are remembered for a while; a follower that is
-// further behind gets everything.
+// further behind gets everything, and so does one whose position is of an earlier
+// epoch of the store.
 //
 // # Usage
 //
 //	f := feed.New()
-//	f.Replace(revision, everything)
-//	f.Add(revision, changes)
-//	if batch, ok := f.Since(revision); ok {
+//	f.Replace(position, everything)
+//	f.Add(position, changes)
+//	if batch, ok := f.Since(position); ok {
 //		send(batch)
 //	}
 package feed
@@ -54,8 +55,8 @@
 
 // Batch is what somebody has to learn to know as much as the feed.
 type Batch struct {
-	// Revision is the one of the store up to which everything is known.
-	Revision int64
+	// Position is the one in the store up to which everything is known.
+	Position Position
 	Entries  []Entry
 	// Whole is true if the entries are everything that there is.
 	Whole bool
@@ -64,8 +65,8 @@
 // Feed is a copy of the store's entries. It is not safe for concurrent use.
 type Feed struct {
 	entries  map[string]kept
-	revision int64
-	// floor is the revision from which on changes are known.
+	position Position
+	// floor is the revision of this epoch from which on changes are known.
 	floor int64
 	// removed is the number of removed entries that are remembered.
 	removed int
@@ -74,16 +75,19 @@
 // New returns a feed that knows nothing.
 func New() *Feed { return &Feed{entries: make(map[string]kept)} }
 
-// Replace takes everything that there is at the revision. It changes nothing if
-// more is known already.
-func (f *Feed) Replace(revision int64, entries []Entry) {
-	if revision < f.revision {
+// Position returns the one up to which everything is known.
+func (f *Feed) Position() Position { return f.position }
+
+// Replace takes everything that there is at the position. It changes nothing if
+// more is known already. What was learned in an earlier epoch is forgotten.
+func (f *Feed) Replace(p Position, entries []Entry) {
+	if p.Before(f.position) {
 		return
 	}
-	if f.revision == 0 {
-		f.floor = revision
+	if !f.position.Known() || f.position.Epoch < p.Epoch {
+		*f = Feed{entries: make(map[string]kept, len(entries)), position: p, floor: p.Revision}
 	}
-	f.Add(revision, append(f.changed(entries), f.missing(entries)...))
+	f.Add(p, append(f.changed(entries), f.missing(entries)...))
 }
 
 // changed returns the entries that say something else than the kept ones.
@@ -113,11 +117,16 @@
 	return removals
 }
 
-// Add takes what changed up to the revision. An entry that is known already is
+// Add takes what changed up to the position. An entry that is known already is
 // learned anew: a listing may have held it before its revision said so, and a
-// follower that has the listing's revision from elsewhere does not know it.
-func (f *Feed) Add(revision int64, entries []Entry) {
-	f.revision = max(f.revision, revision)
+// follower that has the listing's revision from elsewhere does not know it. Changes of
+// another epoch than that of the latest listing follow nothing that is known here, and
+// are not taken.
+func (f *Feed) Add(p Position, entries []Entry) {
+	if p.Epoch != f.position.Epoch {
+		return
+	}
+	f.position = f.position.Furthest(p)
 	for _, e := range entries {
 		held, ok := f.entries[e.Key]
 		if ok && held.Removed {
@@ -126,7 +135,7 @@
 		if e.Removed {
 			f.removed++
 		}
-		f.entries[e.Key] = kept{Entry: e, learned: f.revision}
+		f.entries[e.Key] = kept{Entry: e, learned: f.position.Revision}
 	}
 	if f.removed > removedMost {
 		f.forget()
@@ -141,18 +150,22 @@
 		}
 	}
 	f.removed = 0
-	f.floor = f.revision
+	f.floor = f.position.Revision
 }
 
-// Since returns what was learned after the revision, in order of the keys; false
-// if nothing is known yet.
-func (f *Feed) Since(revision int64) (Batch, bool) {
-	if f.revision == 0 {
+// Since returns what was learned after the position, in order of the keys; false
+// if nothing is known yet. Who knows a later epoch learns nothing here.
+func (f *Feed) Since(p Position) (Batch, bool) {
+	if !f.position.Known() {
 		return Batch{}, false
 	}
-	b := Batch{Revision: f.revision, Whole: revision < f.floor}
+	b := Batch{Position: f.position}
+	if p.Epoch > f.position.Epoch {
+		return b, true
+	}
+	b.Whole = p.Epoch < f.position.Epoch || p.Revision < f.floor
 	for _, held := range f.entries {
-		news := held.learned > revision
+		news := held.learned > p.Revision
 		if b.Whole {
 			news = !held.Removed
 		}
--- a/internal/core/feed/feed_test.go
+++ b/internal/core/feed/feed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"testing"
 
@@ -22,44 +23,80 @@
 	}
 }
 
+// at is a position in the store.
+func at(epoch, revision int64) Position { return Position{Epoch: epoch, Revision: revision} }
+
 // A follower that asks now and then holds what the store holds, whatever the
-// reader did in between.
+// reader did in between, and also if the store came back from a copy.
 func TestFollowersAgree(t *testing.T) {
+	tests := []struct {
+		name string
+		// steps are the changes, and one in restoreEvery of them the first one after the
+		// store came back from a copy; 0 for none.
+		steps, restoreEvery int
+	}{
+		{"one history", 4000, 0},
+		{"a store that comes back from copies", 6000, 300},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) { followersAgree(t, tt.steps, tt.restoreEvery) })
+	}
+}
+
+// copied is a copy of a store, and its revision.
+type copied struct {
+	entries  map[string]string
+	revision int64
+}
+
+func followersAgree(t *testing.T, steps, restoreEvery int) {
+	t.Helper()
 	is := is.New(t)
 	rng := rand.New(rand.NewPCG(3, 4))
 	f := New()
-	_, ok := f.Since(0)
+	_, ok := f.Since(Position{})
 	is.True(!ok)
 	store := make(map[string]string)
 	followers := make([]map[string]string, 4)
-	revisions := make([]int64, len(followers))
+	positions := make([]Position, len(followers))
 	for i := range followers {
 		followers[i] = make(map[string]string)
 	}
-	for revision := int64(1); revision < 4000; revision++ {
+	p := at(1, 0)
+	backup := copied{entries: make(map[string]string)}
+	for n := range steps {
+		restored := restoreEvery > 0 && rng.IntN(restoreEvery) == 0 && n > 0
+		if restored {
+			store = maps.Clone(backup.entries)
+			p = at(p.Epoch+1, backup.revision)
+		}
+		if restoreEvery > 0 && rng.IntN(restoreEvery/3) == 0 {
+			backup = copied{maps.Clone(store), p.Revision}
+		}
+		p.Revision++
 		key := fmt.Sprint("k", rng.IntN(2000))
 		e := Entry{Key: key, Value: []byte(fmt.Sprint(rng.IntN(50)))}
 		if rng.IntN(3) == 0 {
 			e = Entry{Key: key, Removed: true}
 		}
 		apply(store, Batch{Entries: []Entry{e}})
-		if revision == 1 || rng.IntN(200) == 0 {
+		if n == 0 || restored || rng.IntN(200) == 0 {
 			var whole []Entry
 			for key, value := range store {
 				whole = append(whole, Entry{Key: key, Value: []byte(value)})
 			}
-			f.Replace(revision, whole)
+			f.Replace(p, whole)
 		} else {
-			f.Add(revision, []Entry{e})
+			f.Add(p, []Entry{e})
 		}
 		i := rng.IntN(len(followers) * 100)
 		if i >= len(followers) {
 			continue
 		}
-		b, ok := f.Since(revisions[i])
+		b, ok := f.Since(positions[i])
 		is.True(ok)
 		apply(followers[i], b)
-		revisions[i] = b.Revision
+		positions[i] = b.Position
 		is.Equal(followers[i], store)
 	}
 	is.True(f.removed <= removedMost)
@@ -69,12 +106,12 @@
 func TestOldListing(t *testing.T) {
 	is := is.New(t)
 	f := New()
-	f.Replace(7, []Entry{{Key: "a", Value: []byte("7")}})
-	f.Replace(5, []Entry{{Key: "b"}})
-	b, _ := f.Since(0)
+	f.Replace(at(1, 7), []Entry{{Key: "a", Value: []byte("7")}})
+	f.Replace(at(1, 5), []Entry{{Key: "b"}})
+	b, _ := f.Since(Position{})
 	is.Equal(len(b.Entries), 1)
 	is.Equal(b.Entries[0].Key, "a")
-	b, _ = f.Since(7)
+	b, _ = f.Since(at(1, 7))
 	is.Equal(len(b.Entries), 0)
 	is.True(!b.Whole)
 }
@@ -85,9 +122,49 @@
 	is := is.New(t)
 	f := New()
 	newer := Entry{Key: "a", Value: []byte("101")}
-	f.Replace(100, []Entry{newer})
-	f.Add(101, []Entry{newer})
-	b, _ := f.Since(100)
+	f.Replace(at(1, 100), []Entry{newer})
+	f.Add(at(1, 101), []Entry{newer})
+	b, _ := f.Since(at(1, 100))
 	is.Equal(len(b.Entries), 1)
-	is.Equal(b.Revision, int64(101))
+	is.Equal(b.Position, at(1, 101))
+}
+
+// What was learned before the store came back from a copy is forgotten, and a follower of
+// that time gets everything, also if its revision is higher.
+func TestNextEpoch(t *testing.T) {
+	is := is.New(t)
+	f := New()
+	f.Replace(at(1, 20), []Entry{{Key: "lost"}, {Key: "kept"}})
+	f.Replace(at(2, 10), []Entry{{Key: "kept"}})
+	f.Add(at(2, 11), []Entry{{Key: "new"}})
+	tests := []struct {
+		name  string
+		from  Position
+		whole bool
+		keys  []string
+	}{
+		{"of the epoch before", at(1, 20), true, []string{"kept", "new"}},
+		{"of the listing", at(2, 10), false, []string{"new"}},
+		{"of now", at(2, 11), false, nil},
+		{"of an epoch to come", at(3, 1), false, nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			b, ok := f.Since(tt.from)
+			is.True(ok)
+			is.Equal(b.Position, at(2, 11))
+			is.Equal(b.Whole, tt.whole)
+			var keys []string
+			for _, e := range b.Entries {
+				keys = append(keys, e.Key)
+			}
+			is.Equal(keys, tt.keys)
+		})
+	}
+	f.Add(at(1, 30), []Entry{{Key: "late"}})
+	f.Add(at(3, 12), []Entry{{Key: "early"}})
+	f.Replace(at(1, 30), nil)
+	b, _ := f.Since(Position{})
+	is.Equal(len(b.Entries), 2) // changes of other epochs are not taken
 }
--- a/internal/edge/gatewayd/feed.go
+++ b/internal/edge/gatewayd/feed.go
@@ -7,6 +7,7 @@
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
 
+	"github.com/gladegauge/gladegauge/internal/core/feed"
 	gladegaugev1 "github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1"
 )
 
@@ -35,6 +36,7 @@
 // Follow answers another gateway as soon as there is news for it.
 func (s *Server) Follow(ctx context.Context, req *connect.Request[gladegaugev1.FollowRequest]) (*connect.Response[gladegaugev1.FollowResponse], error) {
 	began := s.now()
+	known := feed.Position{Epoch: req.Msg.GetEpoch(), Revision: req.Msg.GetRevision()}
 	wait := min(time.Duration(req.Msg.GetWaitMs())*time.Millisecond, followWaitMost)
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
@@ -43,7 +45,7 @@
 		var changed <-chan struct{}
 		var tell bool
 		if !s.control.Must(func(now time.Time) {
-			resp, changed = s.news(now, began, req.Msg.GetRevision())
+			resp, changed = s.news(now, began, known)
 			tell = resp != nil && s.worthTelling(began, req.Msg, resp)
 		}) || resp == nil {
 			return nil, connect.NewError(connect.CodeFailedPrecondition, errNothingKnown)
@@ -55,7 +57,7 @@
 		case <-changed:
 		case <-timeout.C:
 			// The proof of the age is as new as it can be.
-			s.control.Must(func(now time.Time) { resp, _ = s.news(now, began, req.Msg.GetRevision()) })
+			s.control.Must(func(now time.Time) { resp, _ = s.news(now, began, known) })
 			return connect.NewResponse(resp), nil
 		case <-ctx.Done():
 			return nil, connect.NewError(connect.CodeCanceled, ctx.Err())
@@ -77,17 +79,18 @@
 	return s.view.Load().NewestAt.Sub(theirs) > renewAfter
 }
 
-// news returns what a follower at the revision does not know; nil if nothing is
+// news returns what a follower at the position does not know; nil if nothing is
 // known here. The channel is closed by the next change. It runs in the control
 // goroutine.
-func (s *Server) news(now, began time.Time, revision int64) (*gladegaugev1.FollowResponse, <-chan struct{}) {
-	batch, ok := s.feed.Since(revision)
+func (s *Server) news(now, began time.Time, known feed.Position) (*gladegaugev1.FollowResponse, <-chan struct{}) {
+	batch, ok := s.feed.Since(known)
 	if !ok {
 		return nil, s.feedChanged
 	}
 	view := s.view.Load()
 	resp := &gladegaugev1.FollowResponse{
-		Revision: batch.Revision,
+		Epoch:    batch.Position.Epoch,
+		Revision: batch.Position.Revision,
 		Whole:    batch.Whole,
 		HeldMs:   wholeMilliseconds(now.Sub(began)),
 	}
--- a/internal/edge/gatewayd/follow.go
+++ b/internal/edge/gatewayd/follow.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
 
+	"github.com/gladegauge/gladegauge/internal/core/feed"
 	"github.com/gladegauge/gladegauge/internal/edge/loop"
 	"github.com/gladegauge/gladegauge/platform"
 )
@@ -48,8 +50,8 @@
 type follower struct {
 	server *Server
 	store  *platform.Store
-	// revision is the one up to which everything is known.
-	revision int64
+	// position is the one in the store up to which everything is known.
+	position feed.Position
 	contact  contact
 	// consistency is of the next listing. A stale one is cheap and is brought up
 	// to date by the watch that follows; but after the store has forgotten its
@@ -57,8 +59,8 @@
 	consistency platform.Consistency
 	// listed is true until the first watch after a listing.
 	listed bool
-	// compacted is true once the store has forgotten what followed the revision.
-	compacted bool
+	// unfollowed is true once the store cannot tell what followed the position.
+	unfollowed bool
 	// tryPeer is true after a call to the store failed: another gateway may still
 	// reach it.
 	tryPeer bool
@@ -94,7 +96,7 @@
 		loop.Pause(ctx, startPause+rand.N(startPause)) //nolint:gosec // Jitter needs no secret randomness.
 		return
 	}
-	if f.revision == 0 || f.compacted {
+	if !f.position.Known() || f.unfollowed {
 		f.list(ctx)
 		return
 	}
@@ -110,7 +112,7 @@
 		return true
 	}
 	f.unanswered++
-	if f.revision == 0 || f.unanswered >= unansweredMost {
+	if !f.position.Known() || f.unanswered >= unansweredMost {
 		f.unanswered = 0
 		return false
 	}
@@ -120,7 +122,7 @@
 // waitsForOthers reports whether a gateway that starts lets others read the store
 // first.
 func (f *follower) waitsForOthers(now time.Time) bool {
-	if f.revision != 0 {
+	if f.position.Known() {
 		return false
 	}
 	waits := false
@@ -136,18 +138,22 @@
 		asked = time.Time{}
 	}
 	l, err := f.store.List(ctx, f.consistency)
+	if err == nil && l.Position.Epoch < f.position.Epoch {
+		err = platform.ErrEarlierEpoch
+	}
 	if err != nil {
 		f.failed(ctx, err)
 		return
 	}
 	f.succeeded()
-	f.server.log.Info().Int64("revision", l.Revision).Int64("before", f.revision).Int("entries", len(l.Entries)).Msg("store: everything read")
-	f.revision = l.Revision
-	f.compacted = false
+	f.logKnown(f.server.log.Info()).Int64("new_epoch", l.Position.Epoch).Int64("new_revision", l.Position.Revision).
+		Int("entries", len(l.Entries)).Msg("store: everything read")
+	f.position = l.Position
+	f.unfollowed = false
 	f.listed = true
 	f.server.report(l.Faults)
 	f.server.control.Must(func(now time.Time) {
-		f.server.feedFrom(l.Revision, platform.Changes{Entries: l.Entries}, true)
+		f.server.feedFrom(l.Position, l.Entries, true)
 		f.server.replaceRoster(now, l.Instances, l.Unfit, l.Evacuated)
 		f.server.applyTable(l.Table, !l.ConfigFaulty(), asked)
 	})
@@ -157,13 +163,11 @@
 func (f *follower) watch(ctx context.Context) {
 	wait := f.wait()
 	asked := f.server.now()
-	c, err := f.store.Watch(ctx, f.revision, wait)
-	if errors.Is(err, platform.ErrCompacted) || errors.Is(err, platform.ErrTooLarge) {
-		// Too many changes for one answer come again with every watch: another writer
-		// would keep all others from being heard of.
+	c, err := f.store.Watch(ctx, f.position, wait)
+	if changesGone(err) {
 		f.consistency = platform.Newest
-		f.compacted = true
-		f.server.log.Info().Int64("revision", f.revision).AnErr("cause", err).Msg("store: changes cannot be had, reading everything anew")
+		f.unfollowed = true
+		f.logKnown(f.server.log.Info()).AnErr("cause", err).Msg("store: changes cannot be had, reading everything anew")
 		return
 	}
 	if err != nil {
@@ -177,14 +181,26 @@
 	}
 }
 
+// logKnown adds to a line how far the store is known.
+func (f *follower) logKnown(line *zerolog.Event) *zerolog.Event {
+	return line.Int64("epoch", f.position.Epoch).Int64("revision", f.position.Revision)
+}
+
+// changesGone reports whether a watch from the same position would fail again. Too many
+// changes for one answer come again with every watch: another writer would keep all others
+// from being heard of.
+func changesGone(err error) bool {
+	return errors.Is(err, platform.ErrCompacted) || errors.Is(err, platform.ErrTooLarge) || errors.Is(err, platform.ErrRestored)
+}
+
 // take brings changes into force. What is known was the newest at the proof.
 func (f *follower) take(c platform.Changes, proof time.Time) {
 	f.listed = false
-	f.revision = c.Revision
+	f.position = c.Position
 	f.server.report(c.Faults)
 	f.server.control.Must(func(now time.Time) {
 		if len(c.Entries) > 0 {
-			f.server.feedFrom(c.Revision, c, false)
+			f.server.feedFrom(c.Position, c.Entries, false)
 		}
 		if c.AnyUpstreams() {
 			f.server.changeRoster(now, c)
@@ -240,7 +256,7 @@
 		return
 	}
 	if !f.contact.lost() {
-		f.server.log.Warn().Err(err).Int64("revision", f.revision).Msg("store: lost")
+		f.logKnown(f.server.log.Warn()).Err(err).Msg("store: lost")
 	}
 	f.tryPeer = true
 	f.server.control.Must(f.server.storeFailed)
--- a/internal/edge/gatewayd/messages.go
+++ b/internal/edge/gatewayd/messages.go
@@ -43,6 +43,11 @@
 	}
 }
 
+// positionOf returns how far the gateway knew the store that gave the answer.
+func positionOf(resp *gladegaugev1.FollowResponse) feed.Position {
+	return feed.Position{Epoch: resp.GetEpoch(), Revision: resp.GetRevision()}
+}
+
 // entriesOf returns the entries of an answer that came now.
 func entriesOf(now time.Time, resp *gladegaugev1.FollowResponse) []feed.Entry {
 	list := make([]feed.Entry, len(resp.GetEntries()))
--- a/internal/edge/gatewayd/outage_test.go
+++ b/internal/edge/gatewayd/outage_test.go
@@ -10,6 +10,7 @@
 	"connectrpc.com/connect"
 	"github.com/matryer/is"
 
+	"github.com/gladegauge/gladegauge/internal/core/feed"
 	gladegaugev1 "github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1"
 	"github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1/gladegaugev1connect"
 	"github.com/gladegauge/gladegauge/platform/standin"
@@ -23,15 +24,14 @@
 
 // holdPoll asks as a follower whose proof has the age, in milliseconds, and knows every entry.
 func holdPoll(w *world, age uint32) *heldPoll {
-	var revision int64
+	var known feed.Position
 	w.server.control.Must(func(time.Time) {
-		batch, _ := w.server.feed.Since(0)
-		revision = batch.Revision
+		known = w.server.feed.Position()
 	})
 	p := &heldPoll{w: w, done: make(chan *gladegaugev1.FollowResponse, 1)}
 	w.group.Go(func() error {
 		resp, err := w.server.Follow(context.Background(), connect.NewRequest(&gladegaugev1.FollowRequest{
-			Revision: revision, WaitMs: wholeMilliseconds(followWaitMost), AgeMs: &age,
+			Epoch: known.Epoch, Revision: known.Revision, WaitMs: wholeMilliseconds(followWaitMost), AgeMs: &age,
 		}))
 		if err != nil {
 			return err
@@ -149,7 +149,7 @@
 	_, handler := gladegaugev1connect.NewGatewayServiceHandler(parent)
 	server := httptest.NewServer(handler)
 	defer server.Close()
-	f := &follower{server: w.server, revision: 1}
+	f := &follower{server: w.server, position: feed.Position{Revision: 1}}
 	ask := func() *uint32 {
 		w.is.True(f.askPeer(context.Background(), server.Listener.Addr().String(), followWait, time.Second))
 		return <-ages
--- a/internal/edge/gatewayd/peers_test.go
+++ b/internal/edge/gatewayd/peers_test.go
@@ -169,8 +169,8 @@
 	is := is.New(t)
 	w := newWorld(t, 3, nil)
 	var batch feed.Batch
-	w.server.control.Must(func(time.Time) { batch, _ = w.server.feed.Since(0) })
-	resp := &gladegaugev1.FollowResponse{Revision: batch.Revision + 9, Version: 1, Outage: true}
+	w.server.control.Must(func(time.Time) { batch, _ = w.server.feed.Since(feed.Position{}) })
+	resp := &gladegaugev1.FollowResponse{Epoch: batch.Position.Epoch, Revision: batch.Position.Revision + 9, Version: 1, Outage: true}
 	for _, e := range batch.Entries {
 		if strings.Contains(e.Key, "i-a") || strings.Contains(e.Key, "i-b") {
 			resp.Entries = append(resp.Entries, &gladegaugev1.StoreEntry{Key: e.Key, Removed: true})
@@ -190,7 +190,7 @@
 	w := newWorld(t, 2, nil)
 	w.store.SetTrouble(standin.Silent)
 	f := &follower{server: w.server}
-	f.takeFrom(time.Now(), &gladegaugev1.FollowResponse{Revision: 100, Version: 1, Whole: true})
+	f.takeFrom(time.Now(), &gladegaugev1.FollowResponse{Epoch: 1, Revision: 100, Version: 1, Whole: true})
 	is.Equal(w.upstreams(), 0)
 }
 
@@ -352,7 +352,7 @@
 			s := New(&Options{Settings: platform.Settings{Bounds: boundsOfTests()}, Log: zerolog.Nop()})
 			s.view.Store(&ingress.View{Table: &ingress.Table{}, NewestAt: now.Add(-tt.age)})
 			s.bounds.Store(&gateway.Bounds{KeyAge: 5 * time.Second})
-			f := &follower{server: s, revision: 1, contact: contact{goodAt: now}}
+			f := &follower{server: s, position: feed.Position{Revision: 1}, contact: contact{goodAt: now}}
 			is.Equal(f.usualWait(), 2500*time.Millisecond)
 			share := float64(f.untilOld(now)) / float64(f.usualWait())
 			is.True(share >= tt.least && share <= tt.most)
@@ -387,7 +387,7 @@
 			b.DrainWithin, b.ConfigWithin = tt.drain, tt.config
 			s := New(&Options{Settings: platform.Settings{Bounds: b}, Log: zerolog.Nop()})
 			s.view.Store(&ingress.View{Table: &ingress.Table{}, NewestAt: now.Add(-tt.age)})
-			f := &follower{server: s, revision: 1, contact: contact{goodAt: now}}
+			f := &follower{server: s, position: feed.Position{Revision: 1}, contact: contact{goodAt: now}}
 			is.Equal(f.late(now), tt.late)
 			// No poll, answered or not, makes the view as old as a bound allows.
 			_, timeout := f.poll(now)
--- a/internal/edge/gatewayd/source.go
+++ b/internal/edge/gatewayd/source.go
@@ -7,6 +7,7 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/gladegauge/gladegauge/internal/core/feed"
 	gladegaugev1 "github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1"
 	"github.com/gladegauge/gladegauge/platform"
 )
@@ -53,7 +54,7 @@
 // nothing, must not make it later.
 func (f *follower) poll(now time.Time) (wait, timeout time.Duration) {
 	switch {
-	case f.revision == 0:
+	case !f.position.Known():
 		return 0, startSlack
 	case f.tryPeer:
 		return 0, followSlack
@@ -70,7 +71,8 @@
 	defer cancel()
 	asked := f.server.now()
 	resp, err := f.server.peer(address).Follow(ctx, connect.NewRequest(&gladegaugev1.FollowRequest{
-		Revision: f.revision,
+		Epoch:    f.position.Epoch,
+		Revision: f.position.Revision,
 		WaitMs:   wholeMilliseconds(wait),
 		AgeMs:    f.ageToTell(asked),
 	}))
@@ -103,7 +105,7 @@
 // peerFailed notes a gateway that did not answer. One that knows nothing of the store
 // yet may know it in a moment.
 func (f *follower) peerFailed(address string, err error) {
-	if f.revision == 0 && connect.CodeOf(err) == connect.CodeFailedPrecondition {
+	if !f.position.Known() && connect.CodeOf(err) == connect.CodeFailedPrecondition {
 		return
 	}
 	f.server.control.Must(func(now time.Time) { f.server.fleet.Down(now, address) })
@@ -111,19 +113,25 @@
 
 // takeFrom brings another gateway's news into force. The answer was made at the
 // moment of the question and the time that it was held, or later: no delay on the
-// way makes what it proves look younger.
+// way makes what it proves look younger. One that has yet to learn that the store came
+// back from a copy has no news, and its proof is not taken: this gateway would wait for
+// it.
 func (f *follower) takeFrom(asked time.Time, resp *gladegaugev1.FollowResponse) {
+	position := positionOf(resp)
+	if position.Epoch < f.position.Epoch {
+		return
+	}
 	made := asked.Add(time.Duration(resp.GetHeldMs()) * time.Millisecond)
 	c := platform.DecodeEntries(entriesOf(f.server.now(), resp))
 	f.server.report(c.Faults)
-	f.revision = max(f.revision, resp.GetRevision())
+	f.position = f.position.Furthest(position)
 	f.listed = false
 	s := f.server
 	s.control.Must(func(now time.Time) {
 		if resp.GetOutage() {
 			s.roster.Recovered(made.Add(-time.Duration(resp.GetOutageAgeMs()) * time.Millisecond))
 		}
-		s.takeEntries(now, resp, c)
+		s.takeEntries(now, position, c, resp.GetWhole())
 		s.applyTable(c.Table, !c.ConfigFaulty(), time.Time{})
 		s.takeProof(resp.GetVersion(), made.Add(-time.Duration(resp.GetAgeMs())*time.Millisecond))
 	})
@@ -131,12 +139,12 @@
 
 // takeEntries takes the entries of another gateway's answer, and passes them on.
 // It runs in the control goroutine.
-func (s *Server) takeEntries(now time.Time, resp *gladegaugev1.FollowResponse, c platform.Changes) {
-	if len(c.Entries) == 0 && !resp.GetWhole() {
+func (s *Server) takeEntries(now time.Time, p feed.Position, c platform.Changes, whole bool) {
+	if len(c.Entries) == 0 && !whole {
 		return
 	}
-	s.feedFrom(resp.GetRevision(), c, resp.GetWhole())
-	if resp.GetWhole() {
+	s.feedFrom(p, c.Entries, whole)
+	if whole {
 		s.replaceRoster(now, c.Changed, c.Unfit, c.Evacuated)
 	} else {
 		s.changeRoster(now, c)
@@ -155,11 +163,11 @@
 
 // feedFrom passes what was read on to the followers. It runs in the control
 // goroutine.
-func (s *Server) feedFrom(revision int64, c platform.Changes, whole bool) {
+func (s *Server) feedFrom(p feed.Position, entries []feed.Entry, whole bool) {
 	if whole {
-		s.feed.Replace(revision, c.Entries)
+		s.feed.Replace(p, entries)
 	} else {
-		s.feed.Add(revision, c.Entries)
+		s.feed.Add(p, entries)
 	}
 	s.wakeFollowers()
 }
--- a/internal/edge/gatewayd/unfit_test.go
+++ b/internal/edge/gatewayd/unfit_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"testing"
 
+	"github.com/gladegauge/gladegauge/internal/core/feed"
 	"github.com/gladegauge/gladegauge/platform/standin"
 )
 
@@ -35,6 +36,6 @@
 	w.store.PutReplica(r, "app", false)
 	w.await(func() bool { return w.upstreams() == 2 })
 	w.is.True(strings.Count(w.logs.String(), "value is faulty") < many/10)
-	batch, _ := w.server.feed.Since(0)
+	batch, _ := w.server.feed.Since(feed.Position{})
 	w.is.True(len(batch.Entries) < many/10)
 }
