Upstreams that leave or went do not come back with a copy of the store

What the copy lacks was taken off at once, an evacuation ended.

Cause: the same class; what the store says now was taken to be newer than what is known.

Listings and changes are one type now.

--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -10,12 +10,16 @@
 // until it is taken back. Only the list's keeper ends an evacuation: while it is away,
 // what was evacuated stays so.
 //
+// A keeper that comes back from a copy of itself says what was so some seconds ago. What
+// is known goes before that, until it is written again.
+//
 // # Usage
 //
 //	r := roster.New()
 //	r.Replace(now, listed)
 //	r.Change(now, changed, removed)
 //	r.Recovered(lastFailure) // the keeper answers again after an outage
+//	r.Restore(now, roster.Return{After: lastFailure, Lapse: lapse}, listed, zones) // from a copy
 //	r.Evacuate("zone-a")
 //	instances := r.Current(now)
 package roster
@@ -51,8 +55,13 @@
 	// lapseSeen is true once something shows that entries lapsed in the latest
 	// outage.
 	lapseSeen bool
-	// evacuated are the availability zones that are emptied.
-	evacuated map[string]bool
+	// evacuated are the availability zones that are emptied, with the end of it for one
+	// that a copy of the list lacks.
+	evacuated map[string]time.Time
+	// gone are the upstreams that went lately, doubted those among them that only a copy
+	// of the list names.
+	gone    map[string]departed
+	doubted map[string]doubted
 }
 
 // New returns an empty roster.
@@ -60,7 +69,9 @@
 	return &Roster{
 		listed:    make(map[string]balance.Instance),
 		lapsed:    make(map[string]time.Time),
-		evacuated: make(map[string]bool),
+		evacuated: make(map[string]time.Time),
+		gone:      make(map[string]departed),
+		doubted:   make(map[string]doubted),
 	}
 }
 
@@ -89,11 +100,28 @@
 			removed = append(removed, id)
 		}
 	}
-	r.Change(now, list, removed)
+	for id := range r.doubted {
+		if !seen[id] {
+			delete(r.doubted, id)
+		}
+	}
+	r.Change(now, r.withoutDoubted(list), removed)
+}
+
+// withoutDoubted returns the list without the upstreams that are doubted.
+func (r *Roster) withoutDoubted(list []balance.Instance) []balance.Instance {
+	if len(r.doubted) == 0 {
+		return list
+	}
+	return slices.DeleteFunc(slices.Clone(list), func(in balance.Instance) bool {
+		d, ok := r.doubted[in.ID]
+		return ok && !startedBefore(d.Instance, in)
+	})
 }
 
 // Change takes upstreams that came, changed or went.
 func (r *Roster) Change(now time.Time, changed []balance.Instance, removed []string) {
+	r.forgetGone(now)
 	r.lapseSeen = r.lapseSeen || r.showsLapse(changed, removed)
 	for _, in := range changed {
 		r.put(in)
@@ -128,16 +156,18 @@
 func (r *Roster) put(in balance.Instance) {
 	r.listed[in.ID] = in
 	delete(r.lapsed, in.ID)
+	delete(r.gone, in.ID)
+	delete(r.doubted, in.ID)
 }
 
 func (r *Roster) remove(now time.Time, id string) {
+	delete(r.doubted, id)
 	in, ok := r.listed[id]
 	if !ok {
 		return
 	}
 	if r.recoveredAt.IsZero() || now.Sub(r.recoveredAt) > recovering || in.Leaving || !r.lapseSeen {
-		delete(r.listed, id)
-		delete(r.lapsed, id)
+		r.depart(now, id)
 		return
 	}
 	if _, ok := r.lapsed[id]; !ok {
@@ -151,21 +181,23 @@
 	for _, id := range ids {
 		delete(r.listed, id)
 		delete(r.lapsed, id)
+		delete(r.doubted, id)
 	}
 }
 
 // Current returns the upstreams in order of identity, and forgets the lapsed
-// ones whose time is over.
+// ones whose time is over. Doubted ones whose time is over are believed.
 func (r *Roster) Current(now time.Time) []balance.Instance {
 	for id, until := range r.lapsed {
 		if !now.Before(until) {
-			delete(r.listed, id)
-			delete(r.lapsed, id)
+			r.depart(now, id)
 		}
 	}
+	r.believe(now)
+	r.endEvacuations(now)
 	list := make([]balance.Instance, 0, len(r.listed))
 	for _, in := range r.listed {
-		in.Evacuated = r.evacuated[in.Zone]
+		_, in.Evacuated = r.evacuated[in.Zone]
 		list = append(list, in)
 	}
 	slices.SortFunc(list, func(a, b balance.Instance) int { return cmp.Compare(a.ID, b.ID) })
@@ -175,14 +207,27 @@
 // Lapsed returns the number of entries that are kept though they lapsed.
 func (r *Roster) Lapsed() int { return len(r.lapsed) }
 
-// NextEnd returns when the first of the lapsed entries is forgotten; false if
-// there is none.
+// Doubted returns the number of upstreams that only a copy of the list names.
+func (r *Roster) Doubted() int { return len(r.doubted) }
+
+// NextEnd returns when the list changes next without a word from its keeper: a lapsed entry
+// is forgotten, a doubted one believed, an evacuation that a copy lacks ends. False if
+// nothing of this is to come.
 func (r *Roster) NextEnd() (time.Time, bool) {
 	var first time.Time
-	for _, until := range r.lapsed {
-		if first.IsZero() || until.Before(first) {
-			first = until
+	earliest := func(end time.Time) {
+		if !end.IsZero() && (first.IsZero() || end.Before(first)) {
+			first = end
 		}
 	}
+	for _, until := range r.lapsed {
+		earliest(until)
+	}
+	for _, d := range r.doubted {
+		earliest(d.until)
+	}
+	for _, until := range r.evacuated {
+		earliest(until)
+	}
 	return first, !first.IsZero()
 }
--- a/internal/edge/gatewayd/apply.go
+++ b/internal/edge/gatewayd/apply.go
@@ -65,11 +65,11 @@
 
 // replaceRoster takes a whole list of upstreams, and all availability zones that are
 // evacuated. It runs in the control goroutine.
-func (s *Server) replaceRoster(now time.Time, list []balance.Instance, unfit, evacuated []string) {
+func (s *Server) replaceRoster(now time.Time, c platform.Changes) {
 	before := s.roster.Evacuated()
-	s.roster.Drop(unfit)
-	s.roster.Replace(now, list)
-	s.roster.ReplaceEvacuated(evacuated)
+	s.roster.Drop(c.Unfit)
+	s.roster.Replace(now, c.Changed)
+	s.roster.ReplaceEvacuated(c.Evacuated)
 	s.logEvacuated(before)
 	s.applyRoster(now)
 }
--- a/internal/edge/gatewayd/follow.go
+++ b/internal/edge/gatewayd/follow.go
@@ -137,8 +137,8 @@
 		// A stale listing proves nothing about its age.
 		asked = time.Time{}
 	}
-	l, err := f.store.List(ctx, f.consistency)
-	if err == nil && l.Position.Epoch < f.position.Epoch {
+	all, err := f.store.List(ctx, f.consistency)
+	if err == nil && all.Position.Epoch < f.position.Epoch {
 		err = platform.ErrEarlierEpoch
 	}
 	if err != nil {
@@ -146,16 +146,15 @@
 		return
 	}
 	f.succeeded()
-	f.logKnown(f.server.log.Info()).Int64("new_epoch", l.Position.Epoch).Int64("new_revision", l.Position.Revision).
-		Int("entries", len(l.Entries)).Msg("store: everything read")
-	f.position = l.Position
+	f.logKnown(f.server.log.Info()).Int64("new_epoch", all.Position.Epoch).Int64("new_revision", all.Position.Revision).
+		Int("entries", len(all.Entries)).Msg("store: everything read")
+	f.position = all.Position
 	f.unfollowed = false
 	f.listed = true
-	f.server.report(l.Faults)
+	f.server.report(all.Faults)
 	f.server.control.Must(func(now time.Time) {
-		f.server.feedFrom(l.Position, l.Entries, true)
-		f.server.replaceRoster(now, l.Instances, l.Unfit, l.Evacuated)
-		f.server.applyTable(l.Table, !l.ConfigFaulty(), asked)
+		f.server.takeWhole(now, all.Position, all)
+		f.server.applyTable(all.Table, !all.ConfigFaulty(), asked)
 	})
 }
 
--- a/internal/edge/gatewayd/restore_test.go
+++ b/internal/edge/gatewayd/restore_test.go
@@ -81,3 +81,24 @@
 	g := &testPeer{Server: w.server}
 	w.await(func() bool { return g.leaves("i-a") })
 }
+
+// epoch is that of the store as the gateway knows it.
+func (g *testPeer) epoch() int64 {
+	var epoch int64
+	g.control.Must(func(time.Time) { epoch = g.feed.Position().Epoch })
+	return epoch
+}
+
+// Upstreams that leave or went do not come back with a copy of the store.
+func TestRestoreBringsNobodyBack(t *testing.T) {
+	w := newWorld(t, 3, nil)
+	w.store.Backup()
+	w.store.PutReplica(w.replicas[0], "app", true)
+	w.store.RemoveReplica(w.replicas[1].ID)
+	g := &testPeer{Server: w.server}
+	w.await(func() bool { return g.leaves("i-a") && len(g.listed()) == 2 })
+	w.store.Restore()
+	w.await(func() bool { return g.epoch() == 2 })
+	w.is.True(g.leaves("i-a"))
+	w.is.Equal(len(g.listed()), 2)
+}
--- a/internal/edge/gatewayd/source.go
+++ b/internal/edge/gatewayd/source.go
@@ -143,12 +143,12 @@
 	if len(c.Entries) == 0 && !whole {
 		return
 	}
-	s.feedFrom(p, c.Entries, whole)
 	if whole {
-		s.replaceRoster(now, c.Changed, c.Unfit, c.Evacuated)
-	} else {
-		s.changeRoster(now, c)
+		s.takeWhole(now, p, c)
+		return
 	}
+	s.feedFrom(p, c.Entries, false)
+	s.changeRoster(now, c)
 }
 
 // takeProof takes what another gateway proves: that its version was the newest
