A gateway that starts after a restore takes no older configuration

An accepted configuration never reverts. A gateway that started while the store held an older one than it had acknowledged took that one, though its peers had the newer one in force: their feeds passed on what the store held now.

The feed knows the version that a value names for itself, and never gives it up for a lower one, nor when a copy lacks it. A gateway that meets nobody and reads the copy itself still takes what is there, until the operators' pipeline writes again.

--- a/internal/core/feed/feed.go
+++ b/internal/core/feed/feed.go
@@ -37,6 +37,9 @@
 	Removed bool
 	// Created is the revision at which the entry was made.
 	Created int64
+	// Version is the one that a value names for itself; 0 if it names none. Versions only
+	// rise, also where a copy of the store holds a lower one.
+	Version int64
 	// ReadAt is when it was read from the store, by whichever gateway: some of what
 	// it says holds for a while only.
 	ReadAt time.Time
@@ -85,11 +88,30 @@
 		return
 	}
 	if !f.position.Known() || f.position.Epoch < p.Epoch {
+		newer := f.newerThan(entries)
 		*f = Feed{entries: make(map[string]kept, len(entries)), position: p, floor: p.Revision}
+		f.Add(p, entries)
+		f.Add(p, newer)
+		return
 	}
 	f.Add(p, append(f.changed(entries), f.missing(entries)...))
 }
 
+// newerThan returns the kept entries with a higher version than the given ones.
+func (f *Feed) newerThan(entries []Entry) []Entry {
+	versions := make(map[string]int64)
+	for _, e := range entries {
+		versions[e.Key] = e.Version
+	}
+	var newer []Entry
+	for key, held := range f.entries {
+		if held.Version > versions[key] {
+			newer = append(newer, held.Entry)
+		}
+	}
+	return newer
+}
+
 // changed returns the entries that say something else than the kept ones.
 func (f *Feed) changed(entries []Entry) []Entry {
 	var changes []Entry
@@ -129,6 +151,9 @@
 	f.position = f.position.Furthest(p)
 	for _, e := range entries {
 		held, ok := f.entries[e.Key]
+		if 0 < e.Version && e.Version < held.Version {
+			continue
+		}
 		if ok && held.Removed {
 			f.removed--
 		}
--- a/internal/edge/gatewayd/restore_test.go
+++ b/internal/edge/gatewayd/restore_test.go
@@ -82,6 +82,19 @@
 	w.await(func() bool { return g.leaves("i-a") })
 }
 
+// A gateway that starts while the store holds an older configuration than it had
+// acknowledged takes the one in force from another gateway.
+func TestStartAfterARestoreTakesNoOlderConfiguration(t *testing.T) {
+	w, all := restoredWorld(t)
+	w.store.Restore()
+	for _, g := range all {
+		w.await(func() bool { return g.epoch() == 2 })
+	}
+	late := startPeerWith(t, w.store, "a", false, all[0].PeersAddress())
+	w.await(func() bool { return late.version() != 0 })
+	w.is.Equal(late.version(), int64(6))
+}
+
 // epoch is that of the store as the gateway knows it.
 func (g *testPeer) epoch() int64 {
 	var epoch int64
