A store that came back from a copy does not prove the configuration at once

A key that was taken away just before the store went may be honoured for longer than it may: the copy does not know of it, and the first answer after the return was taken as proof that the configuration in force is the newest.

Such an answer proves nothing for 2.2 s from the last moment at which the store was not back (what was lost is written again within about two seconds), or until the configuration is written anew: a watch brings it, or it stands at another revision than before. Until then the proof ages; keys are refused once it is too old, with 503 and when to come back. The cost is at most the rest of those 2.2 s where nothing was lost and the store was away for longer than 1.6 s.

--- a/internal/core/feed/feed.go
+++ b/internal/core/feed/feed.go
@@ -37,6 +37,8 @@
 	Removed bool
 	// Created is the revision at which the entry was made.
 	Created int64
+	// Written is the revision of its latest change; 0 if another gateway told it.
+	Written int64
 	// Version is the one that a value names for itself; 0 if it names none. Versions only
 	// rise, also where a copy of the store holds a lower one.
 	Version int64
--- a/internal/edge/gatewayd/apply.go
+++ b/internal/edge/gatewayd/apply.go
@@ -28,9 +28,13 @@
 // means that nothing newer was published or that it could not be read; sound
 // tells them apart. At the moment asked, what was published was the newest.
 // While the newest configuration cannot be read, nothing proves that the one in
-// force is the newest. It runs in the control goroutine.
+// force is the newest, and neither does a store that has just come back from a copy. It
+// runs in the control goroutine.
 func (s *Server) applyTable(t *ingress.Table, sound bool, asked time.Time) {
 	view := *s.view.Load()
+	if !s.settling.proves(asked) {
+		asked = view.NewestAt
+	}
 	s.configUnread = t == nil && (s.configUnread || !sound)
 	if t == nil {
 		if !s.configUnread && view.Table != nil {
--- a/internal/edge/gatewayd/follow.go
+++ b/internal/edge/gatewayd/follow.go
@@ -154,6 +154,7 @@
 	f.server.report(all.Faults)
 	f.server.control.Must(func(now time.Time) {
 		f.server.takeWhole(now, all.Position, all)
+		f.server.settleByList(all)
 		f.server.applyTable(all.Table, !all.ConfigFaulty(), asked)
 	})
 }
@@ -204,6 +205,7 @@
 		if c.AnyUpstreams() {
 			f.server.changeRoster(now, c)
 		}
+		f.server.settleByWatch(c)
 		f.server.applyTable(c.Table, !c.ConfigFaulty(), proof)
 	})
 }
--- a/internal/edge/gatewayd/restore_test.go
+++ b/internal/edge/gatewayd/restore_test.go
@@ -115,3 +115,38 @@
 	w.is.True(g.leaves("i-a"))
 	w.is.Equal(len(g.listed()), 2)
 }
+
+// A store that came back from a copy may have lost a configuration that takes a key away.
+// Its silence proves nothing until what was lost must have been written again, or was.
+func TestStoreFromACopyProvesNothingAtOnce(t *testing.T) {
+	tests := []struct {
+		name string
+		// write is what the operators write before the gateway asks again.
+		write func(st *standin.Store)
+		// least and most are when the configuration is proved anew, after the return.
+		least, most time.Duration
+	}{
+		{"nothing is written", func(*standin.Store) {}, settleFor - time.Second, settleFor + 2*time.Second},
+		{"the same one is written anew", func(st *standin.Store) {
+			st.Put("else/thing", nil)
+			st.PutConfig(configuration(1))
+		}, 0, settleFor - time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w := newWorld(t, 1, nil)
+			g := &testPeer{Server: w.server}
+			w.store.Backup()
+			w.store.SetTrouble(standin.Busy)
+			w.store.Restore()
+			tt.write(w.store)
+			back := time.Now()
+			w.store.SetTrouble(standin.Well)
+			w.await(func() bool { return g.provedAfter(back) })
+			took := time.Since(back)
+			w.is.Equal(g.epoch(), int64(2))
+			w.is.True(took >= tt.least)
+			w.is.True(took <= tt.most)
+		})
+	}
+}
--- a/internal/edge/gatewayd/server.go
+++ b/internal/edge/gatewayd/server.go
@@ -110,6 +110,10 @@
 	suspects *suspects.Book
 	lost     []suspects.Lost
 	feed     *feed.Feed
+	// written is the configuration as the store held it when it was read here last,
+	// settling the time in which a store that came back from a copy proves nothing.
+	written  written
+	settling settling
 	// feedChanged is closed when there is news for followers.
 	feedChanged chan struct{}
 	// storeLostAt is when a call to the store failed last, storeFailedAt the same for any
