A start does not build on a read from before the store's return

A gateway that starts reads what may be seconds old, and watches on from there. If the store came back from a copy in between and has given out as many revisions, the watch is answered and hides what was written in place of what was lost. In an epoch above 0 such a read is not taken and a new one asked for.

--- a/internal/edge/gatewayd/follow.go
+++ b/internal/edge/gatewayd/follow.go
@@ -146,6 +146,12 @@
 		return
 	}
 	f.succeeded()
+	if f.consistency == platform.Stale && all.Position.Epoch > 0 {
+		// The store came back from a copy before, perhaps since the moment that the listing
+		// shows: what follows its revision may be of another history.
+		f.consistency = platform.Newest
+		return
+	}
 	f.logKnown(f.server.log.Info()).Int64("new_epoch", all.Position.Epoch).Int64("new_revision", all.Position.Revision).
 		Int("entries", len(all.Entries)).Msg("store: everything read")
 	f.position = all.Position
