The soak's store comes back from copies of itself

It draws numbers of its own, so that a seed plays the other faults as before.

TestVersionsOnlyRise for what the feed keeps over a return.

--- a/internal/core/feed/feed_test.go
+++ b/internal/core/feed/feed_test.go
@@ -168,3 +168,38 @@
 	b, _ := f.Since(Position{})
 	is.Equal(len(b.Entries), 2) // changes of other epochs are not taken
 }
+
+// A value that names its version never gives way to one of a lower version: not in the same
+// epoch, and not when a copy of the store holds it, or none.
+func TestVersionsOnlyRise(t *testing.T) {
+	version := func(v int64) []Entry { return []Entry{{Key: "a", Value: []byte{byte(v)}, Version: v}} }
+	tests := []struct {
+		name string
+		then func(f *Feed)
+		want int64
+	}{
+		{"a higher one", func(f *Feed) { f.Add(at(1, 8), version(6)) }, 6},
+		{"a lower one", func(f *Feed) { f.Add(at(1, 8), version(4)) }, 5},
+		{"a lower one in a listing", func(f *Feed) { f.Replace(at(1, 8), version(4)) }, 5},
+		{"none that can be read", func(f *Feed) { f.Add(at(1, 8), []Entry{{Key: "a"}}) }, 0},
+		{"a copy with a lower one", func(f *Feed) { f.Replace(at(2, 3), version(4)) }, 5},
+		{"a copy with the same one", func(f *Feed) { f.Replace(at(2, 3), version(5)) }, 5},
+		{"a copy with a higher one", func(f *Feed) { f.Replace(at(2, 3), version(6)) }, 6},
+		{"a copy without it", func(f *Feed) { f.Replace(at(2, 3), nil) }, 5},
+		{"a higher one after a copy", func(f *Feed) {
+			f.Replace(at(2, 3), version(4))
+			f.Add(at(2, 4), version(6))
+		}, 6},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			f := New()
+			f.Replace(at(1, 7), version(5))
+			tt.then(f)
+			b, _ := f.Since(Position{})
+			is.Equal(len(b.Entries), 1)
+			is.Equal(b.Entries[0].Version, tt.want)
+		})
+	}
+}
--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -5,7 +5,8 @@
 // The store and the replicas are stand-ins in the soak's own process. Each
 // gateway reaches the store, and all gateways reach each replica, through a proxy
 // that delays, resets, cuts one way or falls silent; gateways are paused, killed,
-// stopped and reloaded by signals; configurations, revocations and replacements
+// stopped and reloaded by signals; the store comes back from copies of itself;
+// configurations, revocations and replacements
 // of replicas are published meanwhile. A seed fixes the series of faults, which
 // overlap. It does not fix the timing of the processes, so that a promise that
 // breaks may need more than one play of its seed to break again.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -71,7 +71,13 @@
 		w.Limits(failing, seed)
 		return nil
 	})
+	var restores errgroup.Group
+	restores.Go(func() error {
+		w.Restore(failing, seed)
+		return nil
+	})
 	w.Faults(failing, seed)
+	_ = restores.Wait()
 	time.Sleep(calmLength)
 	endLoad()
 	_ = group.Wait()
