--- a/internal/edge/gatewayd/meters.go
+++ b/internal/edge/gatewayd/meters.go
@@ -33,7 +33,10 @@
 	continues   prometheus.Counter
 	faults      prometheus.Counter
 	version     prometheus.Gauge
-	upstreams   prometheus.Gauge
+	// epoch and revision are how far the store is known.
+	epoch     prometheus.Gauge
+	revision  prometheus.Gauge
+	upstreams prometheus.Gauge
 	// zoneAttempts and zoneUpstreams tell from outside which availability zones take
 	// the work.
 	zoneAttempts  *prometheus.CounterVec
@@ -67,6 +70,8 @@
 		continues:   family.Counter("continues_total", "Streams continued from a copy of their run's memory."),
 		faults:      family.Counter("store_faults_total", "Published values that could not be read."),
 		version:     family.Gauge("configuration_version", "Version of the configuration in force."),
+		epoch:       family.Gauge("store_epoch", "Epoch of the store, which rises when it comes back from a copy."),
+		revision:    family.Gauge("store_revision", "Revision of the store, in its epoch, up to which everything is known."),
 		upstreams:   family.Gauge("upstreams", "Upstreams on the list."),
 		zoneAttempts: family.Counters("zone_attempts_total", "Attempts by availability zone of the upstream and outcome.",
 			"zone", "outcome"),
@@ -80,7 +85,7 @@
 		ends:          family.Counter("upstream_ends_total", "Upstreams that were found ended while they were listed."),
 	}
 	m.registry.MustRegister(m.requests, m.refusals, m.attempts, m.storeCalls, m.inTime, m.firstByte,
-		m.completion, m.connections, m.resumes, m.continues, m.faults, m.version, m.upstreams, m.peerCalls, m.gateways,
+		m.completion, m.connections, m.resumes, m.continues, m.faults, m.version, m.epoch, m.revision, m.upstreams, m.peerCalls, m.gateways,
 		m.zoneAttempts, m.zoneUpstreams, m.ends, m.notices, m.retriesDenied, m.limited, m.suspects)
 	m.registry.MustRegister(family.GaugeOf("view_age_milliseconds", "Time since the configuration in force was proved to be the newest.", viewAge))
 	if logsDropped != nil {
--- a/internal/edge/gatewayd/restore_test.go
+++ b/internal/edge/gatewayd/restore_test.go
@@ -114,6 +114,10 @@
 	w.await(func() bool { return g.epoch() == 1 })
 	w.is.True(g.leaves("i-a"))
 	w.is.Equal(len(g.listed()), 2)
+	families, err := g.metrics.registry.Gather()
+	w.is.NoErr(err)
+	w.is.Equal(valueOf(families, "gladegauge_gateway_store_epoch", nil), 1.0)
+	w.is.Equal(valueOf(families, "gladegauge_gateway_store_revision", nil), 4.0)
 }
 
 // A store that came back from a copy may have lost a configuration that takes a key away.
--- a/internal/edge/gatewayd/source.go
+++ b/internal/edge/gatewayd/source.go
@@ -169,5 +169,8 @@
 	} else {
 		s.feed.Add(p, entries)
 	}
+	known := s.feed.Position()
+	s.metrics.epoch.Set(float64(known.Epoch))
+	s.metrics.revision.Set(float64(known.Revision))
 	s.wakeFollowers()
 }
