A limit on which words differ is told once a second

A gateway without a fresh answer of an upstream goes by the mean of others' figures; where they differ, each word wrote a line, up to ten a second for an upstream. A change of the figure is told once a second now, a beginning and an end at once. TestLimitsThatDifferAreToldSeldom: 50 lines in 5 s before, 5 now.

--- a/internal/core/balance/limited_test.go
+++ b/internal/core/balance/limited_test.go
@@ -115,6 +115,25 @@
 	}
 }
 
+// Words that differ change a limit ten times a second. That is told once a second, and each
+// beginning and end at once.
+func TestLimitsThatDifferAreToldSeldom(t *testing.T) {
+	is := is.New(t)
+	table := tableWith(1)
+	table.holds = func(time.Time, uint64, int) bool { return false }
+	start := table.pools["p"].members[0].start
+	told := 0
+	for ms := 0; ms < 5000; ms += 100 {
+		l := occupancy.Load{}.WithLimit(float64(1 + ms/100%2))
+		d := table.OthersHave(at(ms), Picture{Loads: occupancy.Loads{start: l}, Keep: 700 * time.Millisecond, Gateways: 9})
+		told += len(d.Limited)
+	}
+	is.Equal(told, 5)
+	d := table.OthersHave(at(5000), Picture{Keep: 700 * time.Millisecond, Gateways: 9})
+	is.Equal(len(d.Limited), 1)
+	is.True(!d.Limited[0].Named)
+}
+
 // A gateway that has sent nothing keeps a limit that others were told of, and sends again
 // when they are told of none.
 func TestLimitByTheWordOfOthers(t *testing.T) {
--- a/internal/core/balance/shared.go
+++ b/internal/core/balance/shared.go
@@ -29,13 +29,17 @@
 	Outvoted []Outvoted
 	// Hanging are those at which a prompt of this gateway hangs.
 	Hanging []Hanging
-	// Limited are those whose limit is another one by the word of others.
+	// Limited are those whose limit is another one by the word of others. While words
+	// differ, each is told once in toldEvery.
 	Limited []Limited
 	// Spoken is true if a limit of any upstream is spoken of, or was until now: what others
 	// told of it counts for a moment only, and is to be published anew.
 	Spoken bool
 }
 
+// toldEvery is how often a limit is told that changes from one word to the next.
+const toldEvery = time.Second
+
 // Limited is an upstream whose limit changed, and the votes on it.
 type Limited struct {
 	ID string
@@ -72,7 +76,12 @@
 	votes := notice.LimitVotes{Limited: u.shared.Limited, PerSecond: u.shared.Limit(), Free: u.shared.Free}
 	u.said = u.said.WithLimitVotes(votes, u.sharedUntil)
 	d.Spoken = true
-	if t.relimit(now, u, firstTurns) {
+	named := u.limited.Named
+	if !t.relimit(now, u, firstTurns) {
+		return
+	}
+	if named != u.limited.Named || now.Sub(u.limitToldAt) >= toldEvery {
+		u.limitToldAt = now
 		d.Limited = append(d.Limited, Limited{ID: u.ID, Limit: u.limited.Limit, Votes: votes})
 	}
 }
--- a/internal/core/balance/table.go
+++ b/internal/core/balance/table.go
@@ -57,9 +57,11 @@
 	throttled throttle
 	// limited is the limit that it has now.
 	limited limited
-	load    load
-	pace    pace
-	tempo   tempo
+	// limitToldAt is when a change of it was told last.
+	limitToldAt time.Time
+	load        load
+	pace        pace
+	tempo       tempo
 	// strain is the mean gap between events of its streams, whatever it reads
 	// meanwhile; pausing is the mean of the longest gaps of its tight streams.
 	strain  recent
