Bytes of calls between gateways, by kind

The caller counts the bodies of both directions on the wire, by kind; the sum over all gateways counts each byte once. In the metrics and in the resources line.

--- a/internal/edge/gatewayd/meters.go
+++ b/internal/edge/gatewayd/meters.go
@@ -42,6 +42,7 @@
 	zoneAttempts  *prometheus.CounterVec
 	zoneUpstreams *prometheus.GaugeVec
 	peerCalls     *prometheus.CounterVec
+	peerBytes     *prometheus.CounterVec
 	gateways      prometheus.Gauge
 	// ends are the upstreams that this gateway found ended.
 	ends prometheus.Counter
@@ -77,6 +78,7 @@
 			"zone", "outcome"),
 		zoneUpstreams: family.Gauges("zone_upstreams", "Upstreams on the list by availability zone and state.", "zone", "state"),
 		peerCalls:     family.Counters("peer_calls_total", "Calls to other gateways by kind and result.", "call", "result"),
+		peerBytes:     family.Counters("peer_bytes_total", "Bytes of the bodies of calls to other gateways, by kind and direction.", "call", "direction"),
 		gateways:      family.Gauge("gateways", "Gateways that the retry budget is split over."),
 		notices:       family.Counters("upstream_notices_total", "What upstreams said of themselves in their answers, by kind.", "kind"),
 		retriesDenied: family.Counter("retries_denied_total", "Attempts that were not made as this gateway's part of the retry budget was used up."),
@@ -85,7 +87,7 @@
 		ends:          family.Counter("upstream_ends_total", "Upstreams that were found ended while they were listed."),
 	}
 	m.registry.MustRegister(m.requests, m.refusals, m.attempts, m.storeCalls, m.inTime, m.firstByte,
-		m.completion, m.connections, m.resumes, m.continues, m.faults, m.version, m.epoch, m.revision, m.upstreams, m.peerCalls, m.gateways,
+		m.completion, m.connections, m.resumes, m.continues, m.faults, m.version, m.epoch, m.revision, m.upstreams, m.peerCalls, m.peerBytes, m.gateways,
 		m.zoneAttempts, m.zoneUpstreams, m.ends, m.notices, m.retriesDenied, m.limited, m.suspects)
 	m.registry.MustRegister(family.GaugeOf("view_age_milliseconds", "Time since the configuration in force was proved to be the newest.", viewAge))
 	if logsDropped != nil {
--- a/internal/edge/gatewayd/peers.go
+++ b/internal/edge/gatewayd/peers.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/gladegauge/gladegauge/internal/core/fleet"
 	"github.com/gladegauge/gladegauge/internal/core/retry"
@@ -30,10 +31,10 @@
 	partnersMost = 16
 )
 
-// newPeerClient returns the client of calls to other gateways.
-func newPeerClient() *http.Client {
+// newTraffic returns the transport of calls to other gateways.
+func newTraffic(bytes *prometheus.CounterVec) *traffic {
 	dialer := &net.Dialer{Timeout: peerDial}
-	return &http.Client{Transport: &http.Transport{
+	return &traffic{bytes: bytes, next: &http.Transport{
 		DialContext:         dialer.DialContext,
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: 1,
--- a/internal/edge/gatewayd/resources.go
+++ b/internal/edge/gatewayd/resources.go
@@ -21,7 +21,8 @@
 	userMetric       = "/cpu/classes/user:cpu-seconds"
 )
 
-// logResources writes a line on what the process holds and used, in bytes and seconds. It
+// logResources writes a line on what the process holds and used, in bytes and seconds, and
+// on the bytes of its calls to other gateways by kind. It
 // runs in the control goroutine.
 func (s *Server) logResources(time.Time) {
 	samples := []metrics.Sample{
@@ -41,5 +42,7 @@
 		Float64("collector_s", samples[7].Value.Float64()).
 		Float64("user_s", samples[8].Value.Float64()).
 		Int("gateways", s.gateways).
+		Dict("peer_sent", s.traffic.sums(directionSent)).
+		Dict("peer_received", s.traffic.sums(directionReceived)).
 		Msg("resources")
 }
--- a/internal/edge/gatewayd/server.go
+++ b/internal/edge/gatewayd/server.go
@@ -74,7 +74,8 @@
 	bounds  atomic.Pointer[gateway.Bounds]
 	client  *exchange.Client
 	metrics *meters
-	// peerClient calls other gateways.
+	// traffic is the transport of peerClient, which calls other gateways.
+	traffic    *traffic
 	peerClient *http.Client
 	listeners  *listeners
 	// inFlight is the number of requests in progress.
@@ -138,7 +139,6 @@
 		table:       balance.New(o.Settings.Zone),
 		roster:      roster.New(),
 		budgets:     make(map[string]*retry.Window),
-		peerClient:  newPeerClient(),
 		fleet:       fleet.New(fleet.Member{Zone: o.Settings.Zone}),
 		occupancy:   occupancy.New(),
 		kept:        occupancy.NewNews(),
@@ -154,6 +154,8 @@
 	s.table.SetLimitBounds(limitBounds(), func() int { return s.fleet.Remembered() })
 	s.view.Store(&ingress.View{})
 	s.metrics = newMeters(o.LogsDropped, func() uint64 { return ageOf(s.view.Load(), s.now()) })
+	s.traffic = newTraffic(s.metrics.peerBytes)
+	s.peerClient = &http.Client{Transport: s.traffic}
 	s.addresses.Store(&map[string]bool{})
 	s.closed.Store(&notice.Closed{})
 	s.client = exchange.New(exchange.Options{
--- /dev/null
+++ b/internal/edge/gatewayd/traffic.go
@@ -0,0 +1,75 @@
+package gatewayd
+
+import (
+	"io"
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	dto "github.com/prometheus/client_model/go"
+	"github.com/rs/zerolog"
+
+	"github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1/gladegaugev1connect"
+)
+
+// Directions of the bytes of calls to other gateways, as the caller sees them.
+const (
+	directionSent     = "sent"
+	directionReceived = "received"
+)
+
+// callKinds names the calls that gateways make to each other, by their procedures.
+var callKinds = map[string]string{
+	gladegaugev1connect.GatewayServiceExchangeProcedure:   "exchange",
+	gladegaugev1connect.GatewayServiceFollowProcedure:     "follow",
+	gladegaugev1connect.GatewayServiceTellLoadsProcedure:  "tell_loads",
+	gladegaugev1connect.GatewayServiceBorrowTurnProcedure: "borrow_turn",
+}
+
+// traffic counts the bytes of the bodies of calls to other gateways, by kind and direction.
+// The caller counts both directions, so that the sum over all gateways counts each byte once.
+type traffic struct {
+	next  http.RoundTripper
+	bytes *prometheus.CounterVec
+}
+
+// RoundTrip makes the call and counts what is read of both bodies.
+func (t *traffic) RoundTrip(r *http.Request) (*http.Response, error) {
+	kind, ok := callKinds[r.URL.Path]
+	if !ok {
+		return t.next.RoundTrip(r)
+	}
+	if r.Body != nil && r.Body != http.NoBody {
+		r = r.WithContext(r.Context())
+		r.Body = &countedBody{r.Body, t.bytes.WithLabelValues(kind, directionSent)}
+	}
+	resp, err := t.next.RoundTrip(r)
+	if err != nil {
+		return nil, err //nolint:wrapcheck // The transport's errors are the caller's.
+	}
+	resp.Body = &countedBody{resp.Body, t.bytes.WithLabelValues(kind, directionReceived)}
+	return resp, nil
+}
+
+// sums returns the bytes so far in the direction, by kind, for a log line.
+func (t *traffic) sums(direction string) *zerolog.Event {
+	dict := zerolog.Dict()
+	for _, kind := range callKinds {
+		var m dto.Metric
+		if err := t.bytes.WithLabelValues(kind, direction).Write(&m); err == nil {
+			dict = dict.Float64(kind, m.GetCounter().GetValue())
+		}
+	}
+	return dict
+}
+
+// countedBody counts what is read of a body.
+type countedBody struct {
+	io.ReadCloser
+	bytes prometheus.Counter
+}
+
+func (b *countedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.bytes.Add(float64(n))
+	return n, err //nolint:wrapcheck // A reader passes its errors on, io.EOF among them.
+}
