After a return: watch on from what another gateway told

A gateway that the store had answered with 410 read everything anew at its next turn, also if its parent had brought it further meanwhile: a listing more for each gateway that had asked. It watches on from there now (TestWatchesAgainFromWhatAnotherGatewayTold failed before in its first two rows). And a configuration that was told by another gateway no longer leaves the revision at which it was once read here to compare with.

--- a/internal/edge/gatewayd/restore.go
+++ b/internal/edge/gatewayd/restore.go
@@ -42,6 +42,9 @@
 		after = proved
 	}
 	s.settling = settling{from: after, until: after.Add(settleFor)}
+	if c.TableRevision == 0 {
+		s.written = written{} // It may have been written anew since it was read here.
+	}
 	evacuated := s.roster.Evacuated()
 	s.roster.Drop(c.Unfit)
 	s.roster.Restore(now, roster.Return{After: after, Lapse: s.o.Settings.LapseWithin()}, c.Changed, c.Evacuated)
--- a/internal/edge/gatewayd/restore_test.go
+++ b/internal/edge/gatewayd/restore_test.go
@@ -8,6 +8,8 @@
 	"github.com/matryer/is"
 
 	"github.com/gladegauge/gladegauge/internal/core/balance"
+	"github.com/gladegauge/gladegauge/internal/core/feed"
+	gladegaugev1 "github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1"
 	"github.com/gladegauge/gladegauge/platform/standin"
 )
 
@@ -172,3 +174,30 @@
 	g := startPeer(t, w.store)
 	w.await(func() bool { return g.leaves("i-a") })
 }
+
+// A gateway that the store could not tell what followed its position watches again once
+// another gateway has brought it further, and does not read everything.
+func TestWatchesAgainFromWhatAnotherGatewayTold(t *testing.T) {
+	w := newWorld(t, 1, nil)
+	w.store.SetTrouble(standin.Silent)
+	known := feed.Position{Epoch: 1, Revision: 7}
+	tests := []struct {
+		name       string
+		position   feed.Position
+		unfollowed bool
+	}{
+		{"further", feed.Position{Epoch: 1, Revision: 8}, false},
+		{"a later epoch", feed.Position{Epoch: 2, Revision: 3}, false},
+		{"the same", known, true},
+		{"an earlier epoch", feed.Position{Revision: 9}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			f := &follower{server: w.server, position: known, unfollowed: true}
+			f.takeFrom(time.Now(), &gladegaugev1.FollowResponse{Epoch: tt.position.Epoch, Revision: tt.position.Revision})
+			is.Equal(f.unfollowed, tt.unfollowed)
+			is.Equal(f.position, known.Furthest(tt.position))
+		})
+	}
+}
--- a/internal/edge/gatewayd/source.go
+++ b/internal/edge/gatewayd/source.go
@@ -124,7 +124,10 @@
 	made := asked.Add(time.Duration(resp.GetHeldMs()) * time.Millisecond)
 	c := platform.DecodeEntries(entriesOf(f.server.now(), resp))
 	f.server.report(c.Faults)
-	f.position = f.position.Furthest(position)
+	if f.position.Before(position) {
+		f.position = position
+		f.unfollowed = false
+	}
 	f.listed = false
 	s := f.server
 	s.control.Must(func(now time.Time) {
