--- a/internal/soak/restores.go
+++ b/internal/soak/restores.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/gladegauge/gladegauge/internal/edge/loop"
+	"github.com/gladegauge/gladegauge/platform/standin"
 )
 
 // Times of a store that comes back from a copy of itself.
@@ -23,12 +24,6 @@
 	lapse          = 2 * time.Second
 )
 
-// Prefixes of what the operators and the upstreams write.
-const (
-	operatorKeys = "op/"
-	upstreamKeys = "servers/"
-)
-
 // Restore lets the store come back from a copy of itself now and then, until the context
 // ends. It draws numbers of its own: a seed plays the same faults beside it.
 func (w *World) Restore(ctx context.Context, seed uint64) {
@@ -48,11 +43,11 @@
 	time.Sleep(upTo(rng, awayMost))
 	w.store.Restore()
 	time.Sleep(upTo(rng, operatorsAgain))
-	w.store.WriteAgain(operatorKeys)
-	w.store.RemoveAgain(operatorKeys)
+	w.store.WriteAgain(standin.OperatorKeys)
+	w.store.RemoveAgain(standin.OperatorKeys)
 	again := upTo(rng, upstreamsAgain)
 	time.Sleep(again)
-	w.store.WriteAgain(upstreamKeys)
+	w.store.WriteAgain(standin.ReplicaKeys)
 	time.Sleep(lapse - again)
-	w.store.RemoveAgain(upstreamKeys)
+	w.store.RemoveAgain(standin.ReplicaKeys)
 }
