Lines on each failed call to the store, on late views and who renews them

The logs could not tell whether anybody asked the store in the three seconds of the incident: only the first failure of a gateway had a line, and one that followed others afterwards counted as lost until it asked by itself again. Now: 'store: still lost' with how long the store is left to others, 'view: too old to wait for others', 'view: renewed' with from whom, and the source and revision of each configuration that comes into force.

No logic is changed.

--- a/internal/edge/gatewayd/apply.go
+++ b/internal/edge/gatewayd/apply.go
@@ -29,8 +29,8 @@
 // tells them apart. At the moment asked, what was published was the newest.
 // While the newest configuration cannot be read, nothing proves that the one in
 // force is the newest, and neither does a store that has just come back from a copy. It
-// runs in the control goroutine.
-func (s *Server) applyTable(t *ingress.Table, sound bool, asked time.Time) {
+// runs in the control goroutine. From names who told it.
+func (s *Server) applyTable(t *ingress.Table, sound bool, asked time.Time, from string) {
 	view := *s.view.Load()
 	if !s.settling.proves(asked) {
 		asked = view.NewestAt
@@ -54,7 +54,7 @@
 	s.view.Store(&next)
 	s.table.SetPools(t)
 	s.metrics.version.Set(float64(t.Version))
-	s.log.Info().Int64("version", t.Version).Int("routes", t.Routes()).Msg("configuration: in force")
+	s.log.Info().Int64("version", t.Version).Int("routes", t.Routes()).Str("from", from).Int64("revision", s.feed.Position().Revision).Msg("configuration: in force")
 }
 
 // prove takes the moment at which the configuration in force was the newest; followers
--- a/internal/edge/gatewayd/follow.go
+++ b/internal/edge/gatewayd/follow.go
@@ -46,6 +46,9 @@
 	leastWatchShare = 0.25
 )
 
+// fromStore names the store as the one that told something.
+const fromStore = "store"
+
 // follower keeps the state of one gateway's reading of the store.
 type follower struct {
 	server *Server
@@ -66,6 +69,9 @@
 	tryPeer bool
 	// unanswered is the number of questions to other gateways in a row that had no answer.
 	unanswered int
+	// lateSince is when what is known became too old to wait for others; zero while it is
+	// not.
+	lateSince time.Time
 	// stuckAt is the proof that was in force when another gateway answered at once and
 	// brought nothing that could be taken; zero otherwise.
 	stuckAt time.Time
@@ -88,8 +94,10 @@
 
 // step asks once.
 func (f *follower) step(ctx context.Context) {
+	f.noteLate(f.server.now())
 	wait, timeout := f.poll(f.server.now())
 	if address, ok := f.source(); ok && f.answered(ctx, address, wait, timeout) {
+		f.noteRenewed(f.server.now(), address)
 		return
 	}
 	if f.waitsForOthers(f.server.now()) {
@@ -103,6 +111,24 @@
 	f.watch(ctx)
 }
 
+// noteLate writes when what is known becomes too old to wait for others.
+func (f *follower) noteLate(now time.Time) {
+	if !f.lateSince.IsZero() || !f.late(now) {
+		return
+	}
+	f.lateSince = now
+	f.logKnown(f.server.log.Info()).Msg("view: too old to wait for others")
+}
+
+// noteRenewed writes by whom a view that had been too old was proved anew.
+func (f *follower) noteRenewed(now time.Time, from string) {
+	if f.lateSince.IsZero() || f.late(now) {
+		return
+	}
+	f.logKnown(f.server.log.Info()).Str("from", from).Dur("after", now.Sub(f.lateSince)).Msg("view: renewed")
+	f.lateSince = time.Time{}
+}
+
 // answered asks the gateway at the address. It reports false if the store is to be asked
 // instead: one gateway that does not answer is left for the next one, but a gateway that
 // reaches no other reads the store itself.
@@ -161,8 +187,9 @@
 	f.server.control.Must(func(now time.Time) {
 		f.server.takeWhole(now, all.Position, all)
 		f.server.settleByList(all)
-		f.server.applyTable(all.Table, !all.ConfigFaulty(), asked)
+		f.server.applyTable(all.Table, !all.ConfigFaulty(), asked, fromStore)
 	})
+	f.noteRenewed(f.server.now(), fromStore)
 }
 
 // watch waits for changes once.
@@ -182,14 +209,17 @@
 	}
 	f.succeeded()
 	f.take(c, provedAt(asked, f.server.now(), wait, c))
+	f.noteRenewed(f.server.now(), fromStore)
 	if c.Any() {
 		loop.Pause(ctx, gatherFor)
 	}
 }
 
-// logKnown adds to a line how far the store is known.
+// logKnown adds to a line how far the store is known, and how old the proof of the
+// configuration in force is.
 func (f *follower) logKnown(line *zerolog.Event) *zerolog.Event {
-	return line.Int64("epoch", f.position.Epoch).Int64("revision", f.position.Revision)
+	return line.Int64("epoch", f.position.Epoch).Int64("revision", f.position.Revision).
+		Uint64("view_age", ageOf(f.server.view.Load(), f.server.now()))
 }
 
 // changesGone reports whether a watch from the same position would fail again. Too many
@@ -212,7 +242,7 @@
 			f.server.changeRoster(now, c)
 		}
 		f.server.settleByWatch(c)
-		f.server.applyTable(c.Table, !c.ConfigFaulty(), proof)
+		f.server.applyTable(c.Table, !c.ConfigFaulty(), proof, fromStore)
 	})
 }
 
@@ -262,16 +292,26 @@
 	if ctx.Err() != nil {
 		return
 	}
-	if !f.contact.lost() {
-		f.logKnown(f.server.log.Warn()).Err(err).Msg("store: lost")
-	}
 	f.tryPeer = true
 	f.server.control.Must(f.server.storeFailed)
+	f.logFailure(err)
 	backoff := f.contact.failed(f.server.now())
 	//nolint:gosec // Jitter needs no secret randomness.
 	loop.Pause(ctx, backoff/2+rand.N(backoff/2))
 }
 
+// logFailure writes that a call failed: the first one as a change of state, every further
+// one as well, since between them the store is left to others.
+func (f *follower) logFailure(err error) {
+	line, text := f.server.log.Info(), "store: still lost"
+	if !f.contact.lost() {
+		line, text = f.server.log.Warn(), "store: lost"
+	}
+	var leaves time.Duration
+	f.server.control.Must(func(now time.Time) { leaves = f.server.fleet.Backoff(now) })
+	f.logKnown(line).Dur("leaves_to_others", leaves).Err(err).Msg(text)
+}
+
 // succeeded notes an answer. After an outage upstreams need a moment to renew
 // their entries.
 func (f *follower) succeeded() {
--- a/internal/edge/gatewayd/peers_test.go
+++ b/internal/edge/gatewayd/peers_test.go
@@ -156,7 +156,7 @@
 				w.server.view.Store(&view)
 			})
 			f := &follower{server: w.server}
-			f.takeFrom(asked, tt.resp)
+			f.takeFrom(asked, "parent", tt.resp)
 			age := w.server.view.Load().Age(time.Now())
 			is.True(age >= tt.want)
 			is.True(age < tt.want+3*time.Second)
@@ -179,7 +179,7 @@
 	is.Equal(len(resp.GetEntries()), 2)
 	w.store.SetTrouble(standin.Silent)
 	f := &follower{server: w.server}
-	f.takeFrom(time.Now(), resp)
+	f.takeFrom(time.Now(), "parent", resp)
 	is.Equal(w.upstreams(), 3)
 	w.await(func() bool { return w.upstreams() == 1 })
 }
@@ -190,7 +190,7 @@
 	w := newWorld(t, 2, nil)
 	w.store.SetTrouble(standin.Silent)
 	f := &follower{server: w.server}
-	f.takeFrom(time.Now(), &gladegaugev1.FollowResponse{Revision: 100, Version: 1, Whole: true})
+	f.takeFrom(time.Now(), "parent", &gladegaugev1.FollowResponse{Revision: 100, Version: 1, Whole: true})
 	is.Equal(w.upstreams(), 0)
 }
 
--- a/internal/edge/gatewayd/restore_test.go
+++ b/internal/edge/gatewayd/restore_test.go
@@ -195,7 +195,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			f := &follower{server: w.server, position: known, unfollowed: true}
-			f.takeFrom(time.Now(), &gladegaugev1.FollowResponse{Epoch: tt.position.Epoch, Revision: tt.position.Revision})
+			f.takeFrom(time.Now(), "parent", &gladegaugev1.FollowResponse{Epoch: tt.position.Epoch, Revision: tt.position.Revision})
 			is.Equal(f.unfollowed, tt.unfollowed)
 			is.Equal(f.position, known.Furthest(tt.position))
 		})
--- a/internal/edge/gatewayd/slow_test.go
+++ b/internal/edge/gatewayd/slow_test.go
@@ -80,7 +80,7 @@
 		return unread
 	})
 	before := w.server.view.Load().NewestAt
-	w.server.control.Must(func(now time.Time) { w.server.applyTable(nil, true, now) })
+	w.server.control.Must(func(now time.Time) { w.server.applyTable(nil, true, now, fromStore) })
 	is.Equal(w.server.view.Load().NewestAt, before)
 	w.store.PutConfig(configuration(2))
 	w.await(func() bool { return w.server.view.Load().Table.Version == 2 })
--- a/internal/edge/gatewayd/source.go
+++ b/internal/edge/gatewayd/source.go
@@ -84,7 +84,7 @@
 	f.contact.answeredByPeer(f.server.now())
 	f.server.control.Must(func(now time.Time) { f.server.hearOfStore(now, address, resp.Msg) })
 	before := f.server.view.Load().NewestAt
-	f.takeFrom(asked, resp.Msg)
+	f.takeFrom(asked, address, resp.Msg)
 	f.stuckAt = time.Time{}
 	atOnce := wholeMilliseconds(wait) > resp.Msg.GetHeldMs()
 	if atOnce && len(resp.Msg.GetEntries()) == 0 && f.server.view.Load().NewestAt.Equal(before) {
@@ -116,7 +116,7 @@
 // way makes what it proves look younger. One that has yet to learn that the store came
 // back from a copy has no news, and its proof is not taken: this gateway would wait for
 // it.
-func (f *follower) takeFrom(asked time.Time, resp *gladegaugev1.FollowResponse) {
+func (f *follower) takeFrom(asked time.Time, from string, resp *gladegaugev1.FollowResponse) {
 	position := positionOf(resp)
 	if position.Epoch < f.position.Epoch {
 		return
@@ -135,7 +135,7 @@
 			s.roster.Recovered(made.Add(-time.Duration(resp.GetOutageAgeMs()) * time.Millisecond))
 		}
 		s.takeEntries(now, position, c, resp.GetWhole())
-		s.applyTable(c.Table, !c.ConfigFaulty(), time.Time{})
+		s.applyTable(c.Table, !c.ConfigFaulty(), time.Time{}, from)
 		s.takeProof(resp.GetVersion(), made.Add(-time.Duration(resp.GetAgeMs())*time.Millisecond))
 	})
 }
