Processes watch the platform by themselves when nobody hears its word

With the watchers of all zones cut off the platform, a change was never in force though eight of twelve processes reached it (TestWatchersLoseThePlatform, failed before: revision 1 instead of 2).

Each exchange now tells the age of the platform's word on the version in force; who hears of none for 45 s watches the manifest by itself for ten minutes. After two minutes of the cut each of five changes is in force within 4 s.

Not mended: until the 45 s have passed, a change waits if all watchers lose the platform at once.

--- a/internal/core/spread/spread.go
+++ b/internal/core/spread/spread.go
@@ -33,6 +33,12 @@
 	// SilentAfter is the time without any answer from a peer or the platform
 	// after which a process reads the platform directly.
 	SilentAfter = 10 * time.Second
+	// ProofAfter is the age of the platform's word, as told from process to process, after
+	// which a process watches the platform by itself. It is two watches, and the way
+	// through a large fleet.
+	ProofAfter = 45 * time.Second
+	// AloneFor is how long it does so.
+	AloneFor = 10 * time.Minute
 	// Lease is how long a process trusts what it last confirmed after a pause.
 	Lease = 10 * time.Second
 )
@@ -91,8 +97,12 @@
 // Freshness decides whether what a process knows may be relied on.
 type Freshness struct {
 	confirmed time.Time
-	ticked    time.Time
-	stale     bool
+	// proved is when the platform said, to whomever, that what is known is the newest.
+	proved time.Time
+	// aloneUntil is until when the process watches the platform, whoever else does.
+	aloneUntil time.Time
+	ticked     time.Time
+	stale      bool
 }
 
 // Confirmed tells that a peer or the platform answered.
@@ -117,6 +127,29 @@
 	return !f.confirmed.IsZero() && !f.stale
 }
 
+// Proved tells that the platform said then, to whomever, that the version in force was the
+// newest.
+func (f *Freshness) Proved(at time.Time) {
+	if at.After(f.proved) {
+		f.proved = at
+	}
+}
+
+// ProofAge returns the time since then; false if the platform never said so.
+func (f *Freshness) ProofAge(now time.Time) (time.Duration, bool) {
+	return max(0, now.Sub(f.proved)), !f.proved.IsZero()
+}
+
+// Alone reports whether the process watches the platform though it is no watcher: nobody
+// that it hears of has had an answer for long. All watchers may have lost the platform at
+// once, while it still answers others.
+func (f *Freshness) Alone(now time.Time) bool {
+	if now.Sub(f.proved) > ProofAfter {
+		f.aloneUntil = now.Add(AloneFor)
+	}
+	return now.Before(f.aloneUntil)
+}
+
 // Silent reports whether nobody has answered for long.
 func (f *Freshness) Silent(now time.Time) bool {
 	return now.Sub(f.confirmed) > SilentAfter
--- a/internal/edge/spread/peers.go
+++ b/internal/edge/spread/peers.go
@@ -65,8 +65,10 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	req := &gladegaugev1.ExchangeRequest{From: s.o.Self.ID}
+	var asked time.Time
 	tell := func(now time.Time) {
-		req.State = s.state()
+		asked = now
+		req.State = s.state(now)
 		req.Suspects = s.suspects.Tell(now, address, false)
 	}
 	if s.o.Loop.Do(ctx, tell) != nil {
@@ -84,6 +86,7 @@
 		want.Zones = s.newerZones(resp.Msg.GetState())
 		if !want.GetManifest() && len(want.GetZones()) == 0 {
 			s.fresh.Confirmed(now)
+			s.takeProof(asked, resp.Msg.GetState())
 			want = nil
 		}
 	})
--- a/internal/edge/spread/platform.go
+++ b/internal/edge/spread/platform.go
@@ -96,15 +96,36 @@
 	return unknown
 }
 
-// watchLoop watches a value while the process is a watcher.
-func (s *Sync) watchLoop(ctx context.Context, watch func(ctx context.Context, after uint64) (uint64, error)) error {
+// never is for a value that only watchers watch.
+func never(context.Context) bool { return false }
+
+// isAlone reports whether the process watches the platform though it is no watcher.
+func (s *Sync) isAlone(ctx context.Context) bool {
+	alone := false
+	_ = s.o.Loop.Do(ctx, func(now time.Time) {
+		age, _ := s.fresh.ProofAge(now)
+		alone = s.fresh.Alone(now)
+		if alone != s.alone {
+			s.alone = alone
+			s.o.Log.Info().Bool("alone", alone).Dur("proof_age", age).Msg("watch of the platform by a process that is no watcher")
+		}
+	})
+	return alone
+}
+
+// watchLoop watches a value while the process is a watcher, or watches alone.
+func (s *Sync) watchLoop(ctx context.Context, alone func(ctx context.Context) bool, watch func(ctx context.Context, after uint64) (uint64, error)) error {
 	var after uint64
 	for ctx.Err() == nil {
+		pause := retryPause
 		if !s.isWatcher(ctx) {
-			if !s.waitForChange(ctx) {
-				return nil
+			if !alone(ctx) {
+				if !s.waitForChange(ctx) {
+					return nil
+				}
+				continue
 			}
-			continue
+			pause = alonePause
 		}
 		callCtx, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
 		next, err := watch(callCtx, after)
@@ -116,7 +137,7 @@
 		default:
 			// A platform that starts anew may count its versions from the start.
 			after = 0
-			loop.Pause(ctx, retryPause/2+jitter(retryPause))
+			loop.Pause(ctx, pause/2+jitter(pause))
 		}
 	}
 	return nil
@@ -159,10 +180,17 @@
 
 func (s *Sync) confirmUnchanged(ctx context.Context, err error) {
 	if errors.Is(err, platform.ErrUnchanged) {
-		_ = s.o.Loop.Do(ctx, func(now time.Time) { s.fresh.Confirmed(now) })
+		_ = s.o.Loop.Do(ctx, s.confirmed)
 	}
 }
 
+// confirmed notes that the platform said that the version in force is the newest. It runs
+// in the control loop.
+func (s *Sync) confirmed(now time.Time) {
+	s.fresh.Confirmed(now)
+	s.fresh.Proved(now)
+}
+
 func (s *Sync) watchHosts(ctx context.Context, after uint64) (uint64, error) {
 	v, err := s.o.Platform.Watch(ctx, platform.HostsName(s.o.Self.Zone), after, watchWait)
 	if err != nil {
@@ -199,7 +227,7 @@
 	if verdict == revision.Rejected {
 		s.fallBack(ctx, m)
 	}
-	_ = s.o.Loop.Do(ctx, func(now time.Time) { s.fresh.Confirmed(now) })
+	_ = s.o.Loop.Do(ctx, s.confirmed)
 	return true
 }
 
--- a/internal/edge/spread/sync.go
+++ b/internal/edge/spread/sync.go
@@ -13,6 +13,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -44,7 +45,9 @@
 	pullBacklog  = 16
 	directBase   = 20 * time.Second
 	directJitter = 20 * time.Second
-	zonesEvery   = 30 * time.Second
+	// alonePause is the pause after a watch that failed of a process that is no watcher.
+	alonePause = 10 * time.Second
+	zonesEvery = 30 * time.Second
 )
 
 // Options are what a Sync needs.
@@ -76,6 +79,8 @@
 	rewatch  chan struct{}
 	turn     int
 	watching bool
+	// alone is true while it watches the platform though it is no watcher.
+	alone bool
 	// conflicting is the revision whose conflict was logged last.
 	conflicting uint64
 }
@@ -98,8 +103,8 @@
 func (s *Sync) Run(ctx context.Context) error {
 	s.bootstrap(ctx)
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return s.watchLoop(ctx, s.watchManifest) })
-	group.Go(func() error { return s.watchLoop(ctx, s.watchHosts) })
+	group.Go(func() error { return s.watchLoop(ctx, s.isAlone, s.watchManifest) })
+	group.Go(func() error { return s.watchLoop(ctx, never, s.watchHosts) })
 	group.Go(func() error { return s.exchangeLoop(ctx) })
 	group.Go(func() error { return s.pullLoop(ctx) })
 	group.Go(func() error { return s.noticeLoop(ctx) })
@@ -184,14 +189,28 @@
 }
 
 // state returns what the process has in force. It runs in the control loop.
-func (s *Sync) state() *gladegaugev1.PeerState {
+func (s *Sync) state(now time.Time) *gladegaugev1.PeerState {
 	st := &gladegaugev1.PeerState{Version: s.Version()}
+	if age, ok := s.fresh.ProofAge(now); ok {
+		ms := uint32(min(age.Milliseconds(), math.MaxInt32))
+		st.ProofAgeMs = &ms
+	}
 	for _, zone := range s.set.Zones() {
 		st.Lists = append(st.Lists, &gladegaugev1.ListVersion{Zone: zone, Version: s.set.Version(zone)})
 	}
 	return st
 }
 
+// takeProof takes what a peer tells of the platform's word on the version in force, which
+// it told no earlier than it was asked. It runs in the control loop.
+func (s *Sync) takeProof(asked time.Time, st *gladegaugev1.PeerState) {
+	v := st.GetVersion()
+	if st.ProofAgeMs == nil || s.holder.Compare(v.GetRevision(), string(v.GetDigest())) != revision.Same {
+		return
+	}
+	s.fresh.Proved(asked.Add(-time.Duration(st.GetProofAgeMs()) * time.Millisecond))
+}
+
 // newerZones returns the zones of which the other state has a newer list. It
 // runs in the control loop.
 func (s *Sync) newerZones(st *gladegaugev1.PeerState) []string {
@@ -297,7 +316,7 @@
 func (s *Sync) Exchange(ctx context.Context, req *connect.Request[gladegaugev1.ExchangeRequest]) (*connect.Response[gladegaugev1.ExchangeResponse], error) {
 	resp := &gladegaugev1.ExchangeResponse{}
 	err := s.o.Loop.Do(ctx, func(now time.Time) {
-		resp.State = s.state()
+		resp.State = s.state(now)
 		from, known := s.set.Host(req.Msg.GetFrom())
 		s.hearSuspects(now, req.Msg.GetFrom(), req.Msg.GetSuspects())
 		resp.Suspects = s.suspects.Tell(now, req.Msg.GetFrom(), false)
--- a/internal/edge/spread/sync_test.go
+++ b/internal/edge/spread/sync_test.go
@@ -57,6 +57,54 @@
 	})
 }
 
+// TestWatchersLoseThePlatform cuts the watchers of all zones off the platform for good; the
+// others go on to reach it, and them.
+func TestWatchersLoseThePlatform(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 6, "a", "b")
+		f.startAll()
+		defer f.stopAll()
+		time.Sleep(5 * time.Second)
+		lost := make(map[string]bool)
+		for _, n := range f.processes {
+			lost[n.id] = n.watches()
+		}
+		f.fabric.setCut(func(from, to string) bool { return to == platformHost && lost[from] })
+		time.Sleep(2 * time.Minute)
+		for range 5 {
+			want := f.change()
+			time.Sleep(inForce)
+			low, _ := f.revisions()
+			is.Equal(low, want)
+			time.Sleep(time.Minute)
+		}
+	})
+}
+
+// TestPlatformIsSilentForAll counts what the processes call while nobody reaches the
+// platform.
+func TestPlatformIsSilentForAll(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 12, "a", "b")
+		f.startAll()
+		defer f.stopAll()
+		time.Sleep(5 * time.Second)
+		f.platform.SetFault(published.Down)
+		time.Sleep(5 * time.Minute)
+		before := f.platform.Calls()
+		time.Sleep(time.Minute)
+		calls := f.platform.Calls() - before
+		t.Logf("%d calls of %d processes in a minute", calls, len(f.processes))
+		// The four watchers ask for two values and for the list of zones once a second
+		// each; everybody else asks about ten times a minute.
+		is.True(calls <= 4*3*120+20*10)
+	})
+}
+
 // TestZoneIsCutOff cuts a zone off for two minutes; only the other side sees
 // the platform. After healing one revision is in force within 4 s.
 func TestZoneIsCutOff(t *testing.T) {
