A configuration that cannot be read does not make gateways ask without a pause

Found while the pauses of reading were gone through: whether what is known is too old was judged by the proof of the configuration in force, and nothing proves it while the newest one cannot be read.

Keys and the lack of a route are judged by the proof as before.

--- a/internal/core/reader/reader.go
+++ b/internal/core/reader/reader.go
@@ -20,7 +20,7 @@
 //		q := r.Next(now, view, bounds, fleet, roll)
 //		switch q.Kind {
 //		case reader.AskPeer:
-//			// ask the gateway at q.Address, then r.PeerAnswered(now) or r.PeerFailed(view)
+//			// ask the gateway at q.Address, then r.PeerAnswered(now) or r.PeerFailed(known)
 //		case reader.List, reader.Watch:
 //			// ask the store, then r.StoreAnswered(now) or r.StoreFailed(now, roll)
 //		case reader.Pause:
@@ -52,7 +52,7 @@
 	// Known is true if anything is known of the store, InForce if a configuration is in
 	// force.
 	Known, InForce bool
-	// Age is the time since the configuration in force was proved to be the newest.
+	// Age is the time since what is known was the newest.
 	Age time.Duration
 }
 
@@ -157,10 +157,10 @@
 }
 
 // PeerFailed notes that another gateway did not answer: one is left for the next one, but
-// a gateway that reaches no other reads the store itself.
-func (r *Reader) PeerFailed(v View) {
+// a gateway that reaches no other reads the store itself, and so does one that knows nothing.
+func (r *Reader) PeerFailed(known bool) {
 	r.unanswered++
-	if !v.Known || r.unanswered >= unansweredMost {
+	if !known || r.unanswered >= unansweredMost {
 		r.unanswered = 0
 		r.storeTurn = true
 	}
--- a/internal/core/reader/world_test.go
+++ b/internal/core/reader/world_test.go
@@ -424,9 +424,8 @@
 			return
 		}
 		p.done = true
-		v := w.view(m)
-		m.reader.PeerFailed(v)
-		if v.Known || !to.alive {
+		m.reader.PeerFailed(m.known)
+		if m.known || !to.alive {
 			m.fleet.Down(w.now, to.address)
 		}
 		w.step(m, life)
--- a/internal/edge/gatewayd/feed.go
+++ b/internal/edge/gatewayd/feed.go
@@ -92,6 +92,7 @@
 	}
 	resp.BackoffMs = wholeMilliseconds(s.fleet.Backoff(now))
 	resp.FailedAgeMs = millisecondsSince(now, s.storeFailedAt)
+	resp.ReadAgeMs = millisecondsSince(now, s.readAt)
 	for _, e := range batch.Entries {
 		resp.Entries = append(resp.Entries, encodeEntry(now, e))
 	}
--- a/internal/edge/gatewayd/follow.go
+++ b/internal/edge/gatewayd/follow.go
@@ -76,10 +76,11 @@
 	return q
 }
 
-// view is what is known of the store.
+// view is what is known of the store. What was read is new also while nothing proves the
+// configuration in force, as the newest one cannot be read. It runs in the control goroutine.
 func (f *follower) view(now time.Time) reader.View {
 	v := f.server.view.Load()
-	return reader.View{Known: f.position.Known(), InForce: v.Table != nil, Age: v.Age(now)}
+	return reader.View{Known: f.position.Known(), InForce: v.Table != nil, Age: min(v.Age(now), now.Sub(f.server.readAt))}
 }
 
 // readerBounds returns the times in which this gateway has to know what the store holds.
@@ -89,11 +90,15 @@
 }
 
 // late reports whether what is known is too old to wait for others.
-func (f *follower) late(now time.Time) bool { return f.server.readerBounds().Late(f.view(now)) }
+func (f *follower) late() bool {
+	var late bool
+	f.server.control.Must(func(now time.Time) { late = f.server.readerBounds().Late(f.view(now)) })
+	return late
+}
 
 // noteLate writes when what is known becomes too old to wait for others.
 func (f *follower) noteLate(now time.Time) {
-	if !f.lateSince.IsZero() || !f.late(now) {
+	if !f.lateSince.IsZero() || !f.late() {
 		return
 	}
 	f.lateSince = now
@@ -102,13 +107,21 @@
 
 // noteRenewed writes by whom a view that had been too old was proved anew.
 func (f *follower) noteRenewed(now time.Time, from string) {
-	if f.lateSince.IsZero() || f.late(now) {
+	if f.lateSince.IsZero() || f.late() {
 		return
 	}
 	f.logKnown(f.server.log.Info()).Str("from", from).Dur("after", now.Sub(f.lateSince)).Msg("view: renewed")
 	f.lateSince = time.Time{}
 }
 
+// wasRead notes that all that is known was read from the store then. It runs in the control
+// goroutine.
+func (s *Server) wasRead(at time.Time) {
+	if at.After(s.readAt) {
+		s.readAt = at
+	}
+}
+
 // list reads everything.
 func (f *follower) list(ctx context.Context) {
 	asked := f.server.now()
@@ -140,6 +153,7 @@
 		f.server.takeWhole(now, all.Position, all)
 		f.server.settleByList(all)
 		f.server.applyTable(all.Table, !all.ConfigFaulty(), asked, fromStore)
+		f.server.wasRead(asked)
 	})
 	f.noteRenewed(f.server.now(), fromStore)
 }
@@ -191,6 +205,7 @@
 		}
 		f.server.settleByWatch(c)
 		f.server.applyTable(c.Table, !c.ConfigFaulty(), proof, fromStore)
+		f.server.wasRead(proof)
 	})
 }
 
--- a/internal/edge/gatewayd/peers_test.go
+++ b/internal/edge/gatewayd/peers_test.go
@@ -359,7 +359,7 @@
 			s := New(&Options{Settings: platform.Settings{Bounds: b}, Log: zerolog.Nop()})
 			s.view.Store(&ingress.View{Table: &ingress.Table{}, NewestAt: now.Add(-tt.age)})
 			f := &follower{server: s, position: feed.Position{Revision: 1}, reader: reader.New(now)}
-			is.Equal(f.late(now), tt.late)
+			is.Equal(s.readerBounds().Late(f.view(now)), tt.late)
 			// No poll, answered or not, makes the view as old as a bound allows.
 			q := f.reader.Next(now, f.view(now), s.readerBounds(), fleetWithParent(now), 0)
 			is.True(tt.late || q.Kind == reader.AskPeer)
--- a/internal/edge/gatewayd/server.go
+++ b/internal/edge/gatewayd/server.go
@@ -117,6 +117,9 @@
 	settling settling
 	// feedChanged is closed when there is news for followers.
 	feedChanged chan struct{}
+	// readAt is when the store was asked, by whomever, for all that is known here; zero if
+	// that is not known.
+	readAt time.Time
 	// storeLostAt is when a call to the store failed last, storeFailedAt the same for any
 	// gateway that this one heard of.
 	storeLostAt   time.Time
--- a/internal/edge/gatewayd/source.go
+++ b/internal/edge/gatewayd/source.go
@@ -52,7 +52,7 @@
 // peerFailed notes a gateway that did not answer. One that knows nothing of the store
 // yet may know it in a moment.
 func (f *follower) peerFailed(address string, err error) {
-	f.reader.PeerFailed(f.view(f.server.now()))
+	f.reader.PeerFailed(f.position.Known())
 	if !f.position.Known() && connect.CodeOf(err) == connect.CodeFailedPrecondition {
 		return
 	}
@@ -72,6 +72,7 @@
 	made := asked.Add(time.Duration(resp.GetHeldMs()) * time.Millisecond)
 	c := platform.DecodeEntries(entriesOf(f.server.now(), resp))
 	f.server.report(c.Faults)
+	behind := position.Before(f.position)
 	f.reader.Told(f.position.Before(position))
 	f.position = f.position.Furthest(position)
 	s := f.server
@@ -81,6 +82,9 @@
 		}
 		s.takeEntries(now, position, c, resp.GetWhole())
 		s.applyTable(c.Table, !c.ConfigFaulty(), time.Time{}, from)
+		if resp.ReadAgeMs != nil && !behind {
+			s.wasRead(made.Add(-time.Duration(resp.GetReadAgeMs()) * time.Millisecond))
+		}
 		s.takeProof(resp.GetVersion(), made.Add(-time.Duration(resp.GetAgeMs())*time.Millisecond))
 	})
 }
--- a/internal/edge/gatewayd/turn_test.go
+++ b/internal/edge/gatewayd/turn_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"github.com/gladegauge/gladegauge/internal/core/feed"
 	"github.com/gladegauge/gladegauge/internal/core/fleet"
 	"github.com/gladegauge/gladegauge/internal/core/reader"
@@ -31,3 +33,38 @@
 	w.suspend(boundsOfTests().ConfigWithin)
 	w.is.Equal(f.next().Kind, reader.Watch)
 }
+
+// A configuration that cannot be read proves nothing for as long as it stands. The gateways
+// go on to watch the store for the next one, one of them for all, and do not ask again at
+// once after each answer.
+func TestCallsWhileAConfigurationCannotBeRead(t *testing.T) {
+	w := &world{t: t, is: is.New(t), store: standin.NewStore(t)}
+	w.store.PutConfig(configuration(1))
+	first := startPeer(t, w.store)
+	all := []*testPeer{first, startPeer(t, w.store, first.PeersAddress()), startPeer(t, w.store, first.PeersAddress())}
+	unread := func() bool {
+		n := 0
+		for _, g := range all {
+			g.control.Must(func(time.Time) {
+				if g.configUnread && g.view.Load().Table != nil {
+					n++
+				}
+			})
+		}
+		return n == len(all)
+	}
+	w.await(func() bool { return all[0].version() == 1 && all[1].version() == 1 && all[2].version() == 1 })
+	w.store.PutRawConfig([]byte("{"))
+	w.await(unread)
+	bounds := first.readerBounds()
+	late := time.Now().Add(2 * bounds.ConfigWithin)
+	w.await(func() bool { return time.Now().After(late) })
+	before := w.store.Calls()
+	end := time.Now().Add(2 * bounds.ConfigWithin)
+	w.await(func() bool { return time.Now().After(end) })
+	calls := w.store.Calls() - before
+	t.Logf("%d calls", calls)
+	w.is.True(calls <= 8) // a watch takes half of that time or more
+	w.store.PutConfig(configuration(2))
+	w.await(func() bool { return all[0].version() == 2 && all[1].version() == 2 && all[2].version() == 2 })
+}
