Waiting lines are written in pieces that a pipe takes whole

They were neither dropped nor unwritten: all that waits was written in one call, and the reader of the output kept the first 8 KB of it.

Whole lines of 4 KB at most are written in one call now, what a pipe takes in one piece whoever else writes to it. The line on resources tells how many lines were dropped since the start.

--- a/internal/edge/gatewayd/resources.go
+++ b/internal/edge/gatewayd/resources.go
@@ -22,9 +22,13 @@
 )
 
 // logResources writes a line on what the process holds and used, in bytes and seconds, and
-// on the bytes of its calls to other gateways by kind. It
-// runs in the control goroutine.
+// on the bytes of its calls to other gateways by kind, and how many lines were dropped since
+// the start. It runs in the control goroutine.
 func (s *Server) logResources(time.Time) {
+	var dropped uint64
+	if s.o.LogsDropped != nil {
+		dropped = s.o.LogsDropped()
+	}
 	samples := []metrics.Sample{
 		{Name: heapMetric}, {Name: heapUnusedMetric}, {Name: heapFreeMetric}, {Name: stacksMetric},
 		{Name: metadataMetric}, {Name: liveMetric}, {Name: goroutinesMetric},
@@ -44,5 +48,6 @@
 		Int("gateways", s.gateways).
 		Dict("peer_sent", s.traffic.sums(directionSent)).
 		Dict("peer_received", s.traffic.sums(directionReceived)).
+		Uint64("lines_dropped", dropped).
 		Msg("resources")
 }
--- a/internal/edge/logging/bounded.go
+++ b/internal/edge/logging/bounded.go
@@ -13,6 +13,11 @@
 // lines.
 const boundedBytes = 256 << 10
 
+// pieceBytes is the most that is written in one call, but for a longer line: a pipe takes as
+// much in one piece, whoever else writes to it, and readers with a buffer of their own lose
+// nothing of a burst.
+const pieceBytes = 4 << 10
+
 // Bounded is a writer that never blocks: lines that do not fit its buffer are
 // dropped and counted. It is safe for concurrent use.
 type Bounded struct {
@@ -61,7 +66,7 @@
 	return b.writer.Wait()
 }
 
-// run writes everything that waits in one call, until done is closed.
+// run writes everything that waits, until done is closed.
 func (b *Bounded) run() error {
 	var spare []byte
 	for {
@@ -75,14 +80,31 @@
 		spare = append(spare[:0], b.buf.Bytes()...)
 		b.buf.Reset()
 		b.mu.Unlock()
-		if len(spare) > 0 {
-			if _, err := b.out.Write(spare); err != nil {
+		for left := spare; len(left) > 0; {
+			n := pieceOf(left)
+			if _, err := b.out.Write(left[:n]); err != nil {
 				// There is nowhere left to tell; the lines count as dropped.
-				b.dropped.Add(uint64(bytes.Count(spare, []byte("\n"))))
+				b.dropped.Add(uint64(bytes.Count(left[:n], []byte("\n"))))
 			}
+			left = left[n:]
 		}
 		if stop {
 			return nil
 		}
 	}
 }
+
+// pieceOf returns the length of the first piece: as many whole lines as fit, and one line at
+// least.
+func pieceOf(lines []byte) int {
+	if len(lines) <= pieceBytes {
+		return len(lines)
+	}
+	if end := bytes.LastIndexByte(lines[:pieceBytes], '\n'); end >= 0 {
+		return end + 1
+	}
+	if end := bytes.IndexByte(lines, '\n'); end >= 0 {
+		return end + 1
+	}
+	return len(lines)
+}
