--- a/internal/core/reader/return_test.go
+++ b/internal/core/reader/return_test.go
@@ -160,6 +160,7 @@
 			away := float64(w.callsIn(span{from, from + lasts})) / lasts.Seconds()
 			t.Logf("%.1f calls a second, %.1f in calm", away, calm)
 			is.True(away <= 1+2*float64(tt.n)/tt.within.Seconds())
+			is.True(calm <= 1/w.bounds.UsualWait().Seconds()+1/from.Seconds()) // one reads for all
 		})
 	}
 }
