An event that the caller has is not sent again, whatever follows a break

Cause: a stream whose attempt failed between its last event and the end of the answer goes on from the copy of its run, after that event. Nothing follows it, and the engine sends it once more. Ruled out: a Last-Event-Id that is behind (it was the last one), events of the first engine read twice (its attempt was over).

Events of a later run are left out until one follows the last one that the caller has, by its identity. The line 'ended' tells how many were left out.

--- a/internal/edge/gatewayd/backup_test.go
+++ b/internal/edge/gatewayd/backup_test.go
@@ -26,6 +26,10 @@
 		{"broken off", standin.Reply{Events: events, CutAfter: 1}, standin.Reply{Events: events}, true, 2},
 		{"silent", standin.Reply{Events: events, CutAfter: 1, Mute: true}, standin.Reply{Events: events}, true, 2},
 		{"inside an event", standin.Reply{Events: events, CutAfter: 2, CutInside: true}, standin.Reply{Events: events}, true, 2},
+		{"after its last event", standin.Reply{Events: events, CutAfter: 3}, standin.Reply{Events: events}, true, 2},
+		{"silent after its last event", standin.Reply{Events: events, CutAfter: 3, Mute: true}, standin.Reply{Events: events}, true, 2},
+		{"inside what follows its last event", standin.Reply{Events: events, CutAfter: 3, CutInside: true}, standin.Reply{Events: events}, true, 2},
+		{"after its last event, no copy there", standin.Reply{Events: events, CutAfter: 3}, standin.Reply{Refuse: true}, false, 1},
 		{"no copy there", standin.Reply{Events: events, CutAfter: 1}, standin.Reply{Refuse: true}, false, 1},
 		{"before its first event", standin.Reply{Nonsense: true}, standin.Reply{Events: events}, false, 1},
 	}
--- a/internal/edge/gatewayd/event.go
+++ b/internal/edge/gatewayd/event.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"io"
+	"strconv"
 	"sync"
 
 	"github.com/cockroachdb/errors"
@@ -54,3 +55,17 @@
 		}
 	}
 }
+
+// follows reports whether the event comes after the one with the identity, or cannot be
+// compared with it. Identities of a stream rise.
+func (e event) follows(last string) bool {
+	if e.id == "" || last == "" {
+		return true
+	}
+	id, err := strconv.ParseUint(e.id, 10, 64)
+	after, lastErr := strconv.ParseUint(last, 10, 64)
+	if err != nil || lastErr != nil {
+		return e.id != last
+	}
+	return id > after
+}
--- a/internal/edge/gatewayd/event_test.go
+++ b/internal/edge/gatewayd/event_test.go
@@ -57,3 +57,25 @@
 		})
 	}
 }
+
+// What the caller has is known by the identities of events, as numbers where they are.
+func TestEventFollows(t *testing.T) {
+	tests := []struct {
+		id, last string
+		want     bool
+	}{
+		{"5", "4", true},
+		{"4", "4", false},
+		{"3", "4", false},
+		{"10", "9", true},
+		{"a-2", "a-1", true},
+		{"a-1", "a-1", false},
+		{"", "4", true},
+		{"4", "", true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.id+" after "+tt.last, func(t *testing.T) {
+			is.New(t).Equal(event{id: tt.id}.follows(tt.last), tt.want)
+		})
+	}
+}
--- a/internal/edge/gatewayd/lines.go
+++ b/internal/edge/gatewayd/lines.go
@@ -121,6 +121,9 @@
 		Dur("longest_gap", x.longestGap).
 		Int("events", x.events).
 		Int("sent", x.progress.Sent)
+	if x.repeated > 0 {
+		line = line.Int("repeated", x.repeated)
+	}
 	if refusal != nil && refusal.Kind == gateway.Harmful {
 		line = line.Stringer("print", x.printed())
 	}
--- a/internal/edge/gatewayd/path_test.go
+++ b/internal/edge/gatewayd/path_test.go
@@ -43,6 +43,7 @@
 		{name: "a whole stream", uri: "/chat/1", first: stream, second: stream, status: 200, body: all, runs: 1},
 		{name: "a stream that may not be resumed is cut", uri: "/chat/1", first: standin.Reply{Events: stream.Events, CutAfter: 2}, second: stream, status: 200, body: all[:30], runs: 1, cut: true},
 		{name: "a resumable stream goes on", uri: "/note/1", first: standin.Reply{Events: stream.Events, CutAfter: 2}, second: stream, status: 200, body: all, runs: 2},
+		{name: "a resumable stream that breaks off after its last event", uri: "/note/1", first: standin.Reply{Events: stream.Events, CutAfter: 4}, second: stream, status: 200, body: all, runs: 2},
 		{name: "a part of an event is not passed on", uri: "/note/1", first: standin.Reply{Events: stream.Events, CutAfter: 2, CutInside: true}, second: stream, status: 200, body: all, runs: 2},
 		{name: "a stream is resumed once", uri: "/note/1", first: standin.Reply{Events: stream.Events, CutAfter: 1}, second: standin.Reply{Events: stream.Events, CutAfter: 3}, status: 200, body: all[:45], runs: 2, cut: true},
 	}
--- a/internal/edge/gatewayd/request.go
+++ b/internal/edge/gatewayd/request.go
@@ -46,6 +46,8 @@
 	lastEvent string
 	// events is the number of events that went to the caller.
 	events int
+	// repeated is the number of events that came again, and did not go to the caller.
+	repeated int
 	// firstByte is the time until the first event, or until the head of another
 	// answer.
 	firstByte time.Duration
--- a/internal/edge/gatewayd/stream.go
+++ b/internal/edge/gatewayd/stream.go
@@ -17,13 +17,17 @@
 const heardEvery = 200 * time.Millisecond
 
 // relayStream passes on whole events as they come. After a break the events
-// that the caller has are never sent again, and a part of one was never sent.
+// that the caller has are never sent again, whatever the next upstream begins with: one that
+// goes on after the last event of its run sends that one once more. A part of an event was
+// never sent.
 func (x *request) relayStream(ctx context.Context, a answer) (gateway.Failure, error) {
 	br := readers.Get().(*bufio.Reader)
 	br.Reset(a)
 	defer readers.Put(br)
 	out := http.NewResponseController(x.w)
 	began := false
+	// behind is true until an event comes that the caller does not have yet.
+	behind := x.events > 0
 	heard := x.server.now()
 	last := heard
 	var gaps balance.Gaps
@@ -58,6 +62,12 @@
 			x.server.control.Must(func(now time.Time) { x.server.table.Heard(now, a.choice.ID, told) })
 		}
 		x.commitStream(a)
+		if behind && !e.follows(x.lastEvent) {
+			x.repeated++
+			x.patience.eventSent()
+			continue
+		}
+		behind = false
 		if err := x.send(out, e); err != nil {
 			return gateway.CallerGone, err
 		}
