A timer that ran out while the process stood still says nothing of an upstream

The engine counted as silent and the stream went on elsewhere.

A silence is judged anew if its timer is more than 50 ms late: what came meanwhile is read for 100 ms first. The same for the waits for a head and for a first event. By the clock that counts suspensions. TestStandingStillIsNoSilence is virtual; with timers that call at once its rows of a process that stood still give the upstream up after 300 ms, whatever came.

--- a/internal/edge/gatewayd/backup_test.go
+++ b/internal/edge/gatewayd/backup_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -82,14 +84,70 @@
 func TestSlowCallerIsNoSilentUpstream(t *testing.T) {
 	is := is.New(t)
 	ended := make(chan struct{}, 1)
-	p := &patience{giveUp: func() { ended <- struct{}{} }, pauseLimit: time.Hour}
+	p := &patience{giveUp: func() { ended <- struct{}{} }, now: time.Now, pauseLimit: time.Hour}
 	p.eventCame()
 	p.eventSent()
 	p.eventCame()
-	is.True(!p.pause.Stop()) // nothing runs while the event is on its way to the caller
+	is.True(!p.pause.timer.Stop()) // nothing runs while the event is on its way to the caller
 	p.pauseLimit = time.Millisecond
 	p.eventSent()
 	<-ended // now it is silent
 	p.stop()
 	is.Equal(len(ended), 0)
 }
+
+// A timer that ran out while the process stood still says nothing of the upstream, whose
+// events may wait to be read: they are read first.
+func TestStandingStillIsNoSilence(t *testing.T) {
+	const limit = 300 * time.Millisecond
+	tests := []struct {
+		name string
+		// still is how long the process stands still, from the middle of the wait on;
+		// suspended tells that the timers stand still as well.
+		still     time.Duration
+		suspended bool
+		// comes is true if the next event came meanwhile.
+		comes bool
+		// gives is when the upstream is given up, after the event before; 0 for never.
+		gives time.Duration
+	}{
+		{name: "silence", gives: limit},
+		{name: "stood still for less than the wait", still: limit / 4, gives: limit},
+		{name: "stood still beyond the wait", still: 2 * limit, gives: limit/2 + 2*limit + readAgain},
+		{name: "stood still, and an event came", still: 2 * limit, comes: true},
+		{name: "suspended", still: 2 * limit, suspended: true, gives: limit + readAgain},
+		{name: "suspended, and an event came", still: 2 * limit, suspended: true, comes: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				began := time.Now()
+				var ended atomic.Int64
+				running := make(chan struct{}, 1) // full while the process stands still
+				clock := func() time.Time {
+					running <- struct{}{}
+					<-running
+					if tt.suspended && time.Since(began) > limit/2 {
+						return time.Now().Add(tt.still)
+					}
+					return time.Now()
+				}
+				p := &patience{giveUp: func() { ended.Store(int64(time.Since(began))) }, now: clock, pauseLimit: limit}
+				p.eventSent()
+				time.Sleep(limit / 2)
+				if !tt.suspended {
+					running <- struct{}{}
+					time.Sleep(tt.still)
+					<-running
+				}
+				if tt.comes {
+					time.Sleep(readAgain / 2)
+					p.eventCame()
+				}
+				time.Sleep(time.Second)
+				is.Equal(time.Duration(ended.Load()), tt.gives)
+			})
+		})
+	}
+}
--- a/internal/edge/gatewayd/patience.go
+++ b/internal/edge/gatewayd/patience.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -22,6 +24,11 @@
 	// goes on from the copy of its run. Callers give up a silent stream some time
 	// after that; busy engines that are well pause for longer than one.
 	pauseFactor = 3
+	// stoodStill is by how much a timer is late if the process stood still meanwhile: then
+	// it says nothing of the upstream, whose words may wait to be read.
+	stoodStill = 50 * time.Millisecond
+	// readAgain is the time in which what came meanwhile is read.
+	readAgain = 100 * time.Millisecond
 )
 
 // errSilent ends an attempt at an upstream that says nothing.
@@ -30,29 +37,69 @@
 // patience ends an attempt whose upstream says nothing for too long.
 type patience struct {
 	giveUp func()
+	// now is the present time.
+	now func() time.Time
 	// answer runs until the answer begins; nil if the request goes to no other
 	// upstream.
-	answer *time.Timer
+	answer *silence
 	// pauseLimit is how long a stream may say nothing after an event; 0 for any
 	// time.
 	pauseLimit time.Duration
 	// pause runs while the next event is waited for; nil before the first one.
-	pause *time.Timer
+	pause *silence
 }
 
+// silence is a timer that runs while an upstream says nothing. The time in which this
+// process stood still does not count.
+type silence struct {
+	timer *time.Timer
+	now   func() time.Time
+	// due is when it runs out, in nanoseconds since 1970.
+	due atomic.Int64
+	// out is called when it has run out.
+	out func()
+}
+
+// newSilence begins one.
+func newSilence(d time.Duration, now func() time.Time, out func()) *silence {
+	s := &silence{now: now, out: out}
+	s.timer = time.AfterFunc(math.MaxInt64, s.ranOut)
+	s.reset(d)
+	return s
+}
+
+// ranOut waits for a moment more if the process stood still when the time was over.
+func (s *silence) ranOut() {
+	if late := s.now().UnixNano() - s.due.Load(); late > int64(stoodStill) {
+		s.reset(readAgain)
+		return
+	}
+	s.out()
+}
+
+// reset begins it anew.
+func (s *silence) reset(d time.Duration) {
+	s.due.Store(s.now().Add(d).UnixNano())
+	s.timer.Reset(d)
+}
+
+// stop ends it.
+func (s *silence) stop() { s.timer.Stop() }
+
 // newPatience begins to wait for the answer of an attempt.
 func (x *request) newPatience(choice balance.Choice, end context.CancelCauseFunc) *patience {
 	p := &patience{
 		giveUp:     func() { end(errSilent) },
+		now:        x.server.now,
 		pauseLimit: x.pauseLimit(),
 	}
 	d, ok := x.answerLimit()
 	switch {
 	case !ok:
 	case x.call.Prompt.Tokens > 0:
-		p.answer = time.AfterFunc(d, func() { x.whileAlive(p, choice, d) })
+		p.answer = newSilence(d, p.now, func() { x.whileAlive(p, choice, d) })
 	default:
-		p.answer = time.AfterFunc(d, func() { x.whileAlone(p) })
+		p.answer = newSilence(d, p.now, func() { x.whileAlone(p) })
 	}
 	return p
 }
@@ -78,7 +125,7 @@
 		p.giveUp()
 		return
 	}
-	p.answer.Reset(left)
+	p.answer.reset(left)
 }
 
 // answerLimit is how long the upstream may say nothing before another one gets
@@ -107,7 +154,7 @@
 // answerBegan notes the first event of a stream, or the head of another answer.
 func (p *patience) answerBegan() {
 	if p.answer != nil {
-		p.answer.Stop()
+		p.answer.stop()
 	}
 }
 
@@ -117,9 +164,9 @@
 	switch {
 	case p.pauseLimit == 0:
 	case p.pause == nil:
-		p.pause = time.AfterFunc(p.pauseLimit, p.giveUp)
+		p.pause = newSilence(p.pauseLimit, p.now, p.giveUp)
 	default:
-		p.pause.Reset(p.pauseLimit)
+		p.pause.reset(p.pauseLimit)
 	}
 }
 
@@ -127,7 +174,7 @@
 // slow, the upstream is not waited for.
 func (p *patience) eventCame() {
 	if p.pause != nil {
-		p.pause.Stop()
+		p.pause.stop()
 	}
 }
 
@@ -135,6 +182,6 @@
 func (p *patience) stop() {
 	p.answerBegan()
 	if p.pause != nil {
-		p.pause.Stop()
+		p.pause.stop()
 	}
 }
