--- a/internal/core/reader/reader.go
+++ b/internal/core/reader/reader.go
@@ -68,12 +68,13 @@
 	// tryPeer is true after a call to the store failed: another gateway may still
 	// reach it.
 	tryPeer bool
-	// unanswered is the number of questions to other gateways in a row that had no
-	// answer; storeTurn is true once the store is asked instead.
+	// unanswered is the number of questions to other gateways in a row that had no answer.
 	unanswered int
-	storeTurn  bool
-	// turnAt is when the store is asked at the latest, whoever else may ask it; zero while
-	// what is known is not too old.
+	// storeNext is true if the next question goes to the store, as others did not answer or
+	// the store has yet to tell everything.
+	storeNext bool
+	// turnAt is when this gateway asks the store at the latest, whoever else may ask it;
+	// zero while what is known is not too old.
 	turnAt time.Time
 }
 
@@ -91,7 +92,7 @@
 			return q
 		}
 	}
-	r.storeTurn = false
+	r.storeNext = false
 	if !v.Known && f.WaitsForOthers(now) {
 		return Question{Kind: Pause, Wait: startPause + time.Duration(roll%uint64(startPause))}
 	}
@@ -134,7 +135,7 @@
 // peer returns the question to another gateway; false if it is the store's turn. After
 // a call to the store has failed, any other gateway may know more.
 func (r *Reader) peer(now time.Time, v View, b Bounds, f *fleet.Fleet, roll uint64) (Question, bool) {
-	if r.storeTurn {
+	if r.storeNext {
 		return Question{}, false
 	}
 	wait, timeout := r.poll(v, b)
@@ -162,7 +163,7 @@
 	r.unanswered++
 	if !known || r.unanswered >= unansweredMost {
 		r.unanswered = 0
-		r.storeTurn = true
+		r.storeNext = true
 	}
 }
 
@@ -211,7 +212,7 @@
 // whose view is too old reads everything at once: its question is not answered yet.
 func (r *Reader) CannotFollow() {
 	r.unfollowed = true
-	r.storeTurn = !r.turnAt.IsZero()
+	r.storeNext = !r.turnAt.IsZero()
 }
 
 // Unfollowed reports whether everything is to be read anew.
--- a/internal/soak/replicas.go
+++ b/internal/soak/replicas.go
@@ -54,6 +54,8 @@
 // misbehaviours are what befalls requests that run.
 var misbehaviours = []misbehaviour{
 	{2, func(r *standin.Reply) { r.CutAfter = 2 }},
+	{1, func(r *standin.Reply) { r.CutAfter = len(r.Events) }},
+	{1, func(r *standin.Reply) { r.CutAfter, r.Mute = len(r.Events), true }},
 	{1, func(r *standin.Reply) { r.Nonsense = true }},
 	{1, func(r *standin.Reply) { r.Status, r.Events, r.Body = http.StatusInternalServerError, nil, "no" }},
 	{1, func(r *standin.Reply) { r.Silent = true }},
