--- a/internal/core/fleet/backoff.go
+++ b/internal/core/fleet/backoff.go
@@ -10,7 +10,8 @@
 // who follow it, which turn to the next one in the order. While what is known is too old
 // nevertheless, the first of each availability zone and a few others ask the store,
 // whatever the size of the fleet; the rest ask each other, so that the first answer
-// reaches all of them.
+// reaches all of them. No bound rests on this: where all leave the store to others, package
+// reader lets each ask in its own turn.
 
 const (
 	// storeBackoff is how long a gateway leaves the store to others after its call failed.
--- a/internal/edge/gatewayd/patience.go
+++ b/internal/edge/gatewayd/patience.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"math"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -24,11 +22,6 @@
 	// goes on from the copy of its run. Callers give up a silent stream some time
 	// after that; busy engines that are well pause for longer than one.
 	pauseFactor = 3
-	// stoodStill is by how much a timer is late if the process stood still meanwhile: then
-	// it says nothing of the upstream, whose words may wait to be read.
-	stoodStill = 50 * time.Millisecond
-	// readAgain is the time in which what came meanwhile is read.
-	readAgain = 100 * time.Millisecond
 )
 
 // errSilent ends an attempt at an upstream that says nothing.
@@ -49,43 +42,6 @@
 	pause *silence
 }
 
-// silence is a timer that runs while an upstream says nothing. The time in which this
-// process stood still does not count.
-type silence struct {
-	timer *time.Timer
-	now   func() time.Time
-	// due is when it runs out, in nanoseconds since 1970.
-	due atomic.Int64
-	// out is called when it has run out.
-	out func()
-}
-
-// newSilence begins one.
-func newSilence(d time.Duration, now func() time.Time, out func()) *silence {
-	s := &silence{now: now, out: out}
-	s.timer = time.AfterFunc(math.MaxInt64, s.ranOut)
-	s.reset(d)
-	return s
-}
-
-// ranOut waits for a moment more if the process stood still when the time was over.
-func (s *silence) ranOut() {
-	if late := s.now().UnixNano() - s.due.Load(); late > int64(stoodStill) {
-		s.reset(readAgain)
-		return
-	}
-	s.out()
-}
-
-// reset begins it anew.
-func (s *silence) reset(d time.Duration) {
-	s.due.Store(s.now().Add(d).UnixNano())
-	s.timer.Reset(d)
-}
-
-// stop ends it.
-func (s *silence) stop() { s.timer.Stop() }
-
 // newPatience begins to wait for the answer of an attempt.
 func (x *request) newPatience(choice balance.Choice, end context.CancelCauseFunc) *patience {
 	p := &patience{
