--- a/internal/core/reader/bounds.go
+++ b/internal/core/reader/bounds.go
@@ -121,9 +121,9 @@
 	if !v.Known {
 		return b.AskWithin()
 	}
-	left := min(b.AskWithin(), b.ConfigWithin-answerMargin-v.Age)
-	if b.ConfigWithin <= 0 {
-		left = b.AskWithin()
+	left := b.AskWithin()
+	if b.ConfigWithin > 0 {
+		left = min(left, b.ConfigWithin-answerMargin-v.Age)
 	}
 	return part(left, roll)
 }
--- a/internal/core/reader/reader.go
+++ b/internal/core/reader/reader.go
@@ -10,8 +10,8 @@
 // gateway asks the store by itself in time for the promise, and then again and again, after
 // at most Bounds.AskWithin, whatever it knows of others and of its own calls: a gateway that
 // has a way to the store knows what it holds within AskWithin and the time of one answer.
-// n gateways that nobody answers ask n / AskWithin times in that time, and a few times more
-// for the first ones of their availability zones.
+// While nobody is answered, each gateway asks once in AskWithin, or up to turnSpread of it
+// sooner, and the first ones of their availability zones a little more often.
 //
 // # Usage
 //
@@ -94,7 +94,7 @@
 	}
 	r.storeNext = false
 	if !v.Known && f.WaitsForOthers(now) {
-		return Question{Kind: Pause, Wait: startPause + time.Duration(roll%uint64(startPause))}
+		return Question{Kind: Pause, Wait: startPause + part(startPause, roll)}
 	}
 	return r.store(now, v, b, roll)
 }
@@ -172,7 +172,7 @@
 func (r *Reader) StoreFailed(now time.Time, roll uint64) {
 	r.tryPeer = true
 	half := r.contact.failed(now) / 2
-	r.pauseUntil = now.Add(half + time.Duration(roll%uint64(half)))
+	r.pauseUntil = now.Add(half + part(half, roll))
 }
 
 // StoreAnswered notes that the store answered, and returns how it had been lost.
--- a/internal/edge/gatewayd/follow.go
+++ b/internal/edge/gatewayd/follow.go
@@ -53,7 +53,6 @@
 
 // step asks once.
 func (f *follower) step(ctx context.Context) {
-	f.noteLate(f.server.now())
 	switch q := f.next(); q.Kind {
 	case reader.Pause:
 		loop.Pause(ctx, q.Wait)
@@ -70,8 +69,12 @@
 func (f *follower) next() reader.Question {
 	var q reader.Question
 	f.server.control.Must(func(now time.Time) {
-		roll := rand.Uint64() //nolint:gosec // Any one will do.
-		q = f.reader.Next(now, f.view(now), f.server.readerBounds(), f.server.fleet, roll)
+		v, b := f.view(now), f.server.readerBounds()
+		if f.lateSince.IsZero() && b.Late(v) {
+			f.lateSince = now
+			f.logKnown(f.server.log.Info()).Msg("view: too old to wait for others")
+		}
+		q = f.reader.Next(now, v, b, f.server.fleet, rand.Uint64()) //nolint:gosec // Any one will do.
 	})
 	return q
 }
@@ -96,15 +99,6 @@
 	return late
 }
 
-// noteLate writes when what is known becomes too old to wait for others.
-func (f *follower) noteLate(now time.Time) {
-	if !f.lateSince.IsZero() || !f.late() {
-		return
-	}
-	f.lateSince = now
-	f.logKnown(f.server.log.Info()).Msg("view: too old to wait for others")
-}
-
 // noteRenewed writes by whom a view that had been too old was proved anew.
 func (f *follower) noteRenewed(now time.Time, from string) {
 	if f.lateSince.IsZero() || f.late() {
@@ -214,20 +208,22 @@
 	if ctx.Err() != nil {
 		return
 	}
-	f.server.control.Must(f.server.storeFailed)
-	f.logFailure(err)
+	var leaves time.Duration
+	f.server.control.Must(func(now time.Time) {
+		f.server.storeFailed(now)
+		leaves = f.server.fleet.Backoff(now)
+	})
+	f.logFailure(err, leaves)
 	f.reader.StoreFailed(f.server.now(), rand.Uint64()) //nolint:gosec // Jitter needs no secret randomness.
 }
 
 // logFailure writes that a call failed: the first one as a change of state, every further
-// one as well, since between them the store is left to others.
-func (f *follower) logFailure(err error) {
+// one as well, since between them the store is left to others for the time.
+func (f *follower) logFailure(err error, leaves time.Duration) {
 	line, text := f.server.log.Info(), "store: still lost"
 	if !f.reader.Lost() {
 		line, text = f.server.log.Warn(), "store: lost"
 	}
-	var leaves time.Duration
-	f.server.control.Must(func(now time.Time) { leaves = f.server.fleet.Backoff(now) })
 	f.logKnown(line).Dur("leaves_to_others", leaves).Err(err).Msg(text)
 }
 
