gatewayd: log software versions, and streams that callers take up

The logs could not tell whether a gateway went on elsewhere within an answer, whether a caller took the stream up, or whether another upstream answered than the one that was picked: no line had the version of an upstream, and none said that a request resumes a stream.

Lines on picks and failures have the version, a new line and a counter tell of each stream that is taken up, and a gauge counts the versions of each pool.

No decision reads any of it yet.

--- a/internal/core/balance/table.go
+++ b/internal/core/balance/table.go
@@ -25,6 +25,9 @@
 	Address string
 	Zone    string
 	Pool    string
+	// Version is the software version that the upstream states; empty if it states none.
+	// What upstreams of two versions write must not be combined in one stream.
+	Version string
 	// Slots is the number of requests that it runs concurrently.
 	Slots   int
 	Leaving bool
--- a/internal/edge/gatewayd/metrics.go
+++ b/internal/edge/gatewayd/metrics.go
@@ -39,8 +39,12 @@
 	reused      prometheus.Counter
 	resumes     prometheus.Counter
 	continues   prometheus.Counter
+	takenUp     prometheus.Counter
 	faults      prometheus.Counter
-	version     prometheus.Gauge
+	// softwareVersions is the number of software versions that the upstreams of each pool
+	// state.
+	softwareVersions *prometheus.GaugeVec
+	version          prometheus.Gauge
 	// epoch and revision are the position in the store up to which it is known.
 	epoch     prometheus.Gauge
 	revision  prometheus.Gauge
@@ -76,23 +80,25 @@
 
 func newServerMetrics(logsDropped, viewAge func() uint64) *serverMetrics {
 	m := &serverMetrics{
-		registry:    prometheus.NewRegistry(),
-		requests:    factory.Counters("requests_total", "Requests by kind and result.", "kind", "result"),
-		refusals:    factory.Counters("refusals_total", "Requests refused by the gateway, by reason.", "reason"),
-		attempts:    factory.Counters("attempts_total", "Attempts at upstreams by outcome.", "outcome"),
-		storeCalls:  factory.Counters("store_calls_total", "Calls to the platform's store by kind and result.", "call", "result"),
-		inTime:      factory.Counters("in_time_total", "Answers whose first byte came within the route's target, by kind.", "kind"),
-		firstByte:   factory.Histograms("first_byte_seconds", "Time to the first event or to the answer's head.", "kind"),
-		completion:  factory.Histograms("completion_seconds", "Time to the complete answer.", "kind"),
-		connections: factory.Counter("connections_total", "Connections opened to upstreams."),
-		reused:      factory.Counter("connections_reused_total", "Idle connections to upstreams that were used again."),
-		resumes:     factory.Counter("resumes_total", "Streams resumed by another upstream."),
-		continues:   factory.Counter("continues_total", "Streams continued from a backup of their run's memory."),
-		faults:      factory.Counter("store_faults_total", "Published values that could not be read."),
-		version:     factory.Gauge("configuration_version", "Version of the configuration in force."),
-		epoch:       factory.Gauge("store_epoch", "Epoch of the store, which rises when it is restored from a copy."),
-		revision:    factory.Gauge("store_revision", "Revision of the store, in its epoch, up to which everything is known."),
-		upstreams:   factory.Gauge("upstreams", "Upstreams on the list."),
+		registry:         prometheus.NewRegistry(),
+		requests:         factory.Counters("requests_total", "Requests by kind and result.", "kind", "result"),
+		refusals:         factory.Counters("refusals_total", "Requests refused by the gateway, by reason.", "reason"),
+		attempts:         factory.Counters("attempts_total", "Attempts at upstreams by outcome.", "outcome"),
+		storeCalls:       factory.Counters("store_calls_total", "Calls to the platform's store by kind and result.", "call", "result"),
+		inTime:           factory.Counters("in_time_total", "Answers whose first byte came within the route's target, by kind.", "kind"),
+		firstByte:        factory.Histograms("first_byte_seconds", "Time to the first event or to the answer's head.", "kind"),
+		completion:       factory.Histograms("completion_seconds", "Time to the complete answer.", "kind"),
+		connections:      factory.Counter("connections_total", "Connections opened to upstreams."),
+		reused:           factory.Counter("connections_reused_total", "Idle connections to upstreams that were used again."),
+		resumes:          factory.Counter("resumes_total", "Streams resumed by another upstream."),
+		continues:        factory.Counter("continues_total", "Streams continued from a backup of their run's memory."),
+		takenUp:          factory.Counter("streams_taken_up_total", "Streams that callers took up after they had broken off."),
+		softwareVersions: factory.Gauges("software_versions", "Software versions that the listed upstreams of each pool state.", "pool"),
+		faults:           factory.Counter("store_faults_total", "Published values that could not be read."),
+		version:          factory.Gauge("configuration_version", "Version of the configuration in force."),
+		epoch:            factory.Gauge("store_epoch", "Epoch of the store, which rises when it is restored from a copy."),
+		revision:         factory.Gauge("store_revision", "Revision of the store, in its epoch, up to which everything is known."),
+		upstreams:        factory.Gauge("upstreams", "Upstreams on the list."),
 		zoneAttempts: factory.Counters("zone_attempts_total", "Attempts by availability zone of the upstream and outcome.",
 			"zone", "outcome"),
 		zoneUpstreams: factory.Gauges("zone_upstreams", "Upstreams on the list by availability zone and state.", "zone", "state"),
@@ -115,7 +121,7 @@
 	m.registry.MustRegister(m.requests, m.refusals, m.attempts, m.storeCalls, m.inTime, m.firstByte,
 		m.completion, m.connections, m.resumes, m.continues, m.faults, m.version, m.epoch, m.revision, m.upstreams, m.peerCalls, m.peerBytes, m.gateways,
 		m.zoneAttempts, m.zoneUpstreams, m.ends, m.notices, m.retriesDenied, m.limited, m.suspects, m.demandDropped, m.aboveLevel,
-		m.admissions, m.admissionWaiting, m.admissionWait, m.invalidPaces, m.reused)
+		m.admissions, m.admissionWaiting, m.admissionWait, m.invalidPaces, m.reused, m.takenUp, m.softwareVersions)
 	m.registry.MustRegister(factory.GaugeOf("view_age_milliseconds", "Time since the configuration in force was proved to be the newest.", viewAge))
 	if logsDropped != nil {
 		m.registry.MustRegister(factory.CounterOf("log_lines_dropped_total", "Log lines that did not fit the buffer.", logsDropped))
@@ -158,6 +164,7 @@
 // in a response that it is leaving.
 func (m *serverMetrics) list(list []balance.Instance, saysLeaving func(id string) bool) {
 	m.upstreams.Set(float64(len(list)))
+	m.countVersions(list)
 	m.zoneUpstreams.Reset()
 	for _, in := range list {
 		state := stateReady
@@ -173,6 +180,21 @@
 	}
 }
 
+// countVersions counts the software versions of each pool.
+func (m *serverMetrics) countVersions(list []balance.Instance) {
+	versions := make(map[string]map[string]bool)
+	for _, in := range list {
+		if versions[in.Pool] == nil {
+			versions[in.Pool] = make(map[string]bool)
+		}
+		versions[in.Pool][in.Version] = true
+	}
+	m.softwareVersions.Reset()
+	for pool, set := range versions {
+		m.softwareVersions.WithLabelValues(pool).Set(float64(len(set)))
+	}
+}
+
 // viewAgeMs returns the time since the configuration in force was last proved to be the
 // newest, in whole milliseconds; 0 without a proof.
 func viewAgeMs(v *ingress.View, now time.Time) uint64 {
--- a/internal/edge/gatewayd/request.go
+++ b/internal/edge/gatewayd/request.go
@@ -106,6 +106,10 @@
 		x.refuse(refusal)
 		return nil
 	}
+	if x.call.LastEvent != "" {
+		x.server.metrics.takenUp.Inc()
+		x.logTakenUp()
+	}
 	x.setWriteDeadline()
 	if refusal := x.readBody(); refusal != nil {
 		x.refuse(refusal)
--- a/internal/edge/gatewayd/request_log.go
+++ b/internal/edge/gatewayd/request_log.go
@@ -34,6 +34,7 @@
 		Str("fetch_from", c.FetchFrom).
 		Str("backup", c.Backup.ID).
 		Bool("continues", x.continuing).
+		Str("software", c.Version).
 		Bool("cold", c.Cold).
 		Bool("turn", c.Turn).
 		Bool("lent", c.Borrowed).
@@ -51,6 +52,15 @@
 	line.Msg("picked")
 }
 
+// logTakenUp logs that the caller takes up a stream that broke off earlier.
+func (x *request) logTakenUp() {
+	x.log().
+		Str("resumes", x.call.Resumes).
+		Str("last_event", x.call.LastEvent).
+		Str("route", x.admission.Route.Name).
+		Msg("stream is taken up")
+}
+
 // logChoice starts a log line about a choice, with the data that it is based on.
 func (x *request) logChoice(c balance.Choice) *zerolog.Event {
 	line := x.log().
@@ -86,6 +96,7 @@
 	line.
 		Int("attempt", len(x.tried)).
 		Str("upstream", c.ID).
+		Str("software", c.Version).
 		Stringer("failure", f).
 		Bool("again", step.Do == gateway.Retry || step.Do == gateway.Continue).
 		Int("events", x.events).
