--- a/internal/edge/gatewayd/testenv_test.go
+++ b/internal/edge/gatewayd/testenv_test.go
@@ -68,6 +68,7 @@
 	{Name: "write", Host: "x.example", Prefix: "/write/", Kind: "non_idempotent", Pool: "app", TimeoutMs: 2000, TargetLatencyMs: 1000, Attempts: 2},
 	{Name: "chat", Host: "x.example", Prefix: "/chat/", Kind: "streaming", Pool: "app", TimeoutMs: 2000, TargetLatencyMs: 1000, TargetGapMs: 200, Attempts: 2},
 	{Name: "note", Host: "x.example", Prefix: "/note/", Kind: "streaming", Pool: "app", TimeoutMs: 2000, TargetLatencyMs: 1000, TargetGapMs: 500, Attempts: 2, Resume: true},
+	{Name: "brief", Host: "x.example", Prefix: "/brief/", Kind: "streaming", Pool: "app", TimeoutMs: 2000, TargetLatencyMs: 1000, TargetGapMs: 500, Attempts: 1, Resume: true},
 	{Name: "short", Host: "x.example", Prefix: "/short/", Kind: "non_idempotent", Pool: "app", TimeoutMs: 150, TargetLatencyMs: 100, Attempts: 1},
 }
 
