--- a/internal/core/balance/backup.go
+++ b/internal/core/balance/backup.go
@@ -28,8 +28,8 @@
 	return output >= minBackupOutputShare*(output+float64(r.Prompt.Tokens))
 }
 
-// backupFor returns the engine with the fewest requests apart from the chosen one.
-// Engines with a rate limit are excluded, as continuing there takes a turn.
+// backupFor returns the engine with the fewest requests apart from the chosen one. Engines
+// with a rate limit are excluded, as continuing there takes a turn.
 func backupFor(now time.Time, chosen *upstream, candidates []*upstream, r Request) Backup {
 	var best *upstream
 	var load float64
@@ -49,11 +49,12 @@
 }
 
 // Continue counts the request at the engine that keeps its backup, where no prefill is
-// needed. It returns false if that engine is gone, leaving, backing off, ejected or in an
-// evacuated availability zone, or if this gateway may not send it a request (maySend).
+// needed. It returns false if that engine is gone, leaving, backing off, ejected, of another
+// software version or in an evacuated availability zone, or if this gateway may not send it a
+// request (maySend).
 func (t *Table) Continue(now time.Time, r Request, b Backup) (Choice, bool) {
 	u, ok := t.upstreams[b.ID]
-	if !ok || !u.present(now) || u.gone(now) || u.peersFoundGone(now) || u.ejected(now) {
+	if !ok || !r.mayRunAt(u) || !u.present(now) || u.gone(now) || u.peersFoundGone(now) || u.ejected(now) {
 		return Choice{}, false
 	}
 	p := t.pool(u.Pool)
--- a/internal/core/balance/lend.go
+++ b/internal/core/balance/lend.go
@@ -44,7 +44,7 @@
 // mayBorrow reports whether only the lack of a turn keeps the request from the upstream,
 // and no holder has recently answered that it has none.
 func (t *Table) mayBorrow(now time.Time, p *pool, u *upstream, r Request) bool {
-	if !u.limit.Announced || now.Before(u.limit.borrowAgainAt) || slices.Contains(r.Exclude, u.ID) {
+	if !u.limit.Announced || now.Before(u.limit.borrowAgainAt) || !r.mayRunAt(u) {
 		return false
 	}
 	return u.present(now) && !u.gone(now) && !u.atSlowStartLimit(now) && !u.ejected(now) && !u.avoidedByPeers(now) && !p.isCold(now, u)
--- a/internal/core/balance/pick.go
+++ b/internal/core/balance/pick.go
@@ -7,6 +7,7 @@
 	"github.com/gladegauge/gladegauge/internal/core/overload"
 	"github.com/gladegauge/gladegauge/internal/core/pace"
 	"github.com/gladegauge/gladegauge/internal/core/rendezvous"
+	"github.com/gladegauge/gladegauge/internal/core/rollout"
 )
 
 // Request describes a request to Pick.
@@ -27,6 +28,9 @@
 	// Protect requests a copy of its KV cache on another engine, because the request may
 	// not be repeated if its engine fails.
 	Protect bool
+	// Version restricts the choice to upstreams of one software version, because the caller
+	// already has events of the stream; rollout.Unstated means any.
+	Version rollout.Version
 	// Exclude lists the IDs of upstreams that were already tried.
 	Exclude []string
 	// Least marks a request of the lowest urgency in its pool, which may be shed when the
@@ -94,6 +98,11 @@
 	pickedAt time.Time
 }
 
+// mayRunAt reports whether the request allows the upstream.
+func (r Request) mayRunAt(u *upstream) bool {
+	return !slices.Contains(r.Exclude, u.ID) && (r.Version == rollout.Unstated || r.Version == u.version)
+}
+
 // Pick chooses an upstream and counts the request there until Ended. It returns false if
 // the pool has no upstream left to try or the request is shed; in the latter case the
 // choice holds the time after which to retry.
@@ -130,17 +139,28 @@
 		t.commit(now, p, chosen, r, &best)
 		return best, true
 	}
-	if from := p.sourceFor(now, chosen, candidates, r.Prompt, keys); from.tokens > 0 {
+	compatible := withSoftwareOf(chosen, candidates)
+	if from := p.sourceFor(now, chosen, compatible, r.Prompt, keys); from.tokens > 0 {
 		best.FetchFrom = from.upstream.Address
 		best.Unread = max(0, min(best.Unread, r.Prompt.Tokens-from.tokens))
 	}
 	if r.Protect && p.worthBackup(r) {
-		best.Backup = backupFor(now, chosen, candidates, r)
+		best.Backup = backupFor(now, chosen, compatible, r)
 	}
 	t.commit(now, p, chosen, r, &best)
 	return best, true
 }
 
+// withSoftwareOf returns the upstreams of the same software version as the chosen one. Engines
+// of different versions do not exchange KV cache.
+func withSoftwareOf(chosen *upstream, candidates []*upstream) []*upstream {
+	differs := func(u *upstream) bool { return u.version != chosen.version }
+	if !slices.ContainsFunc(candidates, differs) {
+		return candidates
+	}
+	return slices.DeleteFunc(slices.Clone(candidates), differs)
+}
+
 // shedDelay returns the time after which the request should be retried; 0 if it is
 // admitted. A request that was already sent to an upstream is always admitted.
 func (p *pool) shedDelay(now time.Time, u *upstream, r Request, c Choice) time.Duration {
@@ -197,7 +217,7 @@
 	acceptsReports := p.acceptsPeerReports(now)
 	for _, u := range p.members {
 		switch {
-		case !u.present(now) || u.gone(now) || u.atSlowStartLimit(now) || slices.Contains(r.Exclude, u.ID) || !t.maySend(now, p, u, r.Least):
+		case !u.present(now) || u.gone(now) || u.atSlowStartLimit(now) || !r.mayRunAt(u) || !t.maySend(now, p, u, r.Least):
 		case u.ejected(now) || t.inSlowStart(now, u, r),
 			acceptsReports && u.avoidedByPeers(now),
 			acceptsReports && u.health.OnTrial(now) && !t.mayRunTrial(now, u, r):
--- a/internal/core/balance/table.go
+++ b/internal/core/balance/table.go
@@ -14,6 +14,7 @@
 	"github.com/gladegauge/gladegauge/internal/core/overload"
 	"github.com/gladegauge/gladegauge/internal/core/pace"
 	"github.com/gladegauge/gladegauge/internal/core/rendezvous"
+	"github.com/gladegauge/gladegauge/internal/core/rollout"
 	"github.com/gladegauge/gladegauge/internal/core/warmup"
 )
 
@@ -47,6 +48,8 @@
 // upstream is the state that the table keeps for one incarnation.
 type upstream struct {
 	Instance
+	// version identifies its software version.
+	version rollout.Version
 	// hash is the hash of its ID. Decisions on which gateways agree without communication
 	// are derived from it, so that they also agree while only some of them know of a new
 	// incarnation. incarnation is the key by which gateways exchange load reports.
@@ -173,9 +176,12 @@
 // RestartedAs reports whether next is another incarnation. An incarnation with an earlier
 // start time also counts as another one: the clock of its host may have been set back.
 func (in Instance) RestartedAs(next Instance) bool {
-	return in.Born != 0 && next.Born != 0 && in.Born != next.Born
+	return (in.Born != 0 && next.Born != 0 && in.Born != next.Born) || in.Version != next.Version
 }
 
+// SoftwareVersion identifies the software version of the upstream.
+func (in Instance) SoftwareVersion() rollout.Version { return rollout.VersionOf(in.Pool, in.Version) }
+
 // IncarnationKey returns a key that distinguishes this incarnation from all others,
 // including later ones with the same ID. If the upstream does not report its start time,
 // the key depends on the ID alone.
@@ -218,6 +224,7 @@
 			c.Cold = append(c.Cold, in.ID)
 		}
 		u.Instance = in
+		u.version = in.SoftwareVersion()
 		u.incarnation = in.IncarnationKey()
 	}
 	for id, u := range t.upstreams {
@@ -251,6 +258,15 @@
 	return u
 }
 
+// VersionAt returns the software version of the upstream that was chosen. It is unstated if
+// another incarnation is listed by now: either of them may have answered.
+func (t *Table) VersionAt(c Choice) rollout.Version {
+	if u, ok := t.upstreams[c.ID]; ok && c.RestartedAs(u.Instance) {
+		return rollout.Unstated
+	}
+	return c.SoftwareVersion()
+}
+
 // markSuperseded marks upstreams at whose address a later entry is listed. Only one
 // incarnation runs at an address at a time; the entry of the earlier one has not expired
 // yet.
--- /dev/null
+++ b/internal/core/fleet/recorders.go
@@ -0,0 +1,55 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+
+	"github.com/gladegauge/gladegauge/internal/core/rendezvous"
+)
+
+// A gateway may be gone when the caller of a stream that it began comes back. It therefore
+// reports its streams to recorders. Whoever takes a stream up asks all of them, as nothing in
+// the request tells which gateway began it. In a small fleet every gateway is a recorder. In
+// a large one a part of them are, so that asking all of them takes few calls, and the reports
+// of a few gateways go to each.
+
+// Numbers of recorders.
+const (
+	// minRecorders is the number of gateways up to which all of them are recorders.
+	minRecorders = 16
+	// recorderPart is the number of gateways for each recorder in a large fleet.
+	recorderPart = 8
+)
+
+// Recorders returns the first n recorders to which this gateway reports its streams.
+func (f *Fleet) Recorders(now time.Time, n int) []string {
+	list := f.recorders(now, func(p *peer) bool { return !p.Leaving })
+	list = rendezvous.Rank(f.self.Address, list)
+	return list[:min(n, len(list))]
+}
+
+// AllRecorders returns all other gateways that may know of a stream. Those that are leaving
+// are among them, as they still answer.
+func (f *Fleet) AllRecorders(now time.Time) []string {
+	return f.recorders(now, func(*peer) bool { return true })
+}
+
+// recorders returns the recorders that may be called, apart from this gateway. Whether a
+// gateway is one does not depend on whether it may be called, so that the views of the fleet
+// agree while some calls fail.
+func (f *Fleet) recorders(now time.Time, use func(*peer) bool) []string {
+	members := []string{f.self.Address}
+	var callable []string
+	for p := range f.aliveSeq(now) {
+		members = append(members, p.Address)
+		if !now.Before(p.downUntil) && use(p) {
+			callable = append(callable, p.Address)
+		}
+	}
+	if len(members) <= minRecorders {
+		return callable
+	}
+	ranked := f.ranked("recorders", members)
+	ranked = ranked[:max(minRecorders, len(members)/recorderPart)]
+	return slices.DeleteFunc(callable, func(address string) bool { return !slices.Contains(ranked, address) })
+}
--- a/internal/core/gateway/admit.go
+++ b/internal/core/gateway/admit.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/gladegauge/gladegauge/internal/core/ingress"
@@ -8,10 +9,13 @@
 
 // Call holds the properties of a request that admission needs.
 type Call struct {
-	ID   string
-	Host string
-	Path string
-	Key  string
+	ID string
+	// Resumes is the ID of the attempt that brought the first event of the stream that the
+	// request takes up; empty for other requests.
+	Resumes string
+	Host    string
+	Path    string
+	Key     string
 	// CallerTimeout is how long the caller waits; 0 if unspecified.
 	CallerTimeout time.Duration
 }
@@ -74,7 +78,7 @@
 		}
 		a.Organisation = o
 	}
-	a.Pool = route.Pool(ingress.HashID(c.ID))
+	a.Pool = route.Pool(ingress.HashID(poolID(route, c)))
 	a.Urgency = v.Table.Urgency(a.Organisation, route, b.UrgencySteps)
 	a.Deadline = now.Add(route.Timeout)
 	if c.CallerTimeout > 0 && now.Add(c.CallerTimeout).Before(a.Deadline) {
@@ -83,6 +87,15 @@
 	return a, nil
 }
 
+// poolID returns the ID that the choice among the route's pools is derived from. A stream that
+// is taken up goes on in the pool that began it.
+func poolID(route *ingress.Route, c Call) string {
+	if route.Kind == ingress.Stream && route.Resumable {
+		return cmp.Or(c.Resumes, c.ID)
+	}
+	return c.ID
+}
+
 func deniedIfCertain(certain bool, kind Kind, reason Reason) *Refusal {
 	if !certain {
 		return unavailable(ViewTooOld, retryAfterLong)
--- a/internal/core/gateway/gateway_test.go
+++ b/internal/core/gateway/gateway_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -81,6 +82,7 @@
 		answered    bool
 		hasBackup   bool
 		suspect     bool
+		unversioned bool
 		do          Action
 		refusal     Kind
 		notRun      bool
@@ -124,13 +126,17 @@
 		{name: "suspect with a backup, lost in the middle", kind: ingress.Stream, suspect: true, failures: []Failure{Lost}, answered: true, hasBackup: true, do: Abort},
 		{name: "suspect, unreachable", kind: ingress.Repeatable, suspect: true, failures: []Failure{Unsent}, do: Retry},
 		{name: "suspect, refused", kind: ingress.Stream, suspect: true, failures: []Failure{NotRun}, do: Retry},
+		{name: "version not known, lost in the middle", kind: ingress.Stream, resume: true, unversioned: true, failures: []Failure{Lost}, answered: true, do: Abort},
+		{name: "version not known, with a backup, lost in the middle", kind: ingress.Stream, unversioned: true, failures: []Failure{Lost}, answered: true, hasBackup: true, do: Abort},
+		{name: "version not known, unreachable in the middle", kind: ingress.Stream, resume: true, unversioned: true, failures: []Failure{Unsent}, answered: true, do: Abort},
+		{name: "version not known, lost before its first event", kind: ingress.Stream, resume: true, unversioned: true, failures: []Failure{Lost}, do: Retry},
 		{name: "the caller left", kind: ingress.Repeatable, failures: []Failure{CallerGone}, do: Abort},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			a := Admission{Deadline: t0.Add(time.Second), Route: &ingress.Route{Kind: tt.kind, Resumable: tt.resume, MaxAttempts: 2}}
-			p := Progress{Replayable: !tt.bodyDropped, ResponseStarted: tt.answered, HasBackup: tt.hasBackup, Suspect: tt.suspect}
+			p := Progress{Replayable: !tt.bodyDropped, ResponseStarted: tt.answered, HasBackup: tt.hasBackup, Suspect: tt.suspect, VersionUnknown: tt.unversioned}
 			for _, f := range tt.failures {
 				p = p.With(f)
 			}
@@ -149,6 +155,44 @@
 	}
 }
 
+// A stream that is taken up goes on in the pool that began it, although its new attempt has
+// another ID. Other requests are spread by their own IDs, whatever they claim to resume.
+func TestTakenUpStreamStaysInPool(t *testing.T) {
+	tests := []struct {
+		name   string
+		kind   ingress.Kind
+		resume bool
+		stays  bool
+	}{
+		{"resumable stream", ingress.Stream, true, true},
+		{"stream that may run once", ingress.Stream, false, false},
+		{"repeatable request", ingress.Repeatable, false, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			route := &ingress.Route{
+				Name: "a", Host: "h", Prefix: "/a/", Kind: tt.kind, Resumable: tt.resume, Public: true, Timeout: time.Second, MaxAttempts: 1,
+				Shares: []ingress.Share{{Pool: "p", Weight: 1}, {Pool: "q", Weight: 1}},
+			}
+			table, faults := ingress.New(1, []*ingress.Route{route}, []ingress.Pool{{Name: "p"}, {Name: "q"}}, nil, ingress.Limits{})
+			is.Equal(len(faults), 0)
+			v := ingress.View{Table: table, NewestAt: t0}
+			moved := 0
+			for i := range 64 {
+				call := Call{ID: fmt.Sprintf("first-%d", i), Host: "h", Path: "/a/1"}
+				first, _ := Admit(t0, v, call, Bounds{UrgencySteps: 10})
+				call.ID, call.Resumes = fmt.Sprintf("second-%d", i), call.ID
+				second, _ := Admit(t0, v, call, Bounds{UrgencySteps: 10})
+				if first.Pool != second.Pool {
+					moved++
+				}
+			}
+			is.Equal(moved == 0, tt.stays)
+		})
+	}
+}
+
 func TestNoUpstreamLeft(t *testing.T) {
 	is := is.New(t)
 	a := Admission{Deadline: t0.Add(time.Second), Route: &ingress.Route{Kind: ingress.Repeatable, MaxAttempts: 2}}
--- a/internal/core/gateway/next.go
+++ b/internal/core/gateway/next.go
@@ -61,6 +61,9 @@
 	ResponseStarted bool
 	// HasBackup is true while another engine keeps a copy of the run's KV cache.
 	HasBackup bool
+	// VersionUnknown is true if the caller has events of an upstream whose software version
+	// is not known. No other upstream may then go on with the stream.
+	VersionUnknown bool
 	// Suspect is true if several upstreams crashed while running the request. It runs only
 	// once, as each further run may crash another upstream.
 	Suspect bool
@@ -132,7 +135,7 @@
 // mayContinue reports whether the run may resume from its copy. Before its first event
 // there may be no copy yet.
 func mayContinue(now time.Time, a Admission, p Progress, f Failure) bool {
-	return p.HasBackup && p.ResponseStarted && p.Replayable && !p.Suspect &&
+	return p.HasBackup && p.ResponseStarted && p.Replayable && !p.Suspect && !p.VersionUnknown &&
 		(f == Lost || f == Silent) && a.Deadline.Sub(now) >= minRemaining
 }
 
@@ -143,6 +146,9 @@
 	if p.MayHaveRun && (p.Suspect || !a.Route.MayRepeat()) {
 		return false
 	}
+	if p.ResponseStarted && p.VersionUnknown {
+		return false
+	}
 	switch f {
 	case Unsent, Withheld:
 		return p.Unsent < maxUnreachable
--- a/internal/core/gateway/refusal.go
+++ b/internal/core/gateway/refusal.go
@@ -44,6 +44,10 @@
 	UpstreamsBackingOff Reason = "upstreams_rest"
 	// UpstreamsLimited means that the upstreams are at their request limits.
 	UpstreamsLimited Reason = "upstreams_limited"
+	// VersionUnknown means that the software version of a stream that the caller takes up is
+	// not known, and VersionUnavailable that no upstream of that version takes it.
+	VersionUnknown     Reason = "version_unknown"
+	VersionUnavailable Reason = "version_unavailable"
 )
 
 // Retry delays that refusals tell the caller.
@@ -103,6 +107,14 @@
 	return unavailable(UpstreamsLimited, left)
 }
 
+// UnknownVersion refuses to take a stream up whose software version is not known. A gateway
+// that knows it may be reachable again by the time of a retry.
+func UnknownVersion() *Refusal { return unavailable(VersionUnknown, retryAfterLong) }
+
+// UnavailableVersion refuses to take a stream up because no upstream of its software version
+// takes it.
+func UnavailableVersion() *Refusal { return unavailable(VersionUnavailable, retryAfterLong) }
+
 // Stopping refuses a request that arrived while the process shuts down.
 func Stopping() *Refusal { return unavailable(StoppingProcess, retryAfterShort) }
 
--- a/internal/core/ingress/table.go
+++ b/internal/core/ingress/table.go
@@ -202,6 +202,37 @@
 	return slices.Compact(targets)
 }
 
+// LongestResumable returns the longest timeout of a route with resumable streams; 0 if there is
+// none.
+func (t *Table) LongestResumable() time.Duration {
+	var longest time.Duration
+	for _, rs := range t.routes {
+		for _, r := range rs {
+			if r.Kind == Stream && r.Resumable {
+				longest = max(longest, r.Timeout)
+			}
+		}
+	}
+	return longest
+}
+
+// ResumablePools returns the pools that serve routes with resumable streams, sorted.
+func (t *Table) ResumablePools() []string {
+	var pools []string
+	for _, rs := range t.routes {
+		for _, r := range rs {
+			if r.Kind != Stream || !r.Resumable {
+				continue
+			}
+			for _, s := range r.Shares {
+				pools = append(pools, s.Pool)
+			}
+		}
+	}
+	slices.Sort(pools)
+	return slices.Compact(pools)
+}
+
 // NeedsKey reports whether requests on the route must carry a key.
 func (t *Table) NeedsKey(r *Route) bool { return !t.keyless && !r.Public }
 
--- /dev/null
+++ b/internal/core/rollout/rollout.go
@@ -0,0 +1,181 @@
+// Package rollout tracks which software versions have served each pool of upstreams.
+//
+// Upstreams of several versions may serve a pool side by side. What two versions write does
+// not fit together: a stream may only go on at the version that began it. As long as a single
+// version has served a pool, nothing has to be known of a stream to take it up. That holds
+// only for a gateway that has watched the pool for as long as a caller may come back, or to
+// which another gateway has vouched for that time.
+//
+// # Usage
+//
+//	t := rollout.NewTracker(firstStart)
+//	t.Observe(now, serving)
+//	t.Interrupt(now) // changes may have been missed
+//	t.Vouch(now, "pool", version, window)
+//	switch s := t.State(now, "pool", window); s.Kind {
+//	case rollout.Single: // s.Version began every stream
+//	case rollout.Several, rollout.Unproven: // the version of the stream has to be known
+//	}
+package rollout
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Version identifies a software version of one pool, on all gateways alike. Equal names in two
+// pools are different versions.
+type Version uint64
+
+// Unstated is the version of an upstream that states none. Nothing is known of its software,
+// so it does not match any version, not even that of another such upstream.
+const Unstated Version = 0
+
+// VersionOf returns the version with the name; Unstated if the name is empty.
+func VersionOf(pool, name string) Version {
+	if name == "" {
+		return Unstated
+	}
+	return Version(max(1, xxhash.Sum64String(pool+"\x00"+name)))
+}
+
+// Kind says what is known of the versions of a pool.
+type Kind int
+
+// Kinds of knowledge about a pool.
+const (
+	// Unproven means that several versions may have served.
+	Unproven Kind = iota
+	// Single means that only one version has served.
+	Single
+	// Several means that more than one version has served.
+	Several
+)
+
+// String names the kind in logs.
+func (k Kind) String() string {
+	switch k {
+	case Single:
+		return "single"
+	case Several:
+		return "several"
+	default:
+		return "unproven"
+	}
+}
+
+// State is what is known of the versions that served a pool within a window.
+type State struct {
+	Kind Kind
+	// Version is the one that served, if the kind is Single, and the only one that was seen if
+	// it is Unproven.
+	Version Version
+}
+
+// Serving is a pool and a version that an upstream serves it with.
+type Serving struct {
+	Pool    string
+	Version Version
+}
+
+// Tracker records when each version last served. It is not safe for concurrent use.
+type Tracker struct {
+	// observing is true from the first observation on. since is the time from which on no
+	// version was missed, and vouchedSince the same for single pools where it is earlier;
+	// the zero time means that nothing was ever missed.
+	observing    bool
+	since        time.Time
+	vouchedSince map[string]time.Time
+	// current are those of the latest observation, and lastSeen the time at which each
+	// version of a pool was last listed.
+	current  map[Serving]bool
+	lastSeen map[string]map[Version]time.Time
+}
+
+// NewTracker returns a Tracker without observations. If first is set, the whole system starts
+// for the first time, so that no version has served any stream before.
+func NewTracker(first bool) *Tracker {
+	return &Tracker{
+		observing:    first,
+		vouchedSince: make(map[string]time.Time),
+		current:      make(map[Serving]bool),
+		lastSeen:     make(map[string]map[Version]time.Time),
+	}
+}
+
+// Interrupt records that versions may have come and gone unseen before now.
+func (t *Tracker) Interrupt(now time.Time) {
+	t.since = now
+	clear(t.vouchedSince)
+}
+
+// Vouch records that only the given version has served the pool within the window, as another
+// gateway has observed. It is ignored if another version was seen here.
+func (t *Tracker) Vouch(now time.Time, pool string, v Version, window time.Duration) {
+	if s := t.State(now, pool, window); s.Kind == Unproven && s.Version == v {
+		t.vouchedSince[pool] = now.Add(-window)
+	}
+}
+
+// Observe replaces the list of what serves now.
+func (t *Tracker) Observe(now time.Time, list []Serving) {
+	if !t.observing {
+		t.observing = true
+		t.since = now
+	}
+	for s := range t.current {
+		t.lastSeen[s.Pool][s.Version] = now
+	}
+	clear(t.current)
+	for _, s := range list {
+		t.current[s] = true
+		if t.lastSeen[s.Pool] == nil {
+			t.lastSeen[s.Pool] = make(map[Version]time.Time)
+		}
+		t.lastSeen[s.Pool][s.Version] = now
+	}
+}
+
+// State returns what is known of the versions that served the pool within the window. Where no
+// upstream states a version, there is none to tell apart.
+func (t *Tracker) State(now time.Time, pool string, window time.Duration) State {
+	var last Version
+	served := 0
+	for version, seenAt := range t.lastSeen[pool] {
+		if t.current[Serving{Pool: pool, Version: version}] || now.Sub(seenAt) < window {
+			last = version
+			served++
+		}
+	}
+	switch {
+	case served > 1:
+		return State{Kind: Several}
+	case served == 0:
+		return State{Kind: Unproven}
+	case last != Unstated && !t.complete(now, pool, window):
+		return State{Kind: Unproven, Version: last}
+	default:
+		return State{Kind: Single, Version: last}
+	}
+}
+
+// complete reports whether no version of the pool was missed within the window.
+func (t *Tracker) complete(now time.Time, pool string, window time.Duration) bool {
+	vouched, ok := t.vouchedSince[pool]
+	return t.since.IsZero() || now.Sub(t.since) >= window || (ok && now.Sub(vouched) >= window)
+}
+
+// Sweep drops the versions that have not served within the window.
+func (t *Tracker) Sweep(now time.Time, window time.Duration) {
+	for pool, versions := range t.lastSeen {
+		for version, seenAt := range versions {
+			if !t.current[Serving{Pool: pool, Version: version}] && now.Sub(seenAt) >= window {
+				delete(versions, version)
+			}
+		}
+		if len(versions) == 0 {
+			delete(t.lastSeen, pool)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/stream/registry.go
@@ -0,0 +1,120 @@
+// Package stream records at which software version streams began.
+//
+// A caller whose stream broke off takes it up under a new attempt, which names the one that
+// brought the first event. A gateway finds the version of that attempt in its registry, or
+// asks the gateways that may know it: the one that began the stream reports it to a few
+// others, as it may be gone by then.
+//
+// # Usage
+//
+//	r := stream.NewRegistry()
+//	r.Add(now, stream.AttemptOf(id), version)
+//	version, ok := r.Find(now, stream.AttemptOf(resumes))
+package stream
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/gladegauge/gladegauge/internal/core/rollout"
+)
+
+// Bounds of the time for which a caller may take a stream up.
+const (
+	// returnFactor is the multiple of the longest route timeout for which streams are kept:
+	// a caller may wait for longer than one attempt may last.
+	returnFactor = 2
+	minWindow    = 10 * time.Second
+	maxWindow    = time.Minute
+)
+
+// maxGeneration is the maximum number of streams that are kept for one window, at about 40
+// bytes each.
+const maxGeneration = 1 << 15
+
+// Window returns how long after its beginning a stream may be taken up, if the longest timeout
+// of a route with such streams is the given one.
+func Window(longest time.Duration) time.Duration {
+	return min(max(returnFactor*longest, minWindow), maxWindow)
+}
+
+// Attempt is the hash of the ID of a caller's attempt, which is the same on all gateways.
+type Attempt uint64
+
+// AttemptOf returns the hash of an attempt's ID.
+func AttemptOf(id string) Attempt { return Attempt(xxhash.Sum64String(id)) }
+
+// Registry holds the versions of streams by the attempts that brought their first events, for
+// at least one window. It is not safe for concurrent use.
+type Registry struct {
+	window            time.Duration
+	current, previous map[Attempt]rollout.Version
+	// rotatedAt is when current was started.
+	rotatedAt time.Time
+}
+
+// NewRegistry returns an empty registry.
+func NewRegistry() *Registry {
+	return &Registry{window: minWindow, current: make(map[Attempt]rollout.Version)}
+}
+
+// SetWindow sets how long streams are kept.
+func (r *Registry) SetWindow(window time.Duration) { r.window = window }
+
+// Add records the version of a stream. An unstated version is not recorded, as a stream of
+// such an upstream cannot go on elsewhere.
+func (r *Registry) Add(now time.Time, a Attempt, v rollout.Version) {
+	if v == rollout.Unstated {
+		return
+	}
+	r.rotate(now)
+	if len(r.current) >= maxGeneration {
+		r.start(now)
+	}
+	r.current[a] = v
+}
+
+// Find returns the version of a stream; false if it is not known.
+func (r *Registry) Find(now time.Time, a Attempt) (rollout.Version, bool) {
+	r.rotate(now)
+	if v, ok := r.current[a]; ok {
+		return v, true
+	}
+	v, ok := r.previous[a]
+	return v, ok
+}
+
+// All returns all streams by version.
+func (r *Registry) All(now time.Time) map[rollout.Version][]Attempt {
+	r.rotate(now)
+	all := make(map[rollout.Version][]Attempt)
+	for _, generation := range []map[Attempt]rollout.Version{r.previous, r.current} {
+		for a, v := range generation {
+			all[v] = append(all[v], a)
+		}
+	}
+	return all
+}
+
+// Len returns the number of streams.
+func (r *Registry) Len() int { return len(r.current) + len(r.previous) }
+
+// rotate drops expired streams.
+func (r *Registry) rotate(now time.Time) {
+	age := now.Sub(r.rotatedAt)
+	if age < r.window {
+		return
+	}
+	r.start(now)
+	if age >= 2*r.window {
+		r.previous = nil
+	}
+}
+
+// start begins another generation.
+func (r *Registry) start(now time.Time) {
+	r.previous = r.current
+	r.current = make(map[Attempt]rollout.Version)
+	r.rotatedAt = now
+}
--- /dev/null
+++ b/internal/core/stream/registry_test.go
@@ -0,0 +1,74 @@
+package stream
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gladegauge/gladegauge/internal/core/rollout"
+)
+
+// A stream is known for as long as its caller may come back, and forgotten some time later.
+func TestFind(t *testing.T) {
+	const window = 20 * time.Second
+	v1 := rollout.VersionOf("p", "v1")
+	tests := []struct {
+		name  string
+		age   time.Duration
+		known bool
+	}{
+		{"at once", 0, true},
+		{"within the window", window - 1, true},
+		{"at the end of the window", window, true},
+		{"after three windows", 3 * window, false},
+		{"long after", time.Hour, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			start := time.Unix(1000, 0)
+			r := NewRegistry()
+			r.SetWindow(window)
+			r.Add(start, AttemptOf("first"), v1)
+			r.Add(start, AttemptOf("unstated"), rollout.Unstated)
+			for age := time.Duration(0); age < tt.age; age += window / 3 {
+				r.Add(start.Add(age), AttemptOf("other"), v1)
+			}
+			v, known := r.Find(start.Add(tt.age), AttemptOf("first"))
+			is.Equal(known, tt.known)
+			is.True(!known || v == v1)
+			_, known = r.Find(start.Add(tt.age), AttemptOf("unstated"))
+			is.True(!known)
+		})
+	}
+}
+
+// The memory of the registry is bounded; the oldest streams are dropped first.
+func TestBound(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	r := NewRegistry()
+	v1 := rollout.VersionOf("p", "v1")
+	for i := range 4 * maxGeneration {
+		r.Add(now, Attempt(i), v1)
+	}
+	is.True(r.Len() <= 2*maxGeneration)
+	_, known := r.Find(now, Attempt(0))
+	is.True(!known)
+	_, known = r.Find(now, Attempt(4*maxGeneration-1))
+	is.True(known)
+	is.Equal(len(r.All(now)[v1]), r.Len())
+}
+
+func TestWindow(t *testing.T) {
+	tests := []struct{ longest, want time.Duration }{
+		{0, minWindow},
+		{3 * time.Second, minWindow},
+		{15 * time.Second, 30 * time.Second},
+		{time.Hour, maxWindow},
+	}
+	for _, tt := range tests {
+		is.New(t).Equal(Window(tt.longest), tt.want)
+	}
+}
--- a/internal/edge/gatewayd/apply.go
+++ b/internal/edge/gatewayd/apply.go
@@ -54,6 +54,7 @@
 	s.view.Store(&next)
 	s.table.SetPools(t)
 	s.demand.setTable(t)
+	s.streams.setTable(t)
 	s.metrics.aboveLevel.Reset()
 	s.updateMaxOpen(s.now())
 	s.metrics.version.Set(float64(t.Version))
@@ -108,6 +109,7 @@
 func (s *Server) applyRoster(now time.Time) {
 	list := s.roster.Current(now)
 	changes := s.table.SetInstances(now, list)
+	s.observeVersions(now, list)
 	s.publishUpstreams(now, list)
 	if v := s.view.Load(); v.Table != nil && len(changes.Added) > 0 {
 		s.table.SetPools(v.Table)
--- a/internal/edge/gatewayd/peer_transport.go
+++ b/internal/edge/gatewayd/peer_transport.go
@@ -19,10 +19,12 @@
 
 // callKinds are the kinds of calls between gateways, by procedure.
 var callKinds = map[string]string{
-	gladegaugev1connect.GatewayServiceExchangeProcedure:   "exchange",
-	gladegaugev1connect.GatewayServiceFollowProcedure:     "follow",
-	gladegaugev1connect.GatewayServiceTellLoadsProcedure:  "tell_loads",
-	gladegaugev1connect.GatewayServiceBorrowTurnProcedure: "borrow_turn",
+	gladegaugev1connect.GatewayServiceExchangeProcedure:      "exchange",
+	gladegaugev1connect.GatewayServiceFollowProcedure:        "follow",
+	gladegaugev1connect.GatewayServiceTellLoadsProcedure:     "tell_loads",
+	gladegaugev1connect.GatewayServiceBorrowTurnProcedure:    "borrow_turn",
+	gladegaugev1connect.GatewayServiceReportStreamsProcedure: "report_streams",
+	gladegaugev1connect.GatewayServiceFindStreamProcedure:    "find_stream",
 }
 
 // peerTransport counts the bytes of the bodies of calls to other gateways, by kind and
--- a/internal/edge/gatewayd/pick.go
+++ b/internal/edge/gatewayd/pick.go
@@ -76,6 +76,7 @@
 		Organisation: ingress.HashID(x.organisation()),
 		Deadline:     x.admission.Deadline,
 		Protect:      route.Kind == ingress.Stream && !route.Resumable && !x.progress.Suspect,
+		Version:      x.version,
 		Exclude:      x.tried,
 		Least:        x.view.Table.IsLeastUrgent(x.admission.Organisation, route, x.admission.Pool),
 		Isolate:      x.progress.Suspect,
--- a/internal/edge/gatewayd/request.go
+++ b/internal/edge/gatewayd/request.go
@@ -11,6 +11,7 @@
 	"github.com/gladegauge/gladegauge/internal/core/balance"
 	"github.com/gladegauge/gladegauge/internal/core/gateway"
 	"github.com/gladegauge/gladegauge/internal/core/ingress"
+	"github.com/gladegauge/gladegauge/internal/core/rollout"
 	"github.com/gladegauge/gladegauge/internal/core/suspect"
 	"github.com/gladegauge/gladegauge/internal/edge/clock"
 	"github.com/gladegauge/gladegauge/platform"
@@ -46,6 +47,10 @@
 	continuing bool
 	// lastEventID is the ID of the last stream event sent to the caller.
 	lastEventID string
+	// version is the software version that began the stream; unstated until it has begun, or
+	// if it is not known. singleVersion is true if the pool was proven to have only that one.
+	version       rollout.Version
+	singleVersion bool
 	// events is the number of events sent to the caller.
 	events int
 	// duplicateEvents is the number of events that were dropped because the caller already
@@ -106,10 +111,6 @@
 		x.refuse(refusal)
 		return nil
 	}
-	if x.call.LastEvent != "" {
-		x.server.metrics.takenUp.Inc()
-		x.logTakenUp()
-	}
 	x.setWriteDeadline()
 	if refusal := x.readBody(); refusal != nil {
 		x.refuse(refusal)
@@ -122,6 +123,10 @@
 		return nil
 	}
 	defer x.releaseSuspect()
+	if refusal := x.takeUp(ctx); refusal != nil {
+		x.refuse(refusal)
+		return nil
+	}
 	x.tryUpstreams(ctx)
 	return nil
 }
@@ -131,6 +136,7 @@
 	x.view = *x.server.view.Load()
 	a, refusal := gateway.Admit(now, x.view, gateway.Call{
 		ID:            x.call.ID,
+		Resumes:       x.call.Resumes,
 		Host:          hostOf(x.r),
 		Path:          x.r.URL.EscapedPath(),
 		Key:           x.call.Key,
@@ -172,7 +178,7 @@
 		x.logBusy(choice)
 		return choice, gateway.Busy(choice.RetryAfter)
 	case !ok:
-		return choice, gateway.NoUpstreamLeft(x.server.now(), x.admission, x.progress)
+		return choice, x.noUpstreamLeft()
 	case x.remaining() <= 0:
 		// The host was suspended since the choice; a request past its deadline is not sent.
 		x.releaseChoice(choice)
@@ -200,6 +206,7 @@
 		}
 		now := x.server.now()
 		x.progress = x.progress.With(failure)
+		x.checkVersion()
 		if failure == gateway.Lost && x.checkLost(ctx, choice) == suspect.Blocked && !x.progress.ResponseStarted {
 			x.logFailure(choice, failure, gateway.Step{Do: gateway.Refuse}, err)
 			x.refuse(gateway.CrashesUpstreams(true))
--- a/internal/edge/gatewayd/request_log.go
+++ b/internal/edge/gatewayd/request_log.go
@@ -1,6 +1,7 @@
 package gatewayd
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -52,12 +53,16 @@
 	line.Msg("picked")
 }
 
-// logTakenUp logs that the caller takes up a stream that broke off earlier.
-func (x *request) logTakenUp() {
+// logTakenUp logs that the caller takes up a stream that broke off earlier, and how its version
+// became known.
+func (x *request) logTakenUp(k knownStream) {
 	x.log().
 		Str("resumes", x.call.Resumes).
 		Str("last_event", x.call.LastEvent).
 		Str("route", x.admission.Route.Name).
+		Str("known", k.from).
+		Str("version_key", fmt.Sprintf("%016x", uint64(k.version))).
+		Bool("single", k.single).
 		Msg("stream is taken up")
 }
 
--- a/internal/edge/gatewayd/server.go
+++ b/internal/edge/gatewayd/server.go
@@ -83,6 +83,8 @@
 	peerTransport *peerTransport
 	peerClient    *http.Client
 	listeners     *listeners
+	// reportQueues hold the reports of this gateway's streams to others.
+	reportQueues reportQueues
 	// inFlight is the number of requests in progress.
 	inFlight atomic.Int64
 	// lastRequestAt is when the latest request arrived, in nanoseconds since 1970; 0
@@ -111,6 +113,8 @@
 	partLog *occupancy.PartLog
 	// demand holds the demand for the pools here and at other gateways.
 	demand demandExchange
+	// streams holds the versions of streams that callers may take up.
+	streams streams
 	// operatorBounds are the operators' bounds in the latest settings.
 	operatorBounds platform.Bounds
 	// gateways is the number of gateways that share the retry budget.
@@ -159,6 +163,8 @@
 		occupancy:      occupancy.New(),
 		partLog:        occupancy.NewPartLog(),
 		demand:         newDemandExchange(),
+		streams:        newStreams(o.Settings.FirstStart),
+		reportQueues:   newReportQueues(),
 		gateways:       assumedGateways,
 		loggedSize:     assumedGateways,
 		operatorBounds: o.Settings.Bounds,
@@ -206,6 +212,10 @@
 	if s.o.Settings.Peers != "" {
 		group.Go(func() error { return s.exchangeLoop(work) })
 		group.Go(func() error { return s.reportLoop(work) })
+		group.Go(func() error { return s.vouchLoop(work) })
+		for queue := range s.reportQueues {
+			group.Go(func() error { return s.streamReportLoop(work, queue) })
+		}
 	}
 	group.Go(func() error { return s.control.Every(work, sweepInterval, s.sweep) })
 	group.Go(func() error { return s.control.Every(work, resourcesInterval, s.logResources) })
@@ -233,6 +243,8 @@
 	s.releaseAll(now)
 	s.table.ExpireParts(now)
 	s.demand.sweep(now)
+	s.streams.sweep(now)
+	s.updateVersionKinds(now)
 	if end, ok := s.roster.NextExpiry(); ok && !now.Before(end) {
 		// The expiry timer fires late after the host was suspended.
 		s.applyRoster(now)
--- a/internal/edge/gatewayd/versions_test.go
+++ b/internal/edge/gatewayd/versions_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/matryer/is"
 
+	gladegaugev1 "github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1"
 	"github.com/gladegauge/gladegauge/platform/standin"
 )
 
@@ -25,21 +28,33 @@
 // wholeStream is the body of a complete stream.
 const wholeStream = "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\n"
 
+// cutPath is the path of streams that break off again after they were resumed.
+const cutPath = "/brief/cut"
+
 // breaksOff sends one event of a new stream, and the rest of one that is resumed.
 func breaksOff(_ int, r standin.Request) standin.Reply {
 	reply := standin.Reply{Events: []string{"1", "2", "3"}}
-	if r.LastEvent == "" {
+	switch {
+	case r.LastEvent == "":
 		reply.CutAfter = 1
+	case r.URI == cutPath:
+		reply.CutAfter = 2
 	}
 	return reply
 }
 
 // startVersions starts and lists one upstream for each version.
 func startVersions(t *testing.T, store *standin.Store, versions ...string) []*standin.Replica {
+	t.Helper()
+	return startVersionsFrom(t, store, 0, versions...)
+}
+
+// startVersionsFrom is startVersions with the number of the first upstream.
+func startVersionsFrom(t *testing.T, store *standin.Store, first int, versions ...string) []*standin.Replica {
 	t.Helper()
 	var list []*standin.Replica
 	for i, version := range versions {
-		r := standin.NewReplica(t, fmt.Sprintf("i-%d-%s", i, version), breaksOff)
+		r := standin.NewReplica(t, fmt.Sprintf("i-%d-%s", first+i, version), breaksOff)
 		r.Version = version
 		store.PutReplica(r, "app", false)
 		list = append(list, r)
@@ -65,6 +80,19 @@
 	return versions
 }
 
+// hadBackup reports whether an upstream was told to keep a backup of the stream. Not every
+// stream is worth one.
+func hadBackup(replicas []*standin.Replica, attempt string) bool {
+	for _, r := range replicas {
+		for _, run := range r.Ran() {
+			if run.ID == attempt && run.BackupAt != "" {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // isMixed reports whether a stream holds events of several versions.
 func isMixed(versions []string) bool {
 	for _, v := range versions {
@@ -111,7 +139,7 @@
 			w := &testEnv{t: t, is: is, server: g.Server}
 			w.await(func() bool { return w.upstreams() == len(replicas) && w.readiness() == 200 })
 			caller := standin.NewCaller(t, g.CallersAddress())
-			whole, stated := 0, 0
+			whole, able := 0, 0
 			for i := range answeredStreams {
 				id := fmt.Sprintf("s-%d", i)
 				r := standin.Request{ID: id, URI: tt.uri}
@@ -123,14 +151,15 @@
 				if isMixed(ran) {
 					t.Errorf("%s ran at %v", id, ran)
 				}
-				if strings.HasPrefix(ran[0], "v") {
-					stated++
+				if strings.HasPrefix(ran[0], "v") && (!tt.engines || hadBackup(replicas, id)) {
+					able++
 					if a.Whole && a.Body == wholeStream {
 						whole++
 					}
 				}
 			}
-			is.True(10*whole >= 9*stated) // the share that goes on
+			is.True(able > 0)
+			is.True(10*whole >= 9*able) // the share that goes on
 		})
 	}
 }
@@ -212,6 +241,22 @@
 	return f
 }
 
+// stop stops one of the gateways.
+func (f *versionFleet) stop(g *testPeer) {
+	f.all = slices.DeleteFunc(f.all, func(other *testPeer) bool { return other == g })
+	g.stop()
+}
+
+// awaitListed waits until the gateway has the upstreams as the store lists them, which a
+// configuration that is published afterwards shows.
+func (f *versionFleet) awaitListed(g *testPeer) {
+	f.t.Helper()
+	want := g.version() + 1
+	f.store.PutConfig(configuration(want))
+	w := &testEnv{t: f.t, is: is.New(f.t)}
+	w.await(func() bool { return g.version() >= want })
+}
+
 // start starts another gateway and waits until all know it.
 func (f *versionFleet) start() *testPeer {
 	f.t.Helper()
@@ -236,3 +281,240 @@
 	w.await(func() bool { return w.readiness() == 200 })
 	return g
 }
+
+// takeUp sends a request that takes up the stream which began with the attempt.
+func takeUp(t *testing.T, g *testPeer, attempt string) standin.Answer {
+	t.Helper()
+	return streamOf(standin.NewCaller(t, g.CallersAddress()), standin.Request{ID: attempt + "-again", URI: "/brief/1", LastEvent: "1", Resumes: attempt})
+}
+
+// begin sends a request for a stream that breaks off after its first event.
+func begin(t *testing.T, g *testPeer, attempt string) {
+	t.Helper()
+	is := is.New(t)
+	a := streamOf(standin.NewCaller(t, g.CallersAddress()), standin.Request{ID: attempt, URI: "/brief/1"})
+	is.Equal(a.Status, 200)
+	is.True(!a.Whole)
+}
+
+// runs returns the number of requests that all upstreams ran.
+func runs(replicas []*standin.Replica) int {
+	n := 0
+	for _, r := range replicas {
+		n += len(r.Ran())
+	}
+	return n
+}
+
+// A gateway that cannot learn at which version a stream began refuses to take it up, truthfully
+// and with a time to return, unless a single version is proven to have served.
+func TestStreamOfUnknownVersionIsTakenUp(t *testing.T) {
+	both := []string{"v1", "v1", "v2", "v2"}
+	single := []string{"v1", "v1"}
+	tests := []struct {
+		name     string
+		versions []string
+		// first is true if the gateway starts as one of a system that starts for the first
+		// time; peer is true if another such gateway is in its fleet.
+		first, peer bool
+		resumes     string
+		goesOn      bool
+	}{
+		{name: "two versions, cut off from the gateway that began it", versions: both, first: true, resumes: "s-1"},
+		{name: "two versions, nobody knows it", versions: both, first: true, peer: true, resumes: "s-1"},
+		{name: "two versions, no attempt named", versions: both, first: true, peer: true},
+		{name: "one version, just started and alone", versions: single, resumes: "s-1"},
+		{name: "one version, just started beside another gateway", versions: single, peer: true, resumes: "s-1", goesOn: true},
+		{name: "one version since the first start", versions: single, first: true, resumes: "s-1", goesOn: true},
+		{name: "one version, no attempt named", versions: single, first: true, goesOn: true},
+		{name: "no versions stated", versions: []string{"", ""}, resumes: "s-1", goesOn: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			store := standin.NewStore(t)
+			store.PutConfig(configuration(1))
+			replicas := startVersions(t, store, tt.versions...)
+			w := &testEnv{t: t, is: is}
+			listed := func(g *testPeer) bool {
+				w.server = g.Server
+				fresh := false
+				g.control.DoWithoutCancel(func(now time.Time) { fresh = now.Sub(g.storeReadAt) < maxVersionAge })
+				return fresh && w.upstreams() == len(replicas) && w.readiness() == 200
+			}
+			begin(t, func() *testPeer {
+				g := startPeer(t, store)
+				w.await(func() bool { return listed(g) })
+				return g
+			}(), "s-1")
+			var seeds []string
+			if tt.peer {
+				peer := startPeer(t, store)
+				w.await(func() bool { return listed(peer) })
+				seeds = append(seeds, peer.PeersAddress())
+			}
+			g := startPeerWith(t, store, "a", tt.first, seeds...)
+			w.await(func() bool { n, _ := g.known(); return listed(g) && (!tt.peer || n == 2) })
+			before := runs(replicas)
+			a := streamOf(standin.NewCaller(t, g.CallersAddress()), standin.Request{ID: "again", URI: "/brief/1", LastEvent: "1", Resumes: tt.resumes})
+			if tt.goesOn {
+				is.Equal(a.Status, 200)
+				is.True(a.Whole)
+				return
+			}
+			is.Equal(a.Status, 503)
+			is.True(strings.Contains(a.Body, "version_unknown"))
+			is.True(a.RetryAfter() > 0)
+			is.Equal(runs(replicas), before) // not run
+		})
+	}
+}
+
+// While a pool has a single version, gateways exchange nothing about its streams.
+func TestSingleVersionNeedsNoExchange(t *testing.T) {
+	is := is.New(t)
+	f := startVersionFleet(t, []string{"v1", "v1"})
+	for i := range takenUpStreams {
+		id := fmt.Sprintf("s-%d", i)
+		begin(t, f.all[0], id)
+		a := takeUp(t, f.all[1], id)
+		is.Equal(a.Status, 200)
+		is.True(a.Whole)
+	}
+	for _, g := range f.all {
+		families, err := g.metrics.registry.Gather()
+		is.NoErr(err)
+		for _, call := range []string{"report_streams", "find_stream"} {
+			is.Equal(valueOf(families, "gladegauge_gateway_peer_calls_total", map[string]string{"call": call, "result": "ok"}), 0.0)
+		}
+	}
+}
+
+// The versions that serve may change between the first event and the return.
+func TestVersionsChangeBeforeStreamIsTakenUp(t *testing.T) {
+	replace := func(f *versionFleet, i int, version string) {
+		r := f.replicas[i]
+		r.Version, r.Born = version, r.Born+1
+		f.store.PutReplica(r, "app", false)
+	}
+	tests := []struct {
+		name     string
+		versions []string
+		// change changes the listed upstreams after the stream began, and wants are the IDs of
+		// those at which it may go on.
+		change func(f *versionFleet)
+		wants  []string
+	}{
+		{
+			"a rollout begins", []string{"v1", "v1"},
+			func(f *versionFleet) {
+				f.replicas = append(f.replicas, startVersionsFrom(f.t, f.store, 2, "v2", "v2", "v2", "v2")...)
+			},
+			[]string{"i-0-v1", "i-1-v1"},
+		},
+		{
+			"a rollout ends", []string{"v1", "v2", "v2", "v2"},
+			func(f *versionFleet) { f.store.RemoveReplica("i-0-v1") },
+			[]string{"i-1-v2", "i-2-v2", "i-3-v2"},
+		},
+		{
+			"a rollout goes back", []string{"v1", "v1", "v2"},
+			func(f *versionFleet) { f.store.RemoveReplica("i-2-v2") },
+			[]string{"i-0-v1", "i-1-v1"},
+		},
+		{
+			"an upstream starts again at another version", []string{"v1", "v1", "v2", "v2"},
+			func(f *versionFleet) { replace(f, 0, "v3") },
+			[]string{"i-1-v1", "i-2-v2", "i-3-v2"},
+		},
+		{
+			"all upstreams start again at another version", []string{"v1", "v1"},
+			func(f *versionFleet) { replace(f, 0, "v3"); replace(f, 1, "v3") },
+			nil,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			f := startVersionFleet(t, tt.versions)
+			began := make(map[string]string)
+			for i := range takenUpStreams {
+				id := fmt.Sprintf("s-%d", i)
+				begin(t, f.all[0], id)
+				began[id] = versionsOf(f.replicas, id)[0]
+			}
+			tt.change(f)
+			f.awaitListed(f.all[1])
+			for id, version := range began {
+				before := runsByID(f.replicas)
+				a := takeUp(t, f.all[1], id)
+				ranAt := ""
+				for replica, n := range runsByID(f.replicas) {
+					if n > before[replica] {
+						ranAt = replica
+					}
+				}
+				allowed := slices.ContainsFunc(tt.wants, func(id string) bool { return strings.HasSuffix(id, version) })
+				is.Equal(a.Status == 200, allowed)
+				is.Equal(ranAt != "", allowed)
+				is.True(ranAt == "" || (slices.Contains(tt.wants, ranAt) && strings.HasSuffix(ranAt, version)))
+			}
+		})
+	}
+}
+
+// runsByID returns the number of requests that each upstream ran.
+func runsByID(replicas []*standin.Replica) map[string]int {
+	n := make(map[string]int)
+	for _, r := range replicas {
+		n[r.ID] = len(r.Ran())
+	}
+	return n
+}
+
+// A caller names the attempt that brought its first event, however often it comes back. All
+// gateways that have sent it events may be gone by then.
+func TestStreamIsTakenUpAgain(t *testing.T) {
+	is := is.New(t)
+	f := startVersionFleet(t, nil)
+	first, second := f.all[2], f.all[1]
+	for i := range takenUpStreams {
+		begin(t, first, fmt.Sprintf("s-%d", i))
+	}
+	f.start()
+	f.stop(first)
+	for i := range takenUpStreams {
+		id := fmt.Sprintf("s-%d", i)
+		a := streamOf(standin.NewCaller(t, second.CallersAddress()), standin.Request{ID: id + "-second", URI: cutPath, LastEvent: "1", Resumes: id})
+		is.Equal(a.Status, 200)
+	}
+	last := f.start()
+	f.stop(second)
+	goneOn := 0
+	for i := range takenUpStreams {
+		id := fmt.Sprintf("s-%d", i)
+		a := streamOf(standin.NewCaller(t, last.CallersAddress()), standin.Request{ID: id + "-third", URI: "/brief/1", LastEvent: "2", Resumes: id})
+		if a.Status == 200 && a.Whole {
+			goneOn++
+		}
+		if ran := versionsOf(f.replicas, id); isMixed(ran) {
+			t.Errorf("%s ran at %v", id, ran)
+		}
+	}
+	is.True(goneOn >= minTakenUp)
+}
+
+// A message with too many streams is rejected; an unstated version is dropped.
+func TestInvalidStreamReports(t *testing.T) {
+	is := is.New(t)
+	f := startVersionFleet(t, []string{"v1", "v2"})
+	g := f.all[0]
+	many := &gladegaugev1.ReportStreamsRequest{Streams: []*gladegaugev1.BegunStreams{{Version: 1, Attempts: make([]uint64, maxReceivedStreams+1)}}}
+	_, err := f.all[1].peer(g.PeersAddress()).ReportStreams(context.Background(), connect.NewRequest(many))
+	is.True(err != nil)
+	is.True(strings.Contains(err.Error(), "streams.attempts"))
+	unstated := &gladegaugev1.ReportStreamsRequest{Streams: []*gladegaugev1.BegunStreams{{Attempts: []uint64{7}}}}
+	_, err = f.all[1].peer(g.PeersAddress()).ReportStreams(context.Background(), connect.NewRequest(unstated))
+	is.NoErr(err)
+	g.control.DoWithoutCancel(func(time.Time) { is.Equal(g.streams.reported.Len(), 0) })
+}
--- a/internal/gen/gladegauge/v1/gladegaugev1connect/gateway.connect.go
+++ b/internal/gen/gladegauge/v1/gladegaugev1connect/gateway.connect.go
@@ -43,6 +43,12 @@
 	// GatewayServiceBorrowTurnProcedure is the fully-qualified name of the GatewayService's BorrowTurn
 	// RPC.
 	GatewayServiceBorrowTurnProcedure = "/gladegauge.v1.GatewayService/BorrowTurn"
+	// GatewayServiceReportStreamsProcedure is the fully-qualified name of the GatewayService's
+	// ReportStreams RPC.
+	GatewayServiceReportStreamsProcedure = "/gladegauge.v1.GatewayService/ReportStreams"
+	// GatewayServiceFindStreamProcedure is the fully-qualified name of the GatewayService's FindStream
+	// RPC.
+	GatewayServiceFindStreamProcedure = "/gladegauge.v1.GatewayService/FindStream"
 )
 
 // GatewayServiceClient is a client for the gladegauge.v1.GatewayService service.
@@ -57,6 +63,11 @@
 	TellLoads(context.Context, *connect.Request[v1.TellLoadsRequest]) (*connect.Response[v1.TellLoadsResponse], error)
 	// BorrowTurn asks a gateway that holds turns at a rate-limited upstream for one of them.
 	BorrowTurn(context.Context, *connect.Request[v1.BorrowTurnRequest]) (*connect.Response[v1.BorrowTurnResponse], error)
+	// ReportStreams reports at which software versions streams began at the caller, so that they
+	// can be taken up elsewhere after the caller is gone.
+	ReportStreams(context.Context, *connect.Request[v1.ReportStreamsRequest]) (*connect.Response[v1.ReportStreamsResponse], error)
+	// FindStream asks at which software version a stream began.
+	FindStream(context.Context, *connect.Request[v1.FindStreamRequest]) (*connect.Response[v1.FindStreamResponse], error)
 }
 
 // NewGatewayServiceClient constructs a client for the gladegauge.v1.GatewayService service. By
@@ -94,15 +105,29 @@
 			connect.WithSchema(gatewayServiceMethods.ByName("BorrowTurn")),
 			connect.WithClientOptions(opts...),
 		),
+		reportStreams: connect.NewClient[v1.ReportStreamsRequest, v1.ReportStreamsResponse](
+			httpClient,
+			baseURL+GatewayServiceReportStreamsProcedure,
+			connect.WithSchema(gatewayServiceMethods.ByName("ReportStreams")),
+			connect.WithClientOptions(opts...),
+		),
+		findStream: connect.NewClient[v1.FindStreamRequest, v1.FindStreamResponse](
+			httpClient,
+			baseURL+GatewayServiceFindStreamProcedure,
+			connect.WithSchema(gatewayServiceMethods.ByName("FindStream")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // gatewayServiceClient implements GatewayServiceClient.
 type gatewayServiceClient struct {
-	exchange   *connect.Client[v1.GatewayExchangeRequest, v1.GatewayExchangeResponse]
-	follow     *connect.Client[v1.FollowRequest, v1.FollowResponse]
-	tellLoads  *connect.Client[v1.TellLoadsRequest, v1.TellLoadsResponse]
-	borrowTurn *connect.Client[v1.BorrowTurnRequest, v1.BorrowTurnResponse]
+	exchange      *connect.Client[v1.GatewayExchangeRequest, v1.GatewayExchangeResponse]
+	follow        *connect.Client[v1.FollowRequest, v1.FollowResponse]
+	tellLoads     *connect.Client[v1.TellLoadsRequest, v1.TellLoadsResponse]
+	borrowTurn    *connect.Client[v1.BorrowTurnRequest, v1.BorrowTurnResponse]
+	reportStreams *connect.Client[v1.ReportStreamsRequest, v1.ReportStreamsResponse]
+	findStream    *connect.Client[v1.FindStreamRequest, v1.FindStreamResponse]
 }
 
 // Exchange calls gladegauge.v1.GatewayService.Exchange.
@@ -125,6 +150,16 @@
 	return c.borrowTurn.CallUnary(ctx, req)
 }
 
+// ReportStreams calls gladegauge.v1.GatewayService.ReportStreams.
+func (c *gatewayServiceClient) ReportStreams(ctx context.Context, req *connect.Request[v1.ReportStreamsRequest]) (*connect.Response[v1.ReportStreamsResponse], error) {
+	return c.reportStreams.CallUnary(ctx, req)
+}
+
+// FindStream calls gladegauge.v1.GatewayService.FindStream.
+func (c *gatewayServiceClient) FindStream(ctx context.Context, req *connect.Request[v1.FindStreamRequest]) (*connect.Response[v1.FindStreamResponse], error) {
+	return c.findStream.CallUnary(ctx, req)
+}
+
 // GatewayServiceHandler is an implementation of the gladegauge.v1.GatewayService service.
 type GatewayServiceHandler interface {
 	// Exchange exchanges what two gateways know about all gateways.
@@ -137,6 +172,11 @@
 	TellLoads(context.Context, *connect.Request[v1.TellLoadsRequest]) (*connect.Response[v1.TellLoadsResponse], error)
 	// BorrowTurn asks a gateway that holds turns at a rate-limited upstream for one of them.
 	BorrowTurn(context.Context, *connect.Request[v1.BorrowTurnRequest]) (*connect.Response[v1.BorrowTurnResponse], error)
+	// ReportStreams reports at which software versions streams began at the caller, so that they
+	// can be taken up elsewhere after the caller is gone.
+	ReportStreams(context.Context, *connect.Request[v1.ReportStreamsRequest]) (*connect.Response[v1.ReportStreamsResponse], error)
+	// FindStream asks at which software version a stream began.
+	FindStream(context.Context, *connect.Request[v1.FindStreamRequest]) (*connect.Response[v1.FindStreamResponse], error)
 }
 
 // NewGatewayServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -170,6 +210,18 @@
 		connect.WithSchema(gatewayServiceMethods.ByName("BorrowTurn")),
 		connect.WithHandlerOptions(opts...),
 	)
+	gatewayServiceReportStreamsHandler := connect.NewUnaryHandler(
+		GatewayServiceReportStreamsProcedure,
+		svc.ReportStreams,
+		connect.WithSchema(gatewayServiceMethods.ByName("ReportStreams")),
+		connect.WithHandlerOptions(opts...),
+	)
+	gatewayServiceFindStreamHandler := connect.NewUnaryHandler(
+		GatewayServiceFindStreamProcedure,
+		svc.FindStream,
+		connect.WithSchema(gatewayServiceMethods.ByName("FindStream")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/gladegauge.v1.GatewayService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case GatewayServiceExchangeProcedure:
@@ -180,6 +232,10 @@
 			gatewayServiceTellLoadsHandler.ServeHTTP(w, r)
 		case GatewayServiceBorrowTurnProcedure:
 			gatewayServiceBorrowTurnHandler.ServeHTTP(w, r)
+		case GatewayServiceReportStreamsProcedure:
+			gatewayServiceReportStreamsHandler.ServeHTTP(w, r)
+		case GatewayServiceFindStreamProcedure:
+			gatewayServiceFindStreamHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -204,3 +260,11 @@
 func (UnimplementedGatewayServiceHandler) BorrowTurn(context.Context, *connect.Request[v1.BorrowTurnRequest]) (*connect.Response[v1.BorrowTurnResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("gladegauge.v1.GatewayService.BorrowTurn is not implemented"))
 }
+
+func (UnimplementedGatewayServiceHandler) ReportStreams(context.Context, *connect.Request[v1.ReportStreamsRequest]) (*connect.Response[v1.ReportStreamsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("gladegauge.v1.GatewayService.ReportStreams is not implemented"))
+}
+
+func (UnimplementedGatewayServiceHandler) FindStream(context.Context, *connect.Request[v1.FindStreamRequest]) (*connect.Response[v1.FindStreamResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("gladegauge.v1.GatewayService.FindStream is not implemented"))
+}
