balance: retry delay of a stream by its software version

Change: Table.RetryAfter takes the request and looks at upstreams of its version only. Requests without a version get the same delays as before. TestRetryAfterByVersion (new): over a second for v1 in backoff, nothing for v2. Callers of the old signature in tests pass the same pool and hash.

--- a/internal/core/balance/limited_test.go
+++ b/internal/core/balance/limited_test.go
@@ -209,13 +209,13 @@
 func TestRetryAfterWithoutTurn(t *testing.T) {
 	is := is.New(t)
 	table := limitedTable(2, 1, 1)
-	after, limited := table.RetryAfter(at(10), "p", 0)
+	after, limited := table.RetryAfter(at(10), Request{Pool: "p", Hash: 0})
 	is.True(limited)
 	is.True(after > time.Second && after < 1200*time.Millisecond)
 	latest := func(ms int) time.Duration {
 		most := time.Duration(0)
 		for i := range uint64(rendezvous.FractionSteps) {
-			after, _ := table.RetryAfter(at(ms), "p", i)
+			after, _ := table.RetryAfter(at(ms), Request{Pool: "p", Hash: i})
 			most = max(most, after)
 		}
 		return most
@@ -226,7 +226,7 @@
 	is.True(latest(210) < 6*time.Second)
 	in := table.pools["p"].members[0].Instance
 	table.Notice(at(300), in, notice.Notice{SentAt: at(250)})
-	after, _ = table.RetryAfter(at(310), "p", 0)
+	after, _ = table.RetryAfter(at(310), Request{Pool: "p", Hash: 0})
 	is.Equal(after, time.Duration(0)) // one has no limit
 }
 
--- a/internal/core/balance/notices_test.go
+++ b/internal/core/balance/notices_test.go
@@ -124,7 +124,7 @@
 	is.True(table.pools["p"].mayEject(at(1)))
 	members[2].health = members[2].health.WithExclusion(at(1), time.Minute)
 	is.True(!table.pools["p"].mayEject(at(1))) // at most one of the two remaining
-	after, _ := table.RetryAfter(at(1), "p", 0)
+	after, _ := table.RetryAfter(at(1), Request{Pool: "p", Hash: 0})
 	is.Equal(after, time.Duration(0))
 	c, ok := table.Pick(at(3000), plainRequest(1))
 	is.True(ok)
@@ -151,13 +151,13 @@
 	is.True(!ok)
 	earliest, latest := time.Hour, time.Duration(0)
 	for i := range uint64(rendezvous.FractionSteps) {
-		after, _ := table.RetryAfter(at(500), "p", i)
+		after, _ := table.RetryAfter(at(500), Request{Pool: "p", Hash: i})
 		earliest, latest = min(earliest, after), max(latest, after)
 	}
 	is.Equal(earliest, 1500*time.Millisecond)
 	is.True(latest > 2200*time.Millisecond && latest <= 2250*time.Millisecond)
 	table.SetInstances(at(600), append(listOf(table), Instance{ID: "new", Address: "n", Zone: "a", Pool: "p", Slots: 8}))
-	after, _ := table.RetryAfter(at(600), "p", 0)
+	after, _ := table.RetryAfter(at(600), Request{Pool: "p", Hash: 0})
 	is.Equal(after, time.Duration(0))
 }
 
--- a/internal/core/balance/pick.go
+++ b/internal/core/balance/pick.go
@@ -100,7 +100,12 @@
 
 // mayRunAt reports whether the request allows the upstream.
 func (r Request) mayRunAt(u *upstream) bool {
-	return !slices.Contains(r.Exclude, u.ID) && (r.Version == rollout.Unstated || r.Version == u.version)
+	return !slices.Contains(r.Exclude, u.ID) && r.allowsVersion(u)
+}
+
+// allowsVersion reports whether the request allows the software version of the upstream.
+func (r Request) allowsVersion(u *upstream) bool {
+	return r.Version == rollout.Unstated || r.Version == u.version
 }
 
 // Pick chooses an upstream and counts the request there until Ended. It returns false if
--- a/internal/core/balance/replay_backoff_test.go
+++ b/internal/core/balance/replay_backoff_test.go
@@ -60,7 +60,7 @@
 	r.after(1, func() {
 		g.table.Notice(r.now, c.Instance, notice.Notice{Backoff: requestedBackoff})
 		g.table.Ended(r.now, c, Refused, Answer{})
-		left, _ := g.table.RetryAfter(r.now, "p", uint64(r.now.UnixNano()))
+		left, _ := g.table.RetryAfter(r.now, Request{Pool: "p", Hash: uint64(r.now.UnixNano())})
 		r.rejected(q, max(refusedRetryAfter, left))
 	})
 }
--- a/internal/core/balance/replay_simulation_test.go
+++ b/internal/core/balance/replay_simulation_test.go
@@ -282,7 +282,7 @@
 // rejectedInBackoff makes the caller of a request without an upstream retry if all
 // engines are backing off.
 func (r *replay) rejectedInBackoff(q *replayRequest) {
-	left, _ := q.gateway.table.RetryAfter(r.now, "p", uint64(r.now.UnixNano()))
+	left, _ := q.gateway.table.RetryAfter(r.now, Request{Pool: "p", Hash: uint64(r.now.UnixNano())})
 	if left == 0 {
 		r.count(q.class, refusedResult)
 		return
--- a/internal/core/balance/retry_after.go
+++ b/internal/core/balance/retry_after.go
@@ -20,16 +20,16 @@
 const maxTurnBacklog = 4 * time.Second
 
 // RetryAfter returns the time after which a caller should retry if all available upstreams
-// of the pool are backing off, are at their slow-start limit, or have a rate limit: the time
-// until the first of them accepts more, plus jitter. It is 0 if there is any other
-// upstream. isLimited reports that the rate limits are the reason.
-func (t *Table) RetryAfter(now time.Time, pool string, hash uint64) (after time.Duration, isLimited bool) {
-	p, ok := t.pools[pool]
+// of the request's pool and software version are backing off, are at their slow-start limit,
+// or have a rate limit: the time until the first of them accepts more, plus jitter. It is 0 if
+// there is any other upstream. isLimited reports that the rate limits are the reason.
+func (t *Table) RetryAfter(now time.Time, r Request) (after time.Duration, isLimited bool) {
+	p, ok := t.pools[r.Pool]
 	if !ok {
 		return 0, false
 	}
 	for _, u := range p.members {
-		if !u.open() || u.gone(now) {
+		if !r.allowsVersion(u) || !u.open() || u.gone(now) {
 			continue
 		}
 		left := u.notices.BackoffUntil().Sub(now)
@@ -50,7 +50,7 @@
 	if isLimited {
 		spread = max(spread, t.turnBacklog(now, p))
 	}
-	return after + time.Duration(float64(spread)*rendezvous.Fraction(hash)), isLimited
+	return after + time.Duration(float64(spread)*rendezvous.Fraction(r.Hash)), isLimited
 }
 
 // turnBacklog is the time over which callers without a turn retry: until all gateways
--- a/internal/core/balance/version_test.go
+++ b/internal/core/balance/version_test.go
@@ -161,3 +161,24 @@
 		})
 	}
 }
+
+// A caller whose stream finds no upstream of its version is told when one of that version
+// accepts requests again, although others do so now.
+func TestRetryAfterByVersion(t *testing.T) {
+	is := is.New(t)
+	table := versionedEngines(t, "v1", "v1", "v2")
+	for _, u := range table.pools["p"].members {
+		if u.Version == "v1" {
+			table.Notice(t0, u.Instance, notice.Notice{Backoff: 2 * time.Second, SentAt: t0.Add(-1)})
+		}
+	}
+	r := Request{Pool: "p"}
+	after, _ := table.RetryAfter(at(1), r)
+	is.Equal(after, time.Duration(0))
+	r.Version = rollout.VersionOf("p", "v1")
+	after, _ = table.RetryAfter(at(1), r)
+	is.True(after > time.Second)
+	r.Version = rollout.VersionOf("p", "v2")
+	after, _ = table.RetryAfter(at(1), r)
+	is.Equal(after, time.Duration(0))
+}
--- a/internal/core/gateway/refusal.go
+++ b/internal/core/gateway/refusal.go
@@ -84,7 +84,12 @@
 // ForLackOfUpstream reports whether the request has not run because no upstream accepted
 // it.
 func (r *Refusal) ForLackOfUpstream() bool {
-	return r.NotRun && (r.Reason == NoUpstream || r.Reason == RefusedByAll || r.Reason == Unreachable)
+	switch r.Reason {
+	case NoUpstream, RefusedByAll, Unreachable, VersionUnavailable:
+		return r.NotRun
+	default:
+		return false
+	}
 }
 
 // WithBackoff returns a refusal that tells the caller to retry after left, the time until
--- a/internal/edge/gatewayd/respond.go
+++ b/internal/edge/gatewayd/respond.go
@@ -60,7 +60,7 @@
 	var delay time.Duration
 	var limited bool
 	x.server.control.DoWithoutCancel(func(now time.Time) {
-		delay, limited = x.server.table.RetryAfter(now, x.admission.Pool, uint64(x.startedAt.UnixNano()))
+		delay, limited = x.server.table.RetryAfter(now, x.balanceRequest())
 	})
 	if limited {
 		return refusal.WithLimit(delay)
