soak: two software versions, and callers that take streams up

Replicas of two software versions serve side by side, and rollouts go forward and back beside kills, freezes, stops, cut links, evacuations, limits, crashes and restored stores. Callers take streams up at random gateways up to three times, and wait as told.

What the checks detect is tested on records (TestChecksDetectViolations, TestReturnsAreCounted).

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -38,26 +38,36 @@
 
 // runCaller sends the requests of the n-th caller, one after the other.
 func (h *Harness) runCaller(ctx context.Context, n int, rng *rand.Rand) {
-	kinds := []string{kindRead, kindRead, kindWrite, kindChat, kindNote}
+	kinds := []string{kindRead, kindRead, kindWrite, kindChat, kindNote, kindBrief, kindBrief}
 	clients := make([]*standin.Caller, len(h.procs))
 	for i, p := range h.procs {
 		clients[i] = standin.NewCaller(h.t, p.settings.Callers)
 	}
 	for i := 0; ctx.Err() == nil; i++ {
-		kind, key, to := kinds[rng.IntN(len(kinds))], h.key(rng), rng.IntN(len(h.procs))
-		c := Call{ID: fmt.Sprintf("%s-%d-%d", kind, n, i), Kind: kind, Key: key, Gateway: to, Incarnation: h.procs[to].currentIncarnation(), Sent: time.Now()}
-		a := send(ctx, clients[to], newRequest(c, rng.IntN(pathsPerKind)))
-		c.Done, c.Status, c.Whole, c.Sealed, c.Body = time.Now(), a.Status, a.Whole, a.Sealed(), a.Body
-		c.LeavingReplica, c.LimitedReplica = a.LeavingReplica(), a.LimitedReplica()
-		h.record.addCall(c)
+		kind, key := kinds[rng.IntN(len(kinds))], h.key(rng)
+		c := Call{ID: fmt.Sprintf("%s-%d-%d", kind, n, i), Kind: kind, Key: key}
+		c, _ = h.call(ctx, clients, rng, c)
+		h.takeUp(ctx, clients, rng, c)
 		time.Sleep(randomBelow(rng, 2*thinkTime))
 	}
 }
 
+// call makes a call at a random gateway, records it and returns it with its response.
+func (h *Harness) call(ctx context.Context, clients []*standin.Caller, rng *rand.Rand, c Call) (Call, standin.Answer) {
+	c.Gateway = rng.IntN(len(h.procs))
+	c.Incarnation, c.Sent = h.procs[c.Gateway].currentIncarnation(), time.Now()
+	a := send(ctx, clients[c.Gateway], newRequest(c, rng.IntN(pathsPerKind)))
+	c.Done, c.Status, c.Whole, c.Sealed, c.Body = time.Now(), a.Status, a.Whole, a.Sealed(), a.Body
+	c.LeavingReplica, c.LimitedReplica = a.LeavingReplica(), a.LimitedReplica()
+	h.record.addCall(c)
+	return c, a
+}
+
 // newRequest returns the request for a call, to a path of its kind.
 func newRequest(c Call, path int) standin.Request {
 	req := standin.Request{
 		ID: c.ID, Host: host, URI: "/" + c.Kind + "/" + strconv.Itoa(path), Key: c.Key, Body: "x", DeadlineMs: callTimeoutMs,
+		Resumes: c.Resumes, LastEvent: c.LastEvent,
 	}
 	if isStream(c.Kind) {
 		req.Tokens, req.PromptParts = "100,200", "aa:60,bb:40"
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -35,6 +35,7 @@
 	{"at most once", atMostOnce},
 	{"rejected requests did not run", rejectedNotRun},
 	{"responses are complete and belong to the request", responsesComplete},
+	{"streams hold events of one software version", streamsOfOneVersion},
 	{"valid keys are accepted", validKeysAccepted},
 	{"revoked keys are rejected", revokedKeysRejected},
 	{"configuration versions never go back", configurationMonotonic},
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -25,7 +26,7 @@
 	add := func(id, kind string, sent float64) {
 		r.Calls = append(r.Calls, Call{
 			ID: id, Kind: kind, Key: permanentKey, Incarnation: 1, Sent: at(sent), Done: at(sent + 0.1),
-			Status: http.StatusOK, Whole: true, Sealed: true, Body: expectedBody(kind, id),
+			Status: http.StatusOK, Whole: true, Sealed: true, Body: expectedBody(kind, id, ""),
 		})
 		r.Runs = append(r.Runs, Run{ID: id, Replica: "i-1", At: at(sent + 0.05), Organisation: organisationPrefix + "1"})
 	}
@@ -55,6 +56,58 @@
 	}
 }
 
+// addStream adds a stream of which each call brings one event for each software version, and
+// the last one the rest.
+func (r *Record) addStream(calls ...[]string) {
+	sent, last := 12.0, 0
+	for i, versions := range calls {
+		c := Call{ID: fmt.Sprint("s-", i), Kind: kindBrief, Key: permanentKey, Incarnation: 1, Sent: at(sent), Done: at(sent + 0.1), Status: http.StatusOK, Sealed: true}
+		if i > 0 {
+			c.Resumes, c.LastEvent = "s-0", strconv.Itoa(last)
+		}
+		for _, version := range versions {
+			last++
+			c.Body += fmt.Sprintf("id: %d\ndata: %s-%d %s\n\n", last, c.ID, last, version)
+		}
+		r.Calls = append(r.Calls, c)
+		sent++
+	}
+}
+
+// The share of the streams taken up counts only those whose version is served by two replicas,
+// at gateways without faults.
+func TestReturnsAreCounted(t *testing.T) {
+	tests := []struct {
+		name   string
+		mutate func(r *Record)
+		want   Returns
+	}{
+		{"all go on", func(*Record) {}, Returns{New: 1, Begun: 1, TakenUp: 2, GoneOn: 2}},
+		{"one is refused", func(r *Record) {
+			c := &r.Calls[len(r.Calls)-1]
+			c.Status, c.Body = http.StatusServiceUnavailable, ""
+		}, Returns{New: 1, Begun: 1, TakenUp: 2, GoneOn: 1}},
+		{"one replica of the version is left", func(r *Record) { r.Draining["i-2"] = at(11) }, Returns{New: 1, Begun: 1}},
+		{"the gateway was killed just before the first return", func(r *Record) {
+			r.Events = append(r.Events, Event{At: at(12.5), Name: "kill", Gateway: 0, Until: at(12.7)})
+		}, Returns{New: 1, Begun: 1, TakenUp: 1, GoneOn: 1}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := validRecord()
+			for _, replica := range []string{"i-1", "i-2"} {
+				r.addStart(replica, "z0", "s1", at(1))
+			}
+			r.addStart("i-3", "z0", "s2", at(1))
+			r.addStream([]string{"s1"}, []string{"s1"}, []string{"s1"})
+			tt.mutate(r)
+			var got Returns
+			r.addReturns(&got)
+			is.New(t).Equal(got, tt.want)
+		})
+	}
+}
+
 // reassignKey assigns the runs of these crashing calls to another organisation, as if the
 // configuration had given it the key.
 func (r *Record) reassignKey(from, to int) {
@@ -134,11 +187,18 @@
 		}},
 		{"rejected requests did not run", func(r *Record) { r.Calls[0].Status = http.StatusServiceUnavailable }},
 		{"rejected requests did not run", func(r *Record) { r.Calls[0].Status = http.StatusTooManyRequests }},
-		{"responses are complete and belong to the request", func(r *Record) { r.Calls[0].Body = expectedBody(kindWrite, "x") }},
+		{"responses are complete and belong to the request", func(r *Record) { r.Calls[0].Body = expectedBody(kindWrite, "x", "") }},
 		{"responses are complete and belong to the request", func(r *Record) { r.Calls[1].Body = r.Calls[1].Body[:30] }},
 		{"responses are complete and belong to the request", func(r *Record) { r.Calls[1].Body, r.Calls[1].Whole = "id: 2", false }},
 		{"responses are complete and belong to the request", func(r *Record) { r.Calls[0].Sealed = false }},
 		{"", func(r *Record) { r.Calls[1].Body, r.Calls[1].Whole = r.Calls[1].Body[:30], false }},
+		{"", func(r *Record) { r.addStream([]string{"s1", "s1"}, []string{"s1"}, []string{"s1", "s1"}) }},
+		{"streams hold events of one software version", func(r *Record) { r.addStream([]string{"s1"}, []string{"s1"}, []string{"s2"}) }},
+		{"streams hold events of one software version", func(r *Record) { r.addStream([]string{"s1", "s2"}) }},
+		{"responses are complete and belong to the request", func(r *Record) {
+			r.addStream([]string{"s1"}, []string{"s1"})
+			r.Calls[len(r.Calls)-1].LastEvent = "2" // one event is missing
+		}},
 		{"valid keys are accepted", func(r *Record) { r.Calls[0].Status, r.Runs = http.StatusUnauthorized, r.Runs[1:] }},
 		{"revoked keys are rejected", func(r *Record) { r.Calls[0].Key = "old" }},
 		{"requests that crash replicas are blocked", func(r *Record) { r.addCrashes(3, 4, 5, 10, 11, 12, 13) }},
--- a/internal/soak/crashes.go
+++ b/internal/soak/crashes.go
@@ -85,7 +85,7 @@
 	defer h.mu.Unlock()
 	for i, r := range h.replicas {
 		if r.Crashed() {
-			h.replicas[i] = h.startReplica(r.ID, r.Zone)
+			h.replicas[i] = h.startReplica(r.ID, r.Zone, r.Version)
 		}
 	}
 }
--- a/internal/soak/false_reports.go
+++ b/internal/soak/false_reports.go
@@ -35,7 +35,7 @@
 	self := &gladegaugev1.GatewayMember{Address: fakeGatewayAddress, Zone: zoneOf(0), Start: 1}
 	for loop.Sleep(ctx, falseReportInterval) {
 		self.Beat++
-		heartbeat := &gladegaugev1.GatewayExchangeRequest{Members: []*gladegaugev1.GatewayMember{self}, Known: gatewayCount}
+		heartbeat := &gladegaugev1.GatewayExchangeRequest{Members: []*gladegaugev1.GatewayMember{self}, Known: uint32(len(h.procs))}
 		report := &gladegaugev1.TellLoadsRequest{Gateway: fakeGatewayAddress, Loads: h.falseReports()}
 		for _, p := range h.procs {
 			gateway := gladegaugev1connect.NewGatewayServiceClient(client, "http://"+p.settings.Peers)
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -111,7 +111,9 @@
 	h.mu.Lock()
 	r := h.replicas[rng.IntN(len(h.replicas))]
 	h.mu.Unlock()
-	h.recordDuring("link to a replica", noGateway, func() { failLink(r.link, rng, d) })
+	at := time.Now()
+	failLink(r.link, rng, d)
+	h.record.addEvent(Event{At: at, Name: "link to a replica", Gateway: noGateway, Replica: r.ID, Until: time.Now()})
 }
 
 // exclusively runs action unless another fault affects the process at the moment.
@@ -181,13 +183,17 @@
 	h.record.addRevocation(old, time.Now())
 }
 
-// replaceReplica starts a replica, lists another one as draining, and removes that one
-// from the store after a while.
+// replaceReplica starts a replica and drains another one.
 func (h *Harness) replaceReplica(rng *rand.Rand, d time.Duration) {
 	h.mu.Lock()
 	r := h.swapReplica(rng)
-	h.store.PutReplica(r.WithAddress(r.link.Address()), pool, true)
 	h.mu.Unlock()
+	h.drain(r, d)
+}
+
+// drain lists a replica as draining, and removes it from the store after a while.
+func (h *Harness) drain(r *replica, d time.Duration) {
+	h.store.PutReplica(r.WithAddress(r.link.Address()), pool, true)
 	h.record.addDraining(r.ID, time.Now())
 	time.Sleep(d)
 	h.store.RemoveReplica(r.ID)
--- a/internal/soak/harness.go
+++ b/internal/soak/harness.go
@@ -12,9 +12,8 @@
 
 // Sizes of the deployment.
 const (
-	gatewayCount = 4
 	zoneCount    = 2
-	replicaCount = 4
+	replicaCount = 8
 	callerCount  = 8
 	// seedPeerCount is the number of gateways that the others know from the start.
 	seedPeerCount = 3
@@ -47,10 +46,13 @@
 	limits map[string]Limit
 	// nextReplica is the number of the next replica.
 	nextReplica int
+	// software is the number of the version that is rolled out; the one before it serves as
+	// well.
+	software int
 }
 
-// NewHarness starts all processes. Their settings files are in dir.
-func NewHarness(t standin.Owner, binary, dir string, seed uint64) *Harness {
+// NewHarness starts all processes, so many gateways among them. Their settings files are in dir.
+func NewHarness(t standin.Owner, binary, dir string, gateways int, seed uint64) *Harness {
 	t.Helper()
 	h := &Harness{
 		t:              t,
@@ -61,13 +63,14 @@
 		nextRevokedKey: "spare-0",
 		shedding:       make(map[string]shedding),
 		limits:         make(map[string]Limit),
+		software:       1,
 	}
 	h.publish()
 	for range replicaCount {
 		h.addReplica()
 	}
 	var addresses []string
-	for n := range gatewayCount {
+	for n := range gateways {
 		p := h.newProcess(n, dir)
 		addresses = append(addresses, p.settings.Peers)
 		h.procs = append(h.procs, p)
--- a/internal/soak/publish.go
+++ b/internal/soak/publish.go
@@ -37,6 +37,7 @@
 			route(kindWrite, "non_idempotent", 2, false),
 			route(kindChat, "streaming", 1, false),
 			route(kindNote, "streaming", 2, true),
+			route(kindBrief, "streaming", 1, true),
 		},
 		Keys: map[string][]string{organisationOf(h.version): {permanentKey, h.nextRevokedKey}},
 	})
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -10,6 +10,10 @@
 	ID   string
 	Kind string
 	Key  string
+	// Resumes is the first attempt of the stream that the call takes up, and LastEvent the
+	// last event that its caller has; both are empty for other calls.
+	Resumes   string
+	LastEvent string
 	// Gateway and Incarnation identify the process that received the request. Incarnation
 	// counts the starts of the gateway.
 	Gateway     int
@@ -47,6 +51,8 @@
 	Name string
 	// Gateway is the number of the affected gateway, everyGateway or noGateway.
 	Gateway int
+	// Replica is the affected replica, if only that one is.
+	Replica string
 	// Until is when the effect on that gateway or link ended.
 	Until time.Time
 }
@@ -74,8 +80,10 @@
 	Revoked  map[string]time.Time
 	Versions map[int64]time.Time
 	Draining map[string]time.Time
-	// Zones maps a replica to its availability zone.
-	Zones map[string]string
+	// Zones maps a replica to its availability zone, and Software to the versions of its
+	// starts.
+	Zones    map[string]string
+	Software map[string][]string
 	// Starts maps a replica to the times of its starts.
 	Starts        map[string][]time.Time
 	Arrivals      []Arrival
@@ -90,6 +98,7 @@
 		Versions: make(map[int64]time.Time),
 		Draining: make(map[string]time.Time),
 		Zones:    make(map[string]string),
+		Software: make(map[string][]string),
 		Starts:   make(map[string][]time.Time),
 	}
 }
@@ -145,11 +154,12 @@
 	r.Draining[replica] = at
 }
 
-// addStart records a start of a replica and its availability zone.
-func (r *Record) addStart(replica, zone string, at time.Time) {
+// addStart records a start of a replica, its availability zone and its software version.
+func (r *Record) addStart(replica, zone, software string, at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.Zones[replica] = zone
+	r.Software[replica] = append(r.Software[replica], software)
 	r.Starts[replica] = append(r.Starts[replica], at)
 }
 
--- a/internal/soak/replicas.go
+++ b/internal/soak/replicas.go
@@ -21,17 +21,18 @@
 func (h *Harness) addReplica() {
 	id := fmt.Sprintf("i-%d", h.nextReplica)
 	h.nextReplica++
-	h.replicas = append(h.replicas, h.startReplica(id, zoneOf(h.nextReplica)))
+	h.replicas = append(h.replicas, h.startReplica(id, zoneOf(h.nextReplica), h.nextSoftware()))
 }
 
-// startReplica starts a replica under the identity and lists it.
-func (h *Harness) startReplica(id, zone string) *replica {
+// startReplica starts a replica of a software version under the identity and lists it.
+func (h *Harness) startReplica(id, zone, software string) *replica {
 	delete(h.limits, id) // The new incarnation has not announced a limit.
 	r := &replica{}
-	r.Replica = standin.NewReplica(h.t, id, func(_ int, req standin.Request) standin.Reply { return h.reply(id, req) })
+	r.Replica = standin.NewReplica(h.t, id, func(_ int, req standin.Request) standin.Reply { return h.reply(id, software, req) })
 	r.Zone = zone
+	r.Version = software
 	r.Born = time.Now().UnixMilli()
-	h.record.addStart(id, r.Zone, time.Now())
+	h.record.addStart(id, r.Zone, software, time.Now())
 	r.link = h.link(r.Address())
 	h.putEntry(r)
 	return r
@@ -68,8 +69,8 @@
 
 // reply returns a replica's response to a request, with the rate limit that the replica
 // announces and its load.
-func (h *Harness) reply(id string, req standin.Request) standin.Reply {
-	reply := h.handle(id, req)
+func (h *Harness) reply(id, software string, req standin.Request) standin.Reply {
+	reply := h.handle(id, software, req)
 	reply.RateLimit = h.currentLimit(id)
 	reply.Load = reportedLoads[xxhash.Sum64String(req.ID)%uint64(len(reportedLoads))]
 	return reply
@@ -83,7 +84,7 @@
 }
 
 // handle returns a replica's response to a request. Some of them are faulty.
-func (h *Harness) handle(id string, req standin.Request) standin.Reply {
+func (h *Harness) handle(id, software string, req standin.Request) standin.Reply {
 	if s, ok := h.currentShedding(id); ok {
 		h.record.addArrival(Arrival{ID: req.ID, Replica: id, At: time.Now(), RetryAfter: s.retryAfter})
 		return s.reply()
@@ -99,7 +100,7 @@
 		return h.crashReplica(id)
 	}
 	h.record.addRun(Run{ID: req.ID, Replica: id, At: time.Now(), Organisation: req.Tenant, Continues: continues})
-	reply := successReply(req)
+	reply := successReply(req, software)
 	roll -= refusePercent
 	for _, m := range replyFaults {
 		if roll -= m.percent; roll < 0 {
@@ -122,11 +123,11 @@
 }
 
 // successReply returns the complete response to a request.
-func successReply(req standin.Request) standin.Reply {
+func successReply(req standin.Request, software string) standin.Reply {
 	kind := kindOf(req.URI)
-	reply := standin.Reply{Body: expectedBody(kind, req.ID)}
+	reply := standin.Reply{Body: expectedBody(kind, req.ID, "")}
 	if isStream(kind) {
-		reply.Events = streamEvents(req.ID)
+		reply.Events = streamEvents(req.ID, software)
 		pause := make(chan struct{})
 		time.AfterFunc(streamPause, func() { close(pause) })
 		reply.Pause = pause
--- a/internal/soak/response_checks.go
+++ b/internal/soak/response_checks.go
@@ -70,8 +70,11 @@
 		if c.Status != http.StatusOK {
 			continue
 		}
-		want := expectedBody(c.Kind, c.ID)
-		if !c.Sealed || (c.Whole && c.Body != want) || !strings.HasPrefix(want, c.Body) {
+		want, body := expectedBody(c.Kind, c.ID, c.LastEvent), c.Body
+		if isStream(c.Kind) {
+			body = withoutSoftware(body)
+		}
+		if !c.Sealed || (c.Whole && body != want) || !strings.HasPrefix(want, body) {
 			violations = append(violations, fmt.Sprintf("%s sealed %t whole %t: %q", c.ID, c.Sealed, c.Whole, c.Body))
 		}
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -21,6 +21,7 @@
 	freshSeeds    = flag.Int("seeds", 1, "number of seeds to play beside the kept ones")
 	firstSeed     = flag.Uint64("first", 1, "first of them")
 	faultDuration = flag.Duration("length", 4*time.Second, "how long things fail in one play")
+	gatewayCount  = flag.Int("gateways", 4, "number of gateways")
 	parallelRuns  = flag.Int("plays", 1, "plays at the same time")
 )
 
@@ -36,7 +37,7 @@
 // runSeed runs one seed and reports the violations.
 func runSeed(t *testing.T, binary string, seed uint64) {
 	t.Helper()
-	h := NewHarness(t, binary, t.TempDir(), seed)
+	h := NewHarness(t, binary, t.TempDir(), *gatewayCount, seed)
 	start, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
 	if !h.AwaitReady(start) {
@@ -71,6 +72,10 @@
 		h.Limits(faultCtx, seed)
 		return nil
 	})
+	group.Go(func() error {
+		h.InjectRollouts(faultCtx, seed)
+		return nil
+	})
 	var restores errgroup.Group
 	restores.Go(func() error {
 		h.InjectRestores(faultCtx, seed)
@@ -82,6 +87,7 @@
 	endLoad()
 	_ = group.Wait()
 	violations := Check(h.record)
+	h.record.addReturns(&returns)
 	t.Logf("seed %d: %d calls, %d arrivals, %d runs, %d events, %d limits, %d turns lent", seed, len(h.record.Calls), len(h.record.Arrivals),
 		len(h.record.Runs), len(h.record.Events), len(h.record.Limits), h.countInLogs(`"lent":true`))
 	if len(violations) == 0 {
@@ -153,7 +159,19 @@
 	return seeds
 }
 
+// minReturns is the number of returns from which on their share is checked.
+const minReturns = 12
+
+// returns counts the streams that callers took up in all runs.
+var returns Returns
+
 func TestSoak(t *testing.T) {
+	t.Cleanup(func() {
+		t.Logf("streams begun: %d of %d; taken up: %d of %d", returns.Begun, returns.New, returns.GoneOn, returns.TakenUp)
+		if returns.TakenUp >= minReturns && returns.Share() < minReturnShare {
+			t.Errorf("%d of %d streams that were taken up went on, and %d of %d new ones began", returns.GoneOn, returns.TakenUp, returns.Begun, returns.New)
+		}
+	})
 	binary := filepath.Join(t.TempDir(), "gateway")
 	build := exec.Command("go", "build", "-o", binary, "../../cmd/gladegauge-gateway")
 	if out, err := build.CombinedOutput(); err != nil {
