gatewayd: a request whose deadline passed while connecting is not sent

What callers saw: after a suspension of the host between the choice of an upstream and the first byte, the request was sent although its caller had given up, with the time that it had left before the suspension; the upstream ran it in vain, and a write may have taken effect unseen.

Cause: the deadline that the upstream is given is computed before the connection is there, and nothing looked at the time again.

Change: maySend, the last check before the first byte, also looks at the deadline; the request is answered 503 out_of_time, not run, or 504 if an earlier attempt may have run.

What was ruled out: entries compute no deadline for agents; timers of the queue, the list and planned stops fire late after a suspension and read the clock; the reader bounds its timeouts from below.

--- a/internal/core/gateway/gateway_test.go
+++ b/internal/core/gateway/gateway_test.go
@@ -130,6 +130,9 @@
 		{name: "version not known, with a backup, lost in the middle", kind: ingress.Stream, unversioned: true, failures: []Failure{Lost}, answered: true, hasBackup: true, do: Abort},
 		{name: "version not known, unreachable in the middle", kind: ingress.Stream, resume: true, unversioned: true, failures: []Failure{Unsent}, answered: true, do: Abort},
 		{name: "version not known, lost before its first event", kind: ingress.Stream, resume: true, unversioned: true, failures: []Failure{Lost}, do: Retry},
+		{name: "once, withheld", kind: ingress.Once, failures: []Failure{Withheld}, do: Retry},
+		{name: "once, withheld at the deadline", kind: ingress.Once, failures: []Failure{Withheld}, now: t0.Add(time.Second), do: Refuse, refusal: Unavailable, notRun: true},
+		{name: "repeatable, lost and then withheld at the deadline", kind: ingress.Repeatable, failures: []Failure{Lost, Withheld}, now: t0.Add(time.Second), do: Refuse, refusal: TimedOut},
 		{name: "the caller left", kind: ingress.Repeatable, failures: []Failure{CallerGone}, do: Abort},
 	}
 	for _, tt := range tests {
--- a/internal/core/gateway/next.go
+++ b/internal/core/gateway/next.go
@@ -24,8 +24,8 @@
 	Silent
 	// CallerGone means that the caller has disconnected.
 	CallerGone
-	// Withheld means that the upstream announced that it accepts no requests before a byte
-	// of this one was written.
+	// Withheld means that, before a byte of the request was written, its deadline passed or
+	// the upstream announced that it accepts no requests.
 	Withheld
 )
 
@@ -168,6 +168,8 @@
 		return unknown(TimedOut, OutOfTime)
 	case p.MayHaveRun:
 		return unknown(Unknown, OutcomeUnknown)
+	case f == Withheld && !now.Before(a.Deadline):
+		return TooLate(p)
 	case f == NotRun:
 		return unavailable(RefusedByAll, retryAfterShort)
 	default:
--- a/internal/edge/gatewayd/attempt.go
+++ b/internal/edge/gatewayd/attempt.go
@@ -56,9 +56,13 @@
 }
 
 // maySend is checked immediately before the first byte is written. While the connection was
-// being established, the upstream may have announced to other requests that it is leaving,
-// that gateways should back off, or a rate limit under which this request has no turn.
+// being established, the deadline may have passed if the host was suspended, or the upstream may
+// have announced to other requests that it is leaving, that gateways should back off, or a rate
+// limit under which this request has no turn.
 func (x *request) maySend(choice balance.Choice) bool {
+	if x.remaining() <= 0 {
+		return false
+	}
 	closed := *x.server.closed.Load()
 	if len(closed) == 0 {
 		return true
--- a/internal/edge/gatewayd/suspend_test.go
+++ b/internal/edge/gatewayd/suspend_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/gladegauge/gladegauge/internal/core/gateway"
 	"github.com/gladegauge/gladegauge/internal/core/ingress"
+	"github.com/gladegauge/gladegauge/internal/edge/exchange"
 	"github.com/gladegauge/gladegauge/platform/standin"
 )
 
@@ -97,3 +98,28 @@
 		})
 	}
 }
+
+// A host was suspended between the choice of an upstream and the first byte of the request: the
+// request was sent all the same, with the time that it had left before, although its caller had
+// given up.
+func TestSuspensionBeforeSending(t *testing.T) {
+	for _, uri := range []string{"/read/1", "/write/1", "/chat/1"} {
+		t.Run(uri, func(t *testing.T) {
+			is := is.New(t)
+			w := newTestEnv(t, 2, replyOK)
+			w.server.client = exchange.New(exchange.Options{
+				KeepAlive: func(http.Header) time.Duration { return 0 },
+				OnConnect: func() { w.suspend(3 * time.Second) },
+				OnReuse:   func() {},
+				MaxOpen:   func(string) int { return 0 },
+				Clock:     w.now,
+			})
+			a := w.call(uri)
+			is.NoErr(a.Err)
+			is.Equal(a.Status, http.StatusServiceUnavailable)
+			is.Equal(a.Body, string(gateway.OutOfTime)+"\n")
+			is.True(a.RetryAfter() > 0)
+			is.Equal(len(w.ran()), 0)
+		})
+	}
+}
