gatewayd, fleet: a recorder that fails only stops being a recorder

Change: failures of reports are kept apart (Fleet.RecorderFailed); all recorders are asked; the version is looked up at the first event of an attempt only, in one turn of the loop. A stream that is recorded with two versions is not known any more: one of the reports is wrong. TestRecordersThatFail and TestConflict (new).

--- a/internal/core/fleet/member.go
+++ b/internal/core/fleet/member.go
@@ -40,6 +40,8 @@
 	failures int
 	// relayDownUntil is when it may be a relay again.
 	relayDownUntil time.Time
+	// recorderDownUntil is when it may be a recorder of this gateway again.
+	recorderDownUntil time.Time
 	// backoffUntil is when its own store backoff ends.
 	backoffUntil time.Time
 }
--- a/internal/core/fleet/recorders.go
+++ b/internal/core/fleet/recorders.go
@@ -23,33 +23,42 @@
 
 // Recorders returns the first n recorders to which this gateway reports its streams.
 func (f *Fleet) Recorders(now time.Time, n int) []string {
-	list := f.recorders(now, func(p *peer) bool { return !p.Leaving })
+	list := f.recorders(now, func(p *peer) bool {
+		return !p.Leaving && !now.Before(p.downUntil) && !now.Before(p.recorderDownUntil)
+	})
 	list = rendezvous.Rank(f.self.Address, list)
 	return list[:min(n, len(list))]
 }
 
-// AllRecorders returns all other gateways that may know of a stream. Those that are leaving
-// are among them, as they still answer.
+// RecorderFailed records that a recorder did not answer: another one replaces it for a while.
+// Other calls to that gateway are not affected, because their timeouts are longer.
+func (f *Fleet) RecorderFailed(now time.Time, address string) {
+	if p, ok := f.peers[address]; ok {
+		p.recorderDownUntil = now.Add(p.failed())
+	}
+}
+
+// AllRecorders returns all other gateways that may know of a stream. Those that are leaving, or
+// did not answer the latest call, are among them, as they may still answer.
 func (f *Fleet) AllRecorders(now time.Time) []string {
 	return f.recorders(now, func(*peer) bool { return true })
 }
 
-// recorders returns the recorders that may be called, apart from this gateway. Whether a
-// gateway is one does not depend on whether it may be called, so that the views of the fleet
-// agree while some calls fail.
+// recorders returns the recorders that use selects, apart from this gateway. Whether a gateway
+// is a recorder does not depend on it, so that the views of the fleet agree while calls fail.
 func (f *Fleet) recorders(now time.Time, use func(*peer) bool) []string {
 	members := []string{f.self.Address}
-	var callable []string
+	var selected []string
 	for p := range f.aliveSeq(now) {
 		members = append(members, p.Address)
-		if !now.Before(p.downUntil) && use(p) {
-			callable = append(callable, p.Address)
+		if use(p) {
+			selected = append(selected, p.Address)
 		}
 	}
 	if len(members) <= minRecorders {
-		return callable
+		return selected
 	}
 	ranked := f.ranked("recorders", members)
 	ranked = ranked[:max(minRecorders, len(members)/recorderPart)]
-	return slices.DeleteFunc(callable, func(address string) bool { return !slices.Contains(ranked, address) })
+	return slices.DeleteFunc(selected, func(address string) bool { return !slices.Contains(ranked, address) })
 }
--- a/internal/core/fleet/recorders_test.go
+++ b/internal/core/fleet/recorders_test.go
@@ -42,8 +42,8 @@
 	}
 }
 
-// A recorder that does not answer is replaced, but still counts as one, so that the other
-// recorders stay the same. One that is leaving gets no reports, but is asked.
+// A recorder that does not answer is replaced, but still asked, as it may know streams that were
+// reported before. The same holds for one that is leaving.
 func TestRecordersThatFail(t *testing.T) {
 	is := is.New(t)
 	list := newFleets(40, 3)
@@ -53,9 +53,10 @@
 	}
 	before := f.AllRecorders(t0)
 	first := f.Recorders(t0, 1)[0]
-	f.CallFailed(t0, first)
+	f.RecorderFailed(t0, first)
 	is.True(f.Recorders(t0, 1)[0] != first)
-	is.Equal(f.AllRecorders(t0), slices.DeleteFunc(slices.Clone(before), func(a string) bool { return a == first }))
+	is.Equal(f.AllRecorders(t0), before)
+	is.Equal(len(f.reachable(t0, "")), 39) // other calls are not affected
 	second := f.Recorders(t0, 1)[0]
 	leaving := f.peers[second].Member
 	leaving.Leaving = true
--- a/internal/core/stream/registry.go
+++ b/internal/core/stream/registry.go
@@ -63,7 +63,8 @@
 func (r *Registry) SetWindow(window time.Duration) { r.window = window }
 
 // Add records the version of a stream. An unstated version is not recorded, as a stream of
-// such an upstream cannot go on elsewhere.
+// such an upstream cannot go on elsewhere. A stream that is recorded with two versions is not
+// known any more: a gateway has reported something wrong, or a caller has used an ID twice.
 func (r *Registry) Add(now time.Time, a Attempt, v rollout.Version) {
 	if v == rollout.Unstated {
 		return
@@ -72,12 +73,21 @@
 	if len(r.current) >= maxGeneration {
 		r.start(now)
 	}
+	if before, ok := r.find(a); ok && before != v {
+		v = rollout.Unstated
+	}
 	r.current[a] = v
 }
 
 // Find returns the version of a stream; false if it is not known.
 func (r *Registry) Find(now time.Time, a Attempt) (rollout.Version, bool) {
 	r.rotate(now)
+	v, ok := r.find(a)
+	return v, ok && v != rollout.Unstated
+}
+
+// find returns the recorded version of a stream, which is unstated if several were recorded.
+func (r *Registry) find(a Attempt) (rollout.Version, bool) {
 	if v, ok := r.current[a]; ok {
 		return v, true
 	}
@@ -91,7 +101,9 @@
 	all := make(map[rollout.Version][]Attempt)
 	for _, generation := range []map[Attempt]rollout.Version{r.previous, r.current} {
 		for a, v := range generation {
-			all[v] = append(all[v], a)
+			if v != rollout.Unstated {
+				all[v] = append(all[v], a)
+			}
 		}
 	}
 	return all
--- a/internal/core/stream/registry_test.go
+++ b/internal/core/stream/registry_test.go
@@ -61,6 +61,20 @@
 	is.Equal(len(r.All(now)[v1]), r.Len())
 }
 
+// A stream for which two versions are recorded must not go on at either of them.
+func TestConflict(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	r := NewRegistry()
+	v1, v2 := rollout.VersionOf("p", "v1"), rollout.VersionOf("p", "v2")
+	for _, v := range []rollout.Version{v1, v1, v2, v2, v1} {
+		r.Add(now, AttemptOf("x"), v)
+	}
+	_, known := r.Find(now, AttemptOf("x"))
+	is.True(!known)
+	is.Equal(len(r.All(now)), 0)
+}
+
 func TestWindow(t *testing.T) {
 	tests := []struct{ longest, want time.Duration }{
 		{0, minWindow},
--- a/internal/edge/gatewayd/stream.go
+++ b/internal/edge/gatewayd/stream.go
@@ -48,6 +48,7 @@
 			x.responseStarted(a)
 			reportedAt = now
 			lastAt = now
+			x.beginStream(ctx, a.choice)
 		}
 		if now != lastAt {
 			gaps = gaps.With(now.Sub(lastAt))
@@ -60,7 +61,6 @@
 			gaps = pace.Gaps{}
 			x.server.control.DoWithoutCancel(func(now time.Time) { x.server.table.DataReceived(now, a.choice.ID, reported) })
 		}
-		x.beginStream(ctx, a.choice)
 		x.commitStream(a)
 		if skipping && !e.follows(x.lastEventID) {
 			x.duplicateEvents++
--- a/internal/edge/gatewayd/stream_reports.go
+++ b/internal/edge/gatewayd/stream_reports.go
@@ -145,7 +145,7 @@
 	_, err := s.peer(address).ReportStreams(ctx, connect.NewRequest(encodeStreams(list)))
 	s.metrics.peerCall("report_streams", err)
 	if err != nil {
-		s.control.DoWithoutCancel(func(now time.Time) { s.fleet.CallFailed(now, address) })
+		s.control.DoWithoutCancel(func(now time.Time) { s.fleet.RecorderFailed(now, address) })
 	}
 	return err == nil
 }
--- a/internal/edge/gatewayd/streams.go
+++ b/internal/edge/gatewayd/streams.go
@@ -155,7 +155,7 @@
 		return gateway.UnknownVersion()
 	}
 	x.version, x.singleVersion = k.version, k.single
-	x.recordStream(x.call.Resumes)
+	s.control.DoWithoutCancel(func(now time.Time) { x.recordStream(now, x.call.Resumes) })
 	return nil
 }
 
@@ -166,27 +166,28 @@
 		return
 	}
 	s := x.server
+	var acknowledged <-chan struct{}
 	s.control.DoWithoutCancel(func(now time.Time) {
 		x.version = s.table.VersionAt(choice)
 		x.singleVersion = s.versionState(now, x.admission.Pool).Kind == rollout.Single
+		if x.admission.Route.Resumable {
+			acknowledged = x.recordStream(now, x.call.ID)
+		}
 	})
-	if !x.admission.Route.Resumable {
-		return
-	}
-	if acknowledged := x.recordStream(x.call.ID); acknowledged != nil {
+	if acknowledged != nil {
 		awaitReport(ctx, acknowledged)
 	}
 }
 
 // recordStream records the version of the stream that began with the attempt. Unless the pool
 // has a single version, it also reports it, and returns a channel that is closed once another
-// gateway knows it.
-func (x *request) recordStream(id string) <-chan struct{} {
+// gateway knows it. It runs in the control loop.
+func (x *request) recordStream(now time.Time, id string) <-chan struct{} {
 	if id == "" || x.version == rollout.Unstated {
 		return nil
 	}
 	attempt := stream.AttemptOf(id)
-	x.server.control.DoWithoutCancel(func(now time.Time) { x.server.streams.own.Add(now, attempt, x.version) })
+	x.server.streams.own.Add(now, attempt, x.version)
 	if x.singleVersion {
 		return nil
 	}
