gatewayd: no stream begins at a version that others may not know

What callers would have seen: a stream that began at the first upstream of a new version goes on at the old one, if its caller takes it up at a gateway that was cut off within the last 3 s and still takes the pool for one of a single version.

Cause: a list of upstreams proves a single version for as long as it is fresh, and versions were used as soon as one gateway knew them.

Change: streams that callers may take up begin at a version only once it has been listed for as long as a list proves anything (3 s), unless no other upstream takes them. A gateway that has just started asks the others which versions are settled; with no answer the one with the most upstreams counts. The decisions moved from gatewayd to core/stream (Book), where they run without a network.

--- a/internal/core/balance/pick.go
+++ b/internal/core/balance/pick.go
@@ -31,6 +31,8 @@
 	// Version restricts the choice to upstreams of one software version, because the caller
 	// already has events of the stream; rollout.Unstated means any.
 	Version rollout.Version
+	// Avoid lists software versions whose upstreams are used only if there are no others.
+	Avoid []rollout.Version
 	// Exclude lists the IDs of upstreams that were already tried.
 	Exclude []string
 	// Least marks a request of the lowest urgency in its pool, which may be shed when the
@@ -215,15 +217,15 @@
 func tie(r Request, u *upstream) uint64 { return rendezvous.Mix(r.Hash, u.hash) }
 
 // usable returns the upstreams that may be tried, in pool order. Upstreams that are
-// ejected, that other gateways found gone or failing, or that are in slow start or on
-// trial, are returned only if there are no others.
+// ejected, that other gateways found gone or failing, that are in slow start or on trial, or
+// that the request avoids, are returned only if there are no others.
 func (t *Table) usable(now time.Time, p *pool, r Request) []*upstream {
 	var preferred, fallback []*upstream
 	acceptsReports := p.acceptsPeerReports(now)
 	for _, u := range p.members {
 		switch {
 		case !u.present(now) || u.gone(now) || u.atSlowStartLimit(now) || !r.mayRunAt(u) || !t.maySend(now, p, u, r.Least):
-		case u.ejected(now) || t.inSlowStart(now, u, r),
+		case u.ejected(now) || t.inSlowStart(now, u, r) || slices.Contains(r.Avoid, u.version),
 			acceptsReports && u.avoidedByPeers(now),
 			acceptsReports && u.health.OnTrial(now) && !t.mayRunTrial(now, u, r):
 			fallback = append(fallback, u)
--- a/internal/core/balance/version_test.go
+++ b/internal/core/balance/version_test.go
@@ -83,6 +83,24 @@
 	}
 }
 
+// An upstream of a version that the request avoids is used only if there is no other one.
+func TestPickAvoidsVersion(t *testing.T) {
+	is := is.New(t)
+	table := versionedEngines(t, "v1", "v2", "v2", "v2")
+	avoid := []rollout.Version{rollout.VersionOf("p", "v2")}
+	for i := range 20 {
+		c, ok := table.Pick(at(i), Request{Pool: "p", Route: "long", Avoid: avoid, Prompt: prompt(uint64(i), 1), Hash: uint64(i)})
+		is.True(ok)
+		is.Equal(c.Version, "v1")
+	}
+	list := versionedInstances("v1", "v2", "v2", "v2")
+	list[0].Leaving = true
+	table.SetInstances(t0, list)
+	c, ok := table.Pick(at(30), Request{Pool: "p", Route: "long", Avoid: avoid})
+	is.True(ok)
+	is.Equal(c.Version, "v2")
+}
+
 // KV cache is copied between engines of one version only: prompts, and backups of runs.
 func TestKVCacheStaysAtVersion(t *testing.T) {
 	is := is.New(t)
--- a/internal/core/rollout/rollout.go
+++ b/internal/core/rollout/rollout.go
@@ -10,6 +10,7 @@
 //
 //	t := rollout.NewTracker(firstStart)
 //	t.Observe(now, serving)
+//	settled, recent := t.Settled(now, "pool", settling)
 //	t.Interrupt(now) // changes may have been missed
 //	t.Vouch(now, "pool", version, window)
 //	switch s := t.State(now, "pool", window); s.Kind {
@@ -19,6 +20,8 @@
 package rollout
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -88,20 +91,23 @@
 	observing    bool
 	since        time.Time
 	vouchedSince map[string]time.Time
-	// current are those of the latest observation, and lastSeen the time at which each
-	// version of a pool was last listed.
-	current  map[Serving]bool
-	lastSeen map[string]map[Version]time.Time
+	// current counts the upstreams of the latest observation. seen is when each version of a
+	// pool was listed.
+	current map[Serving]int
+	seen    map[string]map[Version]period
 }
 
+// period is the time in which a version was listed.
+type period struct{ first, last time.Time }
+
 // NewTracker returns a Tracker without observations. If first is set, the whole system starts
 // for the first time, so that no version has served any stream before.
 func NewTracker(first bool) *Tracker {
 	return &Tracker{
 		observing:    first,
 		vouchedSince: make(map[string]time.Time),
-		current:      make(map[Serving]bool),
-		lastSeen:     make(map[string]map[Version]time.Time),
+		current:      make(map[Serving]int),
+		seen:         make(map[string]map[Version]period),
 	}
 }
 
@@ -119,22 +125,66 @@
 	}
 }
 
-// Observe replaces the list of what serves now.
+// Observe replaces the list of what serves now, which has one entry for each upstream.
 func (t *Tracker) Observe(now time.Time, list []Serving) {
 	if !t.observing {
 		t.observing = true
 		t.since = now
 	}
 	for s := range t.current {
-		t.lastSeen[s.Pool][s.Version] = now
+		t.list(now, s)
 	}
 	clear(t.current)
 	for _, s := range list {
-		t.current[s] = true
-		if t.lastSeen[s.Pool] == nil {
-			t.lastSeen[s.Pool] = make(map[Version]time.Time)
+		t.current[s]++
+		t.list(now, s)
+	}
+}
+
+// list records that a version is listed now.
+func (t *Tracker) list(now time.Time, s Serving) {
+	versions := t.seen[s.Pool]
+	if versions == nil {
+		versions = make(map[Version]period)
+		t.seen[s.Pool] = versions
+	}
+	p, ok := versions[s.Version]
+	if !ok {
+		p.first = now
+	}
+	p.last = now
+	versions[s.Version] = p
+}
+
+// Settled returns the listed versions of the pool that were first listed at least the given time
+// ago, and the others: those with the most upstreams first, and what is unstated last.
+func (t *Tracker) Settled(now time.Time, pool string, settling time.Duration) (settled, recent []Version) {
+	for version, p := range t.seen[pool] {
+		switch {
+		case t.current[Serving{pool, version}] == 0:
+		case now.Sub(p.first) < settling:
+			recent = append(recent, version)
+		default:
+			settled = append(settled, version)
+		}
+	}
+	slices.SortFunc(recent, func(a, b Version) int {
+		switch {
+		case a == Unstated:
+			return 1
+		case b == Unstated:
+			return -1
 		}
-		t.lastSeen[s.Pool][s.Version] = now
+		return cmp.Or(cmp.Compare(t.current[Serving{pool, b}], t.current[Serving{pool, a}]), cmp.Compare(a, b))
+	})
+	return settled, recent
+}
+
+// Settle records that another gateway has known the version for long enough.
+func (t *Tracker) Settle(pool string, v Version) {
+	if p, ok := t.seen[pool][v]; ok {
+		p.first = time.Time{}
+		t.seen[pool][v] = p
 	}
 }
 
@@ -143,8 +193,8 @@
 func (t *Tracker) State(now time.Time, pool string, window time.Duration) State {
 	var last Version
 	served := 0
-	for version, seenAt := range t.lastSeen[pool] {
-		if t.current[Serving{Pool: pool, Version: version}] || now.Sub(seenAt) < window {
+	for version, p := range t.seen[pool] {
+		if t.current[Serving{pool, version}] > 0 || now.Sub(p.last) < window {
 			last = version
 			served++
 		}
@@ -169,14 +219,14 @@
 
 // Sweep drops the versions that have not served within the window.
 func (t *Tracker) Sweep(now time.Time, window time.Duration) {
-	for pool, versions := range t.lastSeen {
-		for version, seenAt := range versions {
-			if !t.current[Serving{Pool: pool, Version: version}] && now.Sub(seenAt) >= window {
+	for pool, versions := range t.seen {
+		for version, p := range versions {
+			if t.current[Serving{pool, version}] == 0 && now.Sub(p.last) >= window {
 				delete(versions, version)
 			}
 		}
 		if len(versions) == 0 {
-			delete(t.lastSeen, pool)
+			delete(t.seen, pool)
 		}
 	}
 }
--- a/internal/core/stream/registry.go
+++ b/internal/core/stream/registry.go
@@ -1,15 +1,21 @@
 // Package stream records at which software version streams began.
 //
 // A caller whose stream broke off takes it up under a new attempt, which names the one that
-// brought the first event. A gateway finds the version of that attempt in its registry, or
-// asks the gateways that may know it: the one that began the stream reports it to a few
-// others, as it may be gone by then.
+// brought the first event. A gateway finds the version of that attempt in its book, or asks the
+// gateways that may know it: the one that began the stream reports it to a few others, as it may
+// be gone by then. Only a record counts, or the proof that the pool has had a single version; a
+// stream without either cannot be taken up.
 //
 // # Usage
 //
-//	r := stream.NewRegistry()
-//	r.Add(now, stream.AttemptOf(id), version)
-//	version, ok := r.Find(now, stream.AttemptOf(resumes))
+//	b := stream.NewBook(firstStart)
+//	b.Observe(now, serving)
+//	b.ListedAt(at)
+//	if b.Begin(now, pool, stream.AttemptOf(id), version) { // before the first event is sent
+//		report(attempt, version)
+//	}
+//	known := b.Find(now, pool, stream.AttemptOf(resumes))
+//	known = known.With(answer) // of another gateway
 package stream
 
 import (
--- a/internal/edge/gatewayd/apply.go
+++ b/internal/edge/gatewayd/apply.go
@@ -54,7 +54,7 @@
 	s.view.Store(&next)
 	s.table.SetPools(t)
 	s.demand.setTable(t)
-	s.streams.setTable(t)
+	s.streams.SetLongestTimeout(t.LongestResumable())
 	s.metrics.aboveLevel.Reset()
 	s.updateMaxOpen(s.now())
 	s.metrics.version.Set(float64(t.Version))
--- a/internal/edge/gatewayd/follow.go
+++ b/internal/edge/gatewayd/follow.go
@@ -112,9 +112,7 @@
 // recordRead records that the known state is complete as of the given time. It runs in the
 // control loop.
 func (s *Server) recordRead(at time.Time) {
-	if !s.storeReadAt.IsZero() && at.Sub(s.storeReadAt) > maxVersionAge {
-		s.streams.versions.Interrupt(at)
-	}
+	s.streams.ListedAt(at)
 	if at.After(s.storeReadAt) {
 		s.storeReadAt = at
 	}
--- a/internal/edge/gatewayd/pick.go
+++ b/internal/edge/gatewayd/pick.go
@@ -8,6 +8,7 @@
 	"github.com/gladegauge/gladegauge/internal/core/balance"
 	"github.com/gladegauge/gladegauge/internal/core/gateway"
 	"github.com/gladegauge/gladegauge/internal/core/ingress"
+	"github.com/gladegauge/gladegauge/internal/core/rollout"
 )
 
 // pick chooses an upstream for the next attempt, after a wait in the queue of a contended
@@ -23,7 +24,7 @@
 			x.server.demand.tracker.Arrived(now, x.admission.Pool)
 		}
 		if q = x.arrive(now); q.Outcome == admission.Admitted {
-			choice, ok = x.server.table.Pick(now, x.balanceRequest())
+			choice, ok = x.server.table.Pick(now, x.pickRequest(now))
 		}
 	})
 	if refusal := x.await(ctx, q); refusal != nil {
@@ -31,7 +32,7 @@
 	}
 	if q.Outcome == admission.Queued {
 		x.server.control.DoWithoutCancel(func(now time.Time) {
-			choice, ok = x.server.table.Pick(now, x.balanceRequest())
+			choice, ok = x.server.table.Pick(now, x.pickRequest(now))
 		})
 	}
 	if !ok && choice.RetryAfter == 0 {
@@ -62,6 +63,16 @@
 	return choice, ok
 }
 
+// pickRequest returns the request for Pick. A stream that its caller may take up does not begin
+// at a version that other gateways may not know yet. It runs in the control loop.
+func (x *request) pickRequest(now time.Time) balance.Request {
+	r := x.balanceRequest()
+	if x.isResumable() && x.version == rollout.Unstated {
+		r.Avoid = x.server.streams.Unsettled(now, x.admission.Pool)
+	}
+	return r
+}
+
 // balanceRequest returns the properties of the request that the choice of an upstream
 // depends on.
 func (x *request) balanceRequest() balance.Request {
--- a/internal/edge/gatewayd/request_log.go
+++ b/internal/edge/gatewayd/request_log.go
@@ -8,6 +8,8 @@
 
 	"github.com/gladegauge/gladegauge/internal/core/balance"
 	"github.com/gladegauge/gladegauge/internal/core/gateway"
+	"github.com/gladegauge/gladegauge/internal/core/rollout"
+	"github.com/gladegauge/gladegauge/internal/core/stream"
 )
 
 // Results of requests in log lines and metrics.
@@ -55,14 +57,14 @@
 
 // logTakenUp logs that the caller takes up a stream that broke off earlier, and how its version
 // became known.
-func (x *request) logTakenUp(k knownStream) {
+func (x *request) logTakenUp(k stream.Known) {
 	x.log().
 		Str("resumes", x.call.Resumes).
 		Str("last_event", x.call.LastEvent).
 		Str("route", x.admission.Route.Name).
-		Str("known", k.from).
-		Str("version_key", fmt.Sprintf("%08x", uint32(k.version))).
-		Bool("single", k.single).
+		Str("known", string(k.Source)).
+		Str("version_key", fmt.Sprintf("%08x", uint32(k.Version))).
+		Bool("single", k.Pool.Kind == rollout.Single).
 		Msg("stream is taken up")
 }
 
--- a/internal/edge/gatewayd/server.go
+++ b/internal/edge/gatewayd/server.go
@@ -243,7 +243,7 @@
 	s.releaseAll(now)
 	s.table.ExpireParts(now)
 	s.demand.sweep(now)
-	s.streams.sweep(now)
+	s.streams.Sweep(now)
 	s.updateVersionKinds(now)
 	if end, ok := s.roster.NextExpiry(); ok && !now.Before(end) {
 		// The expiry timer fires late after the host was suspended.
--- a/internal/edge/gatewayd/stream_find.go
+++ b/internal/edge/gatewayd/stream_find.go
@@ -22,12 +22,42 @@
 	// vouchInterval is how often a gateway that cannot prove by itself that a pool has a single
 	// version asks another one.
 	vouchInterval = time.Second
+	// settledInterval is the least time between two questions for settled versions.
+	settledInterval = 200 * time.Millisecond
 )
 
-// findElsewhere asks all gateways that may know the stream, at the same time. The first that
-// knows it decides. If none knows it, but one vouches that only the version that is also the
-// only one seen here has served, that version began it.
-func (s *Server) findElsewhere(ctx context.Context, pool string, a stream.Attempt, k knownStream) knownStream {
+// findElsewhere asks all gateways that may know the stream, until one knows it.
+func (s *Server) findElsewhere(ctx context.Context, pool string, a stream.Attempt, k stream.Known) stream.Known {
+	s.askRecorders(ctx, pool, a, func(answer stream.Answer) bool {
+		k = k.With(answer)
+		return k.Source != stream.Found
+	})
+	return k
+}
+
+// learnSettled asks other gateways at which versions of the pool streams may begin, if this one
+// cannot know it because it has just started. While nobody knows, it does not ask again at once.
+func (s *Server) learnSettled(ctx context.Context, pool string) {
+	ask := false
+	s.control.DoWithoutCancel(func(now time.Time) {
+		if s.streams.KnowsSettled(now, pool) || now.Sub(s.streams.settledAskedAt) < settledInterval {
+			return
+		}
+		s.streams.settledAskedAt = now
+		ask = true
+	})
+	if !ask {
+		return
+	}
+	s.askRecorders(ctx, pool, noAttempt, func(answer stream.Answer) bool {
+		s.control.DoWithoutCancel(func(time.Time) { s.streams.Settle(pool, answer) })
+		return len(answer.Settled) == 0
+	})
+}
+
+// askRecorders asks all other gateways that may know the stream, at the same time. It calls more
+// with each answer until that returns false.
+func (s *Server) askRecorders(ctx context.Context, pool string, a stream.Attempt, more func(stream.Answer) bool) {
 	var addresses []string
 	s.control.DoWithoutCancel(func(now time.Time) { addresses = s.fleet.AllRecorders(now) })
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
@@ -36,7 +66,7 @@
 		cancel()
 		_ = group.Wait() // A gateway that does not answer knows nothing.
 	}()
-	answers := make(chan *gladegaugev1.FindStreamResponse, len(addresses))
+	answers := make(chan stream.Answer, len(addresses))
 	for _, address := range addresses {
 		group.Go(func() error {
 			answer, err := s.findAt(ctx, address, pool, a)
@@ -45,31 +75,19 @@
 		})
 	}
 	for range addresses {
-		answer := <-answers
-		if v := rollout.Version(answer.GetVersion()); v != rollout.Unstated {
-			return knownStream{version: v, from: versionFound, single: k.single}
-		}
-		if answer.GetSingle() && rollout.Version(answer.GetSingleVersion()) == k.seen {
-			k.version, k.from = k.seen, versionFoundSingle
+		if !more(<-answers) {
+			return
 		}
 	}
-	return k
 }
 
 // FindStream answers another gateway at which version a stream began.
 func (s *Server) FindStream(_ context.Context, req *connect.Request[gladegaugev1.FindStreamRequest]) (*connect.Response[gladegaugev1.FindStreamResponse], error) {
-	var k knownStream
+	var a stream.Answer
 	s.control.DoWithoutCancel(func(now time.Time) {
-		k = s.findHere(now, req.Msg.GetPool(), stream.Attempt(req.Msg.GetAttempt()))
+		a = s.streams.Answer(now, req.Msg.GetPool(), stream.Attempt(req.Msg.GetAttempt()))
 	})
-	resp := &gladegaugev1.FindStreamResponse{}
-	switch k.from {
-	case versionOwn, versionReported:
-		resp.Version = uint32(k.version)
-	case versionSingle:
-		resp.Single, resp.SingleVersion = true, uint32(k.version)
-	}
-	return connect.NewResponse(resp), nil
+	return connect.NewResponse(encodeAnswer(a)), nil
 }
 
 // noAttempt is asked for if only the versions of a pool matter.
@@ -92,11 +110,11 @@
 	var pools []string
 	s.control.DoWithoutCancel(func(now time.Time) {
 		t := s.view.Load().Table
-		if t == nil || now.Sub(s.storeReadAt) > maxVersionAge {
+		if t == nil || !s.streams.IsListFresh(now) {
 			return
 		}
 		for _, pool := range t.ResumablePools() {
-			if state := s.versionState(now, pool); state.Kind == rollout.Unproven && state.Version != rollout.Unstated {
+			if state := s.streams.Pool(now, pool); state.Kind == rollout.Unproven && state.Version != rollout.Unstated {
 				pools = append(pools, pool)
 			}
 		}
@@ -116,23 +134,45 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
-	resp, err := s.findAt(ctx, address, pool, noAttempt)
-	if err != nil || !resp.GetSingle() {
+	answer, err := s.findAt(ctx, address, pool, noAttempt)
+	if err != nil {
 		return
 	}
 	s.control.DoWithoutCancel(func(now time.Time) {
-		s.streams.versions.Vouch(now, pool, rollout.Version(resp.GetSingleVersion()), s.streams.window)
+		s.streams.Vouch(now, pool, answer)
 		s.updateVersionKinds(now)
 	})
 }
 
 // findAt asks one gateway for a stream.
-func (s *Server) findAt(ctx context.Context, address, pool string, a stream.Attempt) (*gladegaugev1.FindStreamResponse, error) {
+func (s *Server) findAt(ctx context.Context, address, pool string, a stream.Attempt) (stream.Answer, error) {
 	req := &gladegaugev1.FindStreamRequest{Attempt: uint64(a), Pool: pool}
 	resp, err := s.peer(address).FindStream(ctx, connect.NewRequest(req))
 	s.metrics.peerCall("find_stream", err)
 	if err != nil {
-		return nil, errors.Wrapf(err, "find a stream at %s", address)
+		return stream.Answer{}, errors.Wrapf(err, "find a stream at %s", address)
+	}
+	return decodeAnswer(resp.Msg), nil
+}
+
+// encodeAnswer converts an answer to its message.
+func encodeAnswer(a stream.Answer) *gladegaugev1.FindStreamResponse {
+	resp := &gladegaugev1.FindStreamResponse{Version: uint32(a.Version), Single: a.Single, SingleVersion: uint32(a.SingleVersion)}
+	for _, v := range a.Settled {
+		resp.Settled = append(resp.Settled, uint32(v))
+	}
+	return resp
+}
+
+// decodeAnswer returns the answer in a message.
+func decodeAnswer(resp *gladegaugev1.FindStreamResponse) stream.Answer {
+	a := stream.Answer{
+		Version:       rollout.Version(resp.GetVersion()),
+		Single:        resp.GetSingle(),
+		SingleVersion: rollout.Version(resp.GetSingleVersion()),
+	}
+	for _, v := range resp.GetSettled() {
+		a.Settled = append(a.Settled, rollout.Version(v))
 	}
-	return resp.Msg, nil
+	return a
 }
--- a/internal/edge/gatewayd/stream_reports.go
+++ b/internal/edge/gatewayd/stream_reports.go
@@ -71,7 +71,7 @@
 // reportAll reports the streams that this gateway began while its pools had a single version.
 // It runs in the control loop.
 func (s *Server) reportAll(now time.Time) {
-	for v, attempts := range s.streams.own.All(now) {
+	for v, attempts := range s.streams.Own(now) {
 		for len(attempts) > 0 {
 			n := min(len(attempts), maxReportedStreams)
 			s.report(v, attempts[:n])
@@ -180,7 +180,7 @@
 	s.control.DoWithoutCancel(func(now time.Time) {
 		for _, group := range req.Msg.GetStreams() {
 			for _, a := range group.GetAttempts() {
-				s.streams.reported.Add(now, stream.Attempt(a), rollout.Version(group.GetVersion()))
+				s.streams.Record(now, rollout.Version(group.GetVersion()), stream.Attempt(a))
 			}
 		}
 	})
--- a/internal/edge/gatewayd/streams.go
+++ b/internal/edge/gatewayd/streams.go
@@ -15,86 +15,18 @@
 // before it sends the first event. Unless a single version is proven to serve the pool, it
 // reports the version to two others as well. Whoever takes a stream up looks its version up.
 
-// maxVersionAge is the maximum age of the list of upstreams for which it proves that a single
-// version serves. In calm the list is up to 2.85 s old.
-const maxVersionAge = 3 * time.Second
-
-// How the version of a stream that is taken up became known, in log lines and metrics.
-const (
-	versionOwn         = "own"          // The stream was begun or taken up here before.
-	versionReported    = "reported"     // Another gateway reported it here.
-	versionSingle      = "single"       // The pool has had a single version.
-	versionFound       = "found"        // Another gateway answered that it knows the stream.
-	versionFoundSingle = "found_single" // Another gateway answered that there has been a single version.
-	versionUnknown     = "unknown"
-)
-
 // streams is what a gateway knows of the streams of callers. It is used only in the control
 // loop.
 type streams struct {
-	versions *rollout.Tracker
-	// own are the streams that this gateway began or took up, reported those of others.
-	own, reported *stream.Registry
-	// window is how long a stream may be taken up after its beginning.
-	window time.Duration
+	*stream.Book
 	// kinds are the kinds of knowledge about the versions of each pool that were last logged.
 	kinds map[string]rollout.Kind
+	// settledAskedAt is when other gateways were last asked for settled versions.
+	settledAskedAt time.Time
 }
 
 func newStreams(firstStart bool) streams {
-	return streams{
-		versions: rollout.NewTracker(firstStart),
-		own:      stream.NewRegistry(),
-		reported: stream.NewRegistry(),
-		window:   stream.Window(0),
-		kinds:    make(map[string]rollout.Kind),
-	}
-}
-
-// setTable applies the configuration.
-func (s *streams) setTable(t *ingress.Table) {
-	s.window = stream.Window(t.LongestResumable())
-	s.own.SetWindow(s.window)
-	s.reported.SetWindow(s.window)
-}
-
-// sweep drops what has expired.
-func (s *streams) sweep(now time.Time) { s.versions.Sweep(now, s.window) }
-
-// knownStream is the version of a stream that is taken up.
-type knownStream struct {
-	version rollout.Version
-	// from says how it became known.
-	from string
-	// single is true if the pool is proven to have had a single version. Otherwise seen is the
-	// only version that this gateway has seen there; unstated if there are several.
-	single bool
-	seen   rollout.Version
-}
-
-// versionState returns what is known of the versions that have served the pool. An old list of
-// upstreams proves nothing, as another version may serve by now. It runs in the control loop.
-func (s *Server) versionState(now time.Time, pool string) rollout.State {
-	state := s.streams.versions.State(now, pool, s.streams.window)
-	if state.Kind == rollout.Single && state.Version != rollout.Unstated && now.Sub(s.storeReadAt) > maxVersionAge {
-		state.Kind = rollout.Unproven
-	}
-	return state
-}
-
-// findHere returns the version of a stream as far as this gateway knows. It runs in the
-// control loop.
-func (s *Server) findHere(now time.Time, pool string, a stream.Attempt) knownStream {
-	state := s.versionState(now, pool)
-	k := knownStream{from: versionUnknown, single: state.Kind == rollout.Single, seen: state.Version}
-	if v, ok := s.streams.own.Find(now, a); ok {
-		k.version, k.from = v, versionOwn
-	} else if v, ok := s.streams.reported.Find(now, a); ok {
-		k.version, k.from = v, versionReported
-	} else if k.single {
-		k.version, k.from = state.Version, versionSingle
-	}
-	return k
+	return streams{Book: stream.NewBook(firstStart), kinds: make(map[string]rollout.Kind)}
 }
 
 // observeVersions records which versions serve. It runs in the control loop.
@@ -103,7 +35,7 @@
 	for i, in := range list {
 		serving[i] = rollout.Serving{Pool: in.Pool, Version: in.SoftwareVersion()}
 	}
-	s.streams.versions.Observe(now, serving)
+	s.streams.Observe(now, serving)
 	s.updateVersionKinds(now)
 }
 
@@ -116,45 +48,53 @@
 		return
 	}
 	for _, pool := range t.ResumablePools() {
-		kind := s.versionState(now, pool).Kind
+		kind := s.streams.Pool(now, pool).Kind
 		before := s.streams.kinds[pool]
 		if kind == before {
 			continue
 		}
 		s.streams.kinds[pool] = kind
 		s.log.Info().Str("pool", pool).Stringer("software", kind).Stringer("before", before).
-			Dur("window", s.streams.window).Msg("upstreams: software versions changed")
+			Dur("window", s.streams.Window()).Msg("upstreams: software versions changed")
 		if before == rollout.Single {
 			s.reportAll(now)
 		}
 	}
 }
 
+// isResumable reports whether the request is for a stream that its caller may take up.
+func (x *request) isResumable() bool {
+	return x.admission.Route.Kind == ingress.Stream && x.admission.Route.Resumable
+}
+
 // takesUp reports whether the caller takes up a stream of which it has events.
 func (x *request) takesUp() bool {
-	route := x.admission.Route
-	return route.Kind == ingress.Stream && route.Resumable && (x.call.LastEvent != "" || x.call.Resumes != "")
+	return x.isResumable() && (x.call.LastEvent != "" || x.call.Resumes != "")
 }
 
 // takeUp finds the version of a stream that the caller takes up. It refuses the request if the
-// version is not known.
+// version is not known. For a new stream it makes sure that this gateway knows at which versions
+// it may begin.
 func (x *request) takeUp(ctx context.Context) *gateway.Refusal {
+	s := x.server
 	if !x.takesUp() {
+		if x.isResumable() {
+			s.learnSettled(ctx, x.admission.Pool)
+		}
 		return nil
 	}
-	s := x.server
 	attempt := stream.AttemptOf(x.call.Resumes)
-	var k knownStream
-	s.control.DoWithoutCancel(func(now time.Time) { k = s.findHere(now, x.admission.Pool, attempt) })
-	if k.from == versionUnknown && x.call.Resumes != "" {
+	var k stream.Known
+	s.control.DoWithoutCancel(func(now time.Time) { k = s.streams.Find(now, x.admission.Pool, attempt) })
+	if k.Source == stream.Unknown && x.call.Resumes != "" {
 		k = s.findElsewhere(ctx, x.admission.Pool, attempt, k)
 	}
-	s.metrics.takenUp.WithLabelValues(k.from).Inc()
+	s.metrics.takenUp.WithLabelValues(string(k.Source)).Inc()
 	x.logTakenUp(k)
-	if k.from == versionUnknown {
+	if k.Source == stream.Unknown {
 		return gateway.UnknownVersion()
 	}
-	x.version, x.singleVersion = k.version, k.single
+	x.version, x.singleVersion = k.Version, k.Pool.Kind == rollout.Single
 	s.control.DoWithoutCancel(func(now time.Time) { x.recordStream(now, x.call.Resumes) })
 	return nil
 }
@@ -169,8 +109,8 @@
 	var acknowledged <-chan struct{}
 	s.control.DoWithoutCancel(func(now time.Time) {
 		x.version = s.table.VersionAt(choice)
-		x.singleVersion = s.versionState(now, x.admission.Pool).Kind == rollout.Single
-		if x.admission.Route.Resumable {
+		x.singleVersion = s.streams.Pool(now, x.admission.Pool).Kind == rollout.Single
+		if x.isResumable() {
 			acknowledged = x.recordStream(now, x.call.ID)
 		}
 	})
@@ -187,8 +127,7 @@
 		return nil
 	}
 	attempt := stream.AttemptOf(id)
-	x.server.streams.own.Add(now, attempt, x.version)
-	if x.singleVersion {
+	if !x.server.streams.Begin(now, x.admission.Pool, attempt, x.version) {
 		return nil
 	}
 	return x.server.report(x.version, []stream.Attempt{attempt})
@@ -201,7 +140,7 @@
 		return
 	}
 	x.server.control.DoWithoutCancel(func(now time.Time) {
-		x.progress.VersionUnknown = x.server.versionState(now, x.admission.Pool).Kind == rollout.Several
+		x.progress.VersionUnknown = x.server.streams.Pool(now, x.admission.Pool).Kind == rollout.Several
 	})
 }
 
--- a/internal/edge/gatewayd/versions_test.go
+++ b/internal/edge/gatewayd/versions_test.go
@@ -339,7 +339,7 @@
 			listed := func(g *testPeer) bool {
 				w.server = g.Server
 				fresh := false
-				g.control.DoWithoutCancel(func(now time.Time) { fresh = now.Sub(g.storeReadAt) < maxVersionAge })
+				g.control.DoWithoutCancel(func(now time.Time) { fresh = g.streams.IsListFresh(now) })
 				return fresh && w.upstreams() == len(replicas) && w.readiness() == 200
 			}
 			begin(t, func() *testPeer {
@@ -540,5 +540,5 @@
 	unstated := &gladegaugev1.ReportStreamsRequest{Streams: []*gladegaugev1.BegunStreams{{Attempts: []uint64{7}}}}
 	_, err = f.all[1].peer(g.PeersAddress()).ReportStreams(context.Background(), connect.NewRequest(unstated))
 	is.NoErr(err)
-	g.control.DoWithoutCancel(func(time.Time) { is.Equal(g.streams.reported.Len(), 0) })
+	g.control.DoWithoutCancel(func(time.Time) { is.Equal(g.streams.Reported(), 0) })
 }
