stream: plain names for streams that callers resume

Names and texts only: streams are resumed instead of taken up, a gateway confirms a single version instead of vouching for it, stream.Book is stream.Tracker.

--- a/internal/core/fleet/recorders.go
+++ b/internal/core/fleet/recorders.go
@@ -7,8 +7,8 @@
 	"github.com/gladegauge/gladegauge/internal/core/rendezvous"
 )
 
-// A gateway may be gone when the caller of a stream that it began comes back. It therefore
-// reports its streams to recorders. Whoever takes a stream up asks all of them, as nothing in
+// A gateway may be gone when the caller of a stream that it began resumes it. It therefore
+// reports its streams to recorders. Whoever resumes a stream asks all of them, as nothing in
 // the request tells which gateway began it. In a small fleet every gateway is a recorder. In
 // a large one a part of them are, so that asking all of them takes few calls, and the reports
 // of a few gateways go to each.
--- a/internal/core/gateway/admit.go
+++ b/internal/core/gateway/admit.go
@@ -11,7 +11,7 @@
 type Call struct {
 	ID string
 	// Resumes is the ID of the attempt that brought the first event of the stream that the
-	// request takes up; empty for other requests.
+	// request resumes; empty for other requests.
 	Resumes string
 	Host    string
 	Path    string
@@ -88,7 +88,7 @@
 }
 
 // poolID returns the ID that the choice among the route's pools is derived from. A stream that
-// is taken up goes on in the pool that began it.
+// is resumed goes on in the pool that began it.
 func poolID(route *ingress.Route, c Call) string {
 	if route.Kind == ingress.Stream && route.Resumable {
 		return cmp.Or(c.Resumes, c.ID)
--- a/internal/core/gateway/gateway_test.go
+++ b/internal/core/gateway/gateway_test.go
@@ -158,9 +158,9 @@
 	}
 }
 
-// A stream that is taken up goes on in the pool that began it, although its new attempt has
+// A stream that is resumed goes on in the pool that began it, although its new attempt has
 // another ID. Other requests are spread by their own IDs, whatever they claim to resume.
-func TestTakenUpStreamStaysInPool(t *testing.T) {
+func TestResumedStreamStaysInPool(t *testing.T) {
 	tests := []struct {
 		name   string
 		kind   ingress.Kind
--- a/internal/core/gateway/refusal.go
+++ b/internal/core/gateway/refusal.go
@@ -44,7 +44,7 @@
 	UpstreamsBackingOff Reason = "upstreams_rest"
 	// UpstreamsLimited means that the upstreams are at their request limits.
 	UpstreamsLimited Reason = "upstreams_limited"
-	// VersionUnknown means that the software version of a stream that the caller takes up is
+	// VersionUnknown means that the software version of a stream that the caller resumes is
 	// not known, and VersionUnavailable that no upstream of that version takes it.
 	VersionUnknown     Reason = "version_unknown"
 	VersionUnavailable Reason = "version_unavailable"
@@ -112,11 +112,11 @@
 	return unavailable(UpstreamsLimited, left)
 }
 
-// UnknownVersion refuses to take a stream up whose software version is not known. A gateway
+// UnknownVersion refuses to resume a stream whose software version is not known. A gateway
 // that knows it may be reachable again by the time of a retry.
 func UnknownVersion() *Refusal { return unavailable(VersionUnknown, retryAfterLong) }
 
-// UnavailableVersion refuses to take a stream up because no upstream of its software version
+// UnavailableVersion refuses to resume a stream because no upstream of its software version
 // takes it.
 func UnavailableVersion() *Refusal { return unavailable(VersionUnavailable, retryAfterLong) }
 
--- a/internal/core/rollout/rollout.go
+++ b/internal/core/rollout/rollout.go
@@ -2,9 +2,9 @@
 //
 // Upstreams of several versions may serve a pool side by side. What two versions write does
 // not fit together: a stream may only go on at the version that began it. As long as a single
-// version has served a pool, nothing has to be known of a stream to take it up. That holds
-// only for a gateway that has watched the pool for as long as a caller may come back, or to
-// which another gateway has vouched for that time.
+// version has served a pool, nothing has to be known of a stream to resume it. That holds
+// only for a gateway that has watched the pool for as long as a caller may resume a stream, or to
+// which another gateway has confirmed that time.
 //
 // # Usage
 //
@@ -12,7 +12,7 @@
 //	t.Observe(now, serving)
 //	settled, recent := t.Settled(now, "pool", settling)
 //	t.Interrupt(now) // changes may have been missed
-//	t.Vouch(now, "pool", version, window)
+//	t.Confirm(now, "pool", version, window)
 //	switch s := t.State(now, "pool", window); s.Kind {
 //	case rollout.Single: // s.Version began every stream
 //	case rollout.Several, rollout.Unproven: // the version of the stream has to be known
@@ -86,11 +86,11 @@
 // Tracker records when each version last served. It is not safe for concurrent use.
 type Tracker struct {
 	// observing is true from the first observation on. since is the time from which on no
-	// version was missed, and vouchedSince the same for single pools where it is earlier;
+	// version was missed, and confirmedSince the same for single pools where it is earlier;
 	// the zero time means that nothing was ever missed.
-	observing    bool
-	since        time.Time
-	vouchedSince map[string]time.Time
+	observing      bool
+	since          time.Time
+	confirmedSince map[string]time.Time
 	// current counts the upstreams of the latest observation. seen is when each version of a
 	// pool was listed.
 	current map[Serving]int
@@ -104,24 +104,24 @@
 // for the first time, so that no version has served any stream before.
 func NewTracker(first bool) *Tracker {
 	return &Tracker{
-		observing:    first,
-		vouchedSince: make(map[string]time.Time),
-		current:      make(map[Serving]int),
-		seen:         make(map[string]map[Version]period),
+		observing:      first,
+		confirmedSince: make(map[string]time.Time),
+		current:        make(map[Serving]int),
+		seen:           make(map[string]map[Version]period),
 	}
 }
 
 // Interrupt records that versions may have come and gone unseen before now.
 func (t *Tracker) Interrupt(now time.Time) {
 	t.since = now
-	clear(t.vouchedSince)
+	clear(t.confirmedSince)
 }
 
-// Vouch records that only the given version has served the pool within the window, as another
+// Confirm records that only the given version has served the pool within the window, as another
 // gateway has observed. It is ignored if another version was seen here.
-func (t *Tracker) Vouch(now time.Time, pool string, v Version, window time.Duration) {
+func (t *Tracker) Confirm(now time.Time, pool string, v Version, window time.Duration) {
 	if s := t.State(now, pool, window); s.Kind == Unproven && s.Version == v {
-		t.vouchedSince[pool] = now.Add(-window)
+		t.confirmedSince[pool] = now.Add(-window)
 	}
 }
 
@@ -213,8 +213,8 @@
 
 // complete reports whether no version of the pool was missed within the window.
 func (t *Tracker) complete(now time.Time, pool string, window time.Duration) bool {
-	vouched, ok := t.vouchedSince[pool]
-	return t.since.IsZero() || now.Sub(t.since) >= window || (ok && now.Sub(vouched) >= window)
+	confirmed, ok := t.confirmedSince[pool]
+	return t.since.IsZero() || now.Sub(t.since) >= window || (ok && now.Sub(confirmed) >= window)
 }
 
 // Sweep drops the versions that have not served within the window.
--- a/internal/core/rollout/rollout_test.go
+++ b/internal/core/rollout/rollout_test.go
@@ -69,22 +69,22 @@
 		want  State
 	}{
 		{"first start of all", true, func(*Tracker) {}, 1, State{Single, v1}},
-		{"vouched for", false, func(t *Tracker) { t.Vouch(start.Add(1), "p", v1, window) }, 2, State{Single, v1}},
-		{"vouched for another version", false, func(t *Tracker) { t.Vouch(start.Add(1), "p", v2, window) }, 2, State{Unproven, v1}},
-		{"another pool vouched for", false, func(t *Tracker) { t.Vouch(start.Add(1), "q", v1, window) }, 2, State{Unproven, v1}},
+		{"confirmed", false, func(t *Tracker) { t.Confirm(start.Add(1), "p", v1, window) }, 2, State{Single, v1}},
+		{"confirmed another version", false, func(t *Tracker) { t.Confirm(start.Add(1), "p", v2, window) }, 2, State{Unproven, v1}},
+		{"another pool confirmed", false, func(t *Tracker) { t.Confirm(start.Add(1), "q", v1, window) }, 2, State{Unproven, v1}},
 		{"interrupted", true, func(t *Tracker) { t.Interrupt(start.Add(time.Hour)) }, time.Hour + window - 1, State{Unproven, v1}},
 		{"interrupted long ago", true, func(t *Tracker) { t.Interrupt(start.Add(time.Hour)) }, time.Hour + window, State{Single, v1}},
 		{
-			"interrupted after it was vouched for", false,
+			"interrupted after it was confirmed", false,
 			func(t *Tracker) {
-				t.Vouch(start.Add(1), "p", v1, window)
+				t.Confirm(start.Add(1), "p", v1, window)
 				t.Interrupt(start.Add(2))
 			}, 3, State{Unproven, v1},
 		},
 		{
-			"vouched for, then a rollout", false,
+			"confirmed, then a rollout", false,
 			func(t *Tracker) {
-				t.Vouch(start.Add(1), "p", v1, window)
+				t.Confirm(start.Add(1), "p", v1, window)
 				t.Observe(start.Add(2), []Serving{{"p", v1}, {"p", v2}})
 			}, 3, State{Kind: Several},
 		},
--- a/internal/core/stream/fleet_test.go
+++ b/internal/core/stream/fleet_test.go
@@ -39,7 +39,7 @@
 // gateway is one gateway of a replay.
 type gateway struct {
 	address  string
-	book     *stream.Book
+	tracker  *stream.Tracker
 	fleet    *fleet.Fleet
 	cutUntil time.Time
 	// faultAt is when it was last killed, or a cut of it ended.
@@ -77,9 +77,9 @@
 	broken    []replayedStream
 	next      int
 
-	mixed, unknown       int
-	begun, taken, goneOn int
-	reported             int
+	mixed, unknown          int
+	begun, taken, continued int
+	reported                int
 }
 
 func newReplay(seed uint64, n int, list []string) *replay {
@@ -99,7 +99,7 @@
 
 // start starts a gateway, which learns of the others at once.
 func (r *replay) start(g *gateway, first bool) {
-	g.book, g.listed = stream.NewBook(first), nil
+	g.tracker, g.listed = stream.NewTracker(first), nil
 	g.fleet = fleet.New(fleet.Member{Address: g.address, Zone: "a", Start: uint64(r.now.UnixNano())})
 	g.delay = time.Duration(r.rng.Int64N(int64(maxListDelay)))
 	g.faultAt = r.now
@@ -125,8 +125,8 @@
 	for i, v := range g.listed {
 		serving[i] = rollout.Serving{Pool: pool, Version: rollout.VersionOf(pool, v)}
 	}
-	g.book.Observe(r.now, serving)
-	g.book.ListedAt(r.now.Add(-g.delay))
+	g.tracker.Observe(r.now, serving)
+	g.tracker.ListedAt(r.now.Add(-g.delay))
 	if r.chance(updateInterval, 1) || g.fleet.Known(r.now) == 1 {
 		g.fleet.Merge(r.now, r.members)
 	}
@@ -148,12 +148,12 @@
 // record records a stream at its gateway, and reports it if others have to know it.
 func (r *replay) record(g *gateway, id, version string) {
 	v := rollout.VersionOf(pool, version)
-	if !g.book.Begin(r.now, pool, stream.AttemptOf(id), v) {
+	if !g.tracker.Begin(r.now, pool, stream.AttemptOf(id), v) {
 		return
 	}
 	for _, address := range g.fleet.Recorders(r.now, copies) {
 		if other := r.at(g, address); other != nil {
-			other.book.Record(r.now, v, stream.AttemptOf(id))
+			other.tracker.Record(r.now, v, stream.AttemptOf(id))
 			r.reported++
 		}
 	}
@@ -165,14 +165,14 @@
 	if len(g.listed) == 0 {
 		return // It has started while it was cut off.
 	}
-	if !g.book.KnowsSettled(r.now, pool) {
+	if !g.tracker.KnowsSettled(r.now, pool) {
 		for _, address := range g.fleet.AllRecorders(r.now) {
 			if other := r.at(g, address); other != nil {
-				g.book.Settle(pool, other.book.Answer(r.now, pool, stream.AttemptOf("")))
+				g.tracker.Settle(pool, other.tracker.Answer(r.now, pool, stream.AttemptOf("")))
 			}
 		}
 	}
-	unsettled := g.book.Unsettled(r.now, pool)
+	unsettled := g.tracker.Unsettled(r.now, pool)
 	candidates := slices.DeleteFunc(slices.Clone(g.listed), func(v string) bool {
 		return slices.Contains(unsettled, rollout.VersionOf(pool, v))
 	})
@@ -187,15 +187,15 @@
 	}
 }
 
-// takeUp takes a stream up at a random gateway, at which it breaks off again half of the time.
-func (r *replay) takeUp(s replayedStream) {
+// resume resumes a stream at a random gateway, at which it breaks off again half of the time.
+func (r *replay) resume(s replayedStream) {
 	g := r.gateways[r.rng.IntN(len(r.gateways))]
 	attempt := stream.AttemptOf(s.id)
-	k := g.book.Find(r.now, pool, attempt)
+	k := g.tracker.Find(r.now, pool, attempt)
 	if k.Source == stream.Unknown {
 		for _, address := range g.fleet.AllRecorders(r.now) {
 			if other := r.at(g, address); other != nil {
-				k = k.With(other.book.Answer(r.now, pool, attempt))
+				k = k.With(other.tracker.Answer(r.now, pool, attempt))
 			}
 		}
 	}
@@ -208,7 +208,7 @@
 	if inTouch := !g.isCut(r.now) && r.now.Sub(g.faultAt) > touchTime; inTouch && s.known && serving > 1 {
 		r.taken++
 		if k.Source != stream.Unknown {
-			r.goneOn++
+			r.continued++
 		}
 	}
 	switch {
@@ -260,7 +260,7 @@
 				r.broken = append(r.broken, s)
 				continue
 			}
-			r.takeUp(s)
+			r.resume(s)
 		}
 	}
 }
@@ -276,10 +276,10 @@
 	return list
 }
 
-// Each gateway is killed every eight seconds, always right after the first event of a stream,
-// and cut off every thirty. Streams that are taken up anywhere go on at the version that began them, however many versions
-// serve and whatever becomes of the gateways. Of those taken up at gateways in touch nine in ten
-// go on, while all new ones begin.
+// Streams that are resumed anywhere go on at the version that began them, however many versions
+// serve and whatever becomes of the gateways: each is killed every eight seconds, always right
+// after the first event of a stream, and cut off every thirty. Of the streams resumed at gateways
+// in touch nine in ten go on, while all new ones begin.
 func TestReplaysOfRollouts(t *testing.T) {
 	const minShare = 0.9
 	tests := []struct {
@@ -322,10 +322,10 @@
 				for seed := range seeds {
 					r := newReplay(seed, n, repeated(6/len(tt.versions), tt.versions...))
 					r.run(tt.rollOut)
-					t.Logf("seed %d: %d began, %d of %d taken up at gateways in touch went on, %d refused, %d reports", seed, r.begun, r.goneOn, r.taken, r.unknown, r.reported)
+					t.Logf("seed %d: %d began, %d of %d resumed at gateways in touch went on, %d refused, %d reports", seed, r.begun, r.continued, r.taken, r.unknown, r.reported)
 					is.Equal(r.mixed, 0)
 					is.True(r.taken >= 12)
-					is.True(float64(r.goneOn) >= minShare*float64(r.taken))
+					is.True(float64(r.continued) >= minShare*float64(r.taken))
 					if tt.exchanges {
 						is.True(r.reported > 0)
 					}
--- a/internal/core/stream/registry.go
+++ b/internal/core/stream/registry.go
@@ -1,20 +1,20 @@
 // Package stream records at which software version streams began.
 //
-// A caller whose stream broke off takes it up under a new attempt, which names the one that
-// brought the first event. A gateway finds the version of that attempt in its book, or asks the
+// A caller whose stream broke off resumes it under a new attempt, which names the one that
+// brought the first event. A gateway finds the version of that attempt in its tracker, or asks the
 // gateways that may know it: the one that began the stream reports it to a few others, as it may
 // be gone by then. Only a record counts, or the proof that the pool has had a single version; a
-// stream without either cannot be taken up.
+// stream without either cannot be resumed.
 //
 // # Usage
 //
-//	b := stream.NewBook(firstStart)
-//	b.Observe(now, serving)
-//	b.ListedAt(at)
-//	if b.Begin(now, pool, stream.AttemptOf(id), version) { // before the first event is sent
+//	t := stream.NewTracker(firstStart)
+//	t.Observe(now, serving)
+//	t.ListedAt(at)
+//	if t.Begin(now, pool, stream.AttemptOf(id), version) { // before the first event is sent
 //		report(attempt, version)
 //	}
-//	known := b.Find(now, pool, stream.AttemptOf(resumes))
+//	known := t.Find(now, pool, stream.AttemptOf(resumes))
 //	known = known.With(answer) // of another gateway
 package stream
 
@@ -26,7 +26,7 @@
 	"github.com/gladegauge/gladegauge/internal/core/rollout"
 )
 
-// Bounds of the time for which a caller may take a stream up.
+// Bounds of the time for which a caller may resume a stream.
 const (
 	// returnFactor is the multiple of the longest route timeout for which streams are kept:
 	// a caller may wait for longer than one attempt may last.
@@ -39,7 +39,7 @@
 // bytes each.
 const maxGeneration = 1 << 15
 
-// Window returns how long after its beginning a stream may be taken up, if the longest timeout
+// Window returns how long after its beginning a stream may be resumed, if the longest timeout
 // of a route with such streams is the given one.
 func Window(longest time.Duration) time.Duration {
 	return min(max(returnFactor*longest, minWindow), maxWindow)
--- a/internal/core/stream/book.go
+++ b/internal/core/stream/tracker.go
@@ -17,7 +17,7 @@
 const (
 	// Unknown means that the version is not known.
 	Unknown Source = "unknown"
-	// Own means that this gateway began the stream, or took it up before.
+	// Own means that this gateway began the stream, or resumed it before.
 	Own Source = "own"
 	// Reported means that another gateway reported the stream.
 	Reported Source = "reported"
@@ -29,7 +29,7 @@
 	FoundSingle Source = "found_single"
 )
 
-// Known is what a gateway knows of a stream that a caller takes up.
+// Known is what a gateway knows of a stream that a caller resumes.
 type Known struct {
 	// Version is the software version that began the stream. It is unstated if Source is
 	// Unknown, or if no upstream of the pool states a version.
@@ -51,7 +51,7 @@
 }
 
 // With returns what is known after another gateway answered. A gateway that knows the stream
-// decides. One that vouches for a single version is believed if this gateway has seen only the
+// decides. One that confirms a single version is believed if this gateway has seen only the
 // same one.
 func (k Known) With(a Answer) Known {
 	switch {
@@ -64,71 +64,71 @@
 	return k
 }
 
-// Book is what a gateway knows of streams and of the versions of their pools. It is not safe
+// Tracker is what a gateway knows of streams and of the versions of their pools. It is not safe
 // for concurrent use.
-type Book struct {
+type Tracker struct {
 	versions *rollout.Tracker
-	// own are the streams that this gateway began or took up, reported those of others.
+	// own are the streams that this gateway began or resumed, reported those of others.
 	own, reported *Registry
-	// window is how long a stream may be taken up after its beginning.
+	// window is how long a stream may be resumed after its beginning.
 	window time.Duration
 	// listedAt is the time as of which the list of upstreams is complete.
 	listedAt time.Time
 }
 
-// NewBook returns an empty book. If first is set, the whole system starts for the first time.
-func NewBook(first bool) *Book {
-	b := &Book{versions: rollout.NewTracker(first), own: NewRegistry(), reported: NewRegistry()}
-	b.SetLongestTimeout(0)
-	return b
+// NewTracker returns an empty tracker. If first is set, the whole system starts for the first time.
+func NewTracker(first bool) *Tracker {
+	t := &Tracker{versions: rollout.NewTracker(first), own: NewRegistry(), reported: NewRegistry()}
+	t.SetLongestTimeout(0)
+	return t
 }
 
-// SetLongestTimeout sets the longest timeout of a route with streams that may be taken up.
-func (b *Book) SetLongestTimeout(d time.Duration) {
-	b.window = Window(d)
-	b.own.SetWindow(b.window)
-	b.reported.SetWindow(b.window)
+// SetLongestTimeout sets the longest timeout of a route with streams that may be resumed.
+func (t *Tracker) SetLongestTimeout(d time.Duration) {
+	t.window = Window(d)
+	t.own.SetWindow(t.window)
+	t.reported.SetWindow(t.window)
 }
 
-// Window returns how long a stream may be taken up after its beginning.
-func (b *Book) Window() time.Duration { return b.window }
+// Window returns how long a stream may be resumed after its beginning.
+func (t *Tracker) Window() time.Duration { return t.window }
 
 // ListedAt records that the list of upstreams is complete as of the given time. If it was older
 // than MaxListAge until then, versions may have come and gone unseen.
-func (b *Book) ListedAt(at time.Time) {
-	if !b.listedAt.IsZero() && at.Sub(b.listedAt) > MaxListAge {
-		b.versions.Interrupt(at)
+func (t *Tracker) ListedAt(at time.Time) {
+	if !t.listedAt.IsZero() && at.Sub(t.listedAt) > MaxListAge {
+		t.versions.Interrupt(at)
 	}
-	if at.After(b.listedAt) {
-		b.listedAt = at
+	if at.After(t.listedAt) {
+		t.listedAt = at
 	}
 }
 
 // Observe records which versions serve.
-func (b *Book) Observe(now time.Time, list []rollout.Serving) { b.versions.Observe(now, list) }
+func (t *Tracker) Observe(now time.Time, list []rollout.Serving) { t.versions.Observe(now, list) }
 
 // IsListFresh reports whether the list of upstreams is new enough to prove anything.
-func (b *Book) IsListFresh(now time.Time) bool {
-	return !b.listedAt.IsZero() && now.Sub(b.listedAt) <= MaxListAge
+func (t *Tracker) IsListFresh(now time.Time) bool {
+	return !t.listedAt.IsZero() && now.Sub(t.listedAt) <= MaxListAge
 }
 
 // Pool returns what is known of the versions that have served the pool. An old list proves
 // nothing, as another version may serve by now.
-func (b *Book) Pool(now time.Time, pool string) rollout.State {
-	s := b.versions.State(now, pool, b.window)
-	if s.Kind == rollout.Single && s.Version != rollout.Unstated && !b.IsListFresh(now) {
+func (t *Tracker) Pool(now time.Time, pool string) rollout.State {
+	s := t.versions.State(now, pool, t.window)
+	if s.Kind == rollout.Single && s.Version != rollout.Unstated && !t.IsListFresh(now) {
 		s.Kind = rollout.Unproven
 	}
 	return s
 }
 
-// Unsettled returns the versions at which no stream should begin that callers may take up. For
+// Unsettled returns the versions at which no stream should begin that callers may resume. For
 // as long as a list of upstreams proves anything, another gateway may not have learned of a new
 // version, and take the pool for one of a single version. After a start all versions are new,
 // and other gateways have to be asked; without their answer the version with the most upstreams
 // counts as settled, since a version that has just begun to serve has few.
-func (b *Book) Unsettled(now time.Time, pool string) []rollout.Version {
-	settled, recent := b.versions.Settled(now, pool, MaxListAge)
+func (t *Tracker) Unsettled(now time.Time, pool string) []rollout.Version {
+	settled, recent := t.versions.Settled(now, pool, MaxListAge)
 	if len(settled) == 0 && len(recent) > 0 {
 		return recent[1:]
 	}
@@ -137,24 +137,24 @@
 
 // KnowsSettled reports whether this gateway knows by itself at which versions of the pool streams
 // may begin.
-func (b *Book) KnowsSettled(now time.Time, pool string) bool {
-	settled, recent := b.versions.Settled(now, pool, MaxListAge)
+func (t *Tracker) KnowsSettled(now time.Time, pool string) bool {
+	settled, recent := t.versions.Settled(now, pool, MaxListAge)
 	return len(settled) > 0 || len(recent) < 2
 }
 
 // Settle records the versions that another gateway answered to be settled.
-func (b *Book) Settle(pool string, a Answer) {
+func (t *Tracker) Settle(pool string, a Answer) {
 	for _, v := range a.Settled {
-		b.versions.Settle(pool, v)
+		t.versions.Settle(pool, v)
 	}
 }
 
 // Find returns what this gateway knows of a stream.
-func (b *Book) Find(now time.Time, pool string, a Attempt) Known {
-	k := Known{Source: Unknown, Pool: b.Pool(now, pool)}
-	if v, ok := b.own.Find(now, a); ok {
+func (t *Tracker) Find(now time.Time, pool string, a Attempt) Known {
+	k := Known{Source: Unknown, Pool: t.Pool(now, pool)}
+	if v, ok := t.own.Find(now, a); ok {
 		k.Version, k.Source = v, Own
-	} else if v, ok := b.reported.Find(now, a); ok {
+	} else if v, ok := t.reported.Find(now, a); ok {
 		k.Version, k.Source = v, Reported
 	} else if k.Pool.Kind == rollout.Single {
 		k.Version, k.Source = k.Pool.Version, Single
@@ -163,10 +163,10 @@
 }
 
 // Answer returns the answer to another gateway that asks for a stream.
-func (b *Book) Answer(now time.Time, pool string, a Attempt) Answer {
+func (t *Tracker) Answer(now time.Time, pool string, a Attempt) Answer {
 	var answer Answer
-	answer.Settled, _ = b.versions.Settled(now, pool, MaxListAge)
-	switch k := b.Find(now, pool, a); k.Source {
+	answer.Settled, _ = t.versions.Settled(now, pool, MaxListAge)
+	switch k := t.Find(now, pool, a); k.Source {
 	case Own, Reported:
 		answer.Version = k.Version
 	case Single:
@@ -176,32 +176,32 @@
 	return answer
 }
 
-// Begin records the version of a stream that this gateway began or takes up. It returns true if
+// Begin records the version of a stream that this gateway began or resumes. It returns true if
 // other gateways have to know it, because no single version is proven.
-func (b *Book) Begin(now time.Time, pool string, a Attempt, v rollout.Version) bool {
-	b.own.Add(now, a, v)
-	return v != rollout.Unstated && b.Pool(now, pool).Kind != rollout.Single
+func (t *Tracker) Begin(now time.Time, pool string, a Attempt, v rollout.Version) bool {
+	t.own.Add(now, a, v)
+	return v != rollout.Unstated && t.Pool(now, pool).Kind != rollout.Single
 }
 
 // Record records the version of streams that another gateway reported.
-func (b *Book) Record(now time.Time, v rollout.Version, attempts ...Attempt) {
+func (t *Tracker) Record(now time.Time, v rollout.Version, attempts ...Attempt) {
 	for _, a := range attempts {
-		b.reported.Add(now, a, v)
+		t.reported.Add(now, a, v)
 	}
 }
 
-// Vouch records the answer of another gateway about the versions of a pool.
-func (b *Book) Vouch(now time.Time, pool string, a Answer) {
-	if a.Single && b.IsListFresh(now) {
-		b.versions.Vouch(now, pool, a.SingleVersion, b.window)
+// Confirm records the answer of another gateway about the versions of a pool.
+func (t *Tracker) Confirm(now time.Time, pool string, a Answer) {
+	if a.Single && t.IsListFresh(now) {
+		t.versions.Confirm(now, pool, a.SingleVersion, t.window)
 	}
 }
 
-// Own returns the streams that this gateway began or took up, by version.
-func (b *Book) Own(now time.Time) map[rollout.Version][]Attempt { return b.own.All(now) }
+// Own returns the streams that this gateway began or resumed, by version.
+func (t *Tracker) Own(now time.Time) map[rollout.Version][]Attempt { return t.own.All(now) }
 
 // Reported returns the number of streams that other gateways reported.
-func (b *Book) Reported() int { return b.reported.Len() }
+func (t *Tracker) Reported() int { return t.reported.Len() }
 
 // Sweep drops the versions that no longer count.
-func (b *Book) Sweep(now time.Time) { b.versions.Sweep(now, b.window) }
+func (t *Tracker) Sweep(now time.Time) { t.versions.Sweep(now, t.window) }
--- a/internal/core/stream/book_test.go
+++ b/internal/core/stream/tracker_test.go
@@ -26,11 +26,11 @@
 		{"no answer", seen, nil, Unknown, 0},
 		{"nobody knows", seen, []Answer{{}, {}}, Unknown, 0},
 		{"one knows", several, []Answer{{}, {Version: v2}}, Found, v2},
-		{"one knows, another vouches", seen, []Answer{{Single: true, SingleVersion: v1}, {Version: v2}}, Found, v2},
-		{"one vouches after one knows", seen, []Answer{{Version: v2}, {Single: true, SingleVersion: v1}}, Found, v2},
-		{"one vouches", seen, []Answer{{}, {Single: true, SingleVersion: v1}}, FoundSingle, v1},
-		{"one vouches for another version", seen, []Answer{{Single: true, SingleVersion: v2}}, Unknown, 0},
-		{"one vouches, but several were seen", several, []Answer{{Single: true, SingleVersion: v1}}, Unknown, 0},
+		{"one knows, another confirms", seen, []Answer{{Single: true, SingleVersion: v1}, {Version: v2}}, Found, v2},
+		{"one confirms after one knows", seen, []Answer{{Version: v2}, {Single: true, SingleVersion: v1}}, Found, v2},
+		{"one confirms", seen, []Answer{{}, {Single: true, SingleVersion: v1}}, FoundSingle, v1},
+		{"one confirms another version", seen, []Answer{{Single: true, SingleVersion: v2}}, Unknown, 0},
+		{"one confirms, but several were seen", several, []Answer{{Single: true, SingleVersion: v1}}, Unknown, 0},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -66,7 +66,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			b := NewBook(true)
+			b := NewTracker(true)
 			b.Observe(start, []rollout.Serving{{Pool: "p", Version: v1}})
 			for _, at := range tt.listed {
 				b.ListedAt(start.Add(at))
@@ -104,19 +104,19 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			book := NewBook(false)
+			tracker := NewTracker(false)
 			observe := func(at time.Duration, versions []rollout.Version) {
 				var list []rollout.Serving
 				for _, v := range versions {
 					list = append(list, rollout.Serving{Pool: "p", Version: v})
 				}
-				book.Observe(start.Add(at), list)
+				tracker.Observe(start.Add(at), list)
 			}
 			observe(0, tt.first)
 			if tt.later != nil {
 				observe(time.Hour, tt.later)
 			}
-			is.New(t).True(slices.Equal(book.Unsettled(start.Add(tt.at), "p"), tt.want))
+			is.New(t).True(slices.Equal(tracker.Unsettled(start.Add(tt.at), "p"), tt.want))
 		})
 	}
 }
@@ -128,7 +128,7 @@
 	start := time.Unix(1000, 0)
 	later := start.Add(time.Hour)
 	list := []rollout.Serving{{Pool: "p", Version: v1}, {Pool: "p", Version: v2}, {Pool: "p", Version: v2}}
-	before, started := NewBook(true), NewBook(false)
+	before, started := NewTracker(true), NewTracker(false)
 	before.Observe(start, list[:1])
 	before.Observe(later, list)
 	started.Observe(later, list)
--- a/internal/edge/gatewayd/metrics.go
+++ b/internal/edge/gatewayd/metrics.go
@@ -39,9 +39,9 @@
 	reused      prometheus.Counter
 	resumes     prometheus.Counter
 	continues   prometheus.Counter
-	// takenUp counts the streams that callers took up, by how their version became known, and
+	// callerResumes counts the streams that callers resumed, by how their version became known, and
 	// reportsDropped the reports of streams that did not fit the queue.
-	takenUp        *prometheus.CounterVec
+	callerResumes  *prometheus.CounterVec
 	reportsDropped prometheus.Counter
 	faults         prometheus.Counter
 	// softwareVersions is the number of software versions that the upstreams of each pool
@@ -95,7 +95,7 @@
 		reused:           factory.Counter("connections_reused_total", "Idle connections to upstreams that were used again."),
 		resumes:          factory.Counter("resumes_total", "Streams resumed by another upstream."),
 		continues:        factory.Counter("continues_total", "Streams continued from a backup of their run's memory."),
-		takenUp:          factory.Counters("streams_taken_up_total", "Streams that callers took up after they had broken off, by how their software version became known.", "known"),
+		callerResumes:    factory.Counters("caller_resumes_total", "Streams that callers resumed after they had broken off, by how their software version became known.", "known"),
 		reportsDropped:   factory.Counter("stream_reports_dropped_total", "Reports of streams to other gateways that did not fit the queue."),
 		softwareVersions: factory.Gauges("software_versions", "Software versions that the listed upstreams of each pool state.", "pool"),
 		faults:           factory.Counter("store_faults_total", "Published values that could not be read."),
@@ -125,7 +125,7 @@
 	m.registry.MustRegister(m.requests, m.refusals, m.attempts, m.storeCalls, m.inTime, m.firstByte,
 		m.completion, m.connections, m.resumes, m.continues, m.faults, m.version, m.epoch, m.revision, m.upstreams, m.peerCalls, m.peerBytes, m.gateways,
 		m.zoneAttempts, m.zoneUpstreams, m.ends, m.notices, m.retriesDenied, m.limited, m.suspects, m.demandDropped, m.aboveLevel,
-		m.admissions, m.admissionWaiting, m.admissionWait, m.invalidPaces, m.reused, m.takenUp, m.softwareVersions, m.reportsDropped)
+		m.admissions, m.admissionWaiting, m.admissionWait, m.invalidPaces, m.reused, m.callerResumes, m.softwareVersions, m.reportsDropped)
 	m.registry.MustRegister(factory.GaugeOf("view_age_milliseconds", "Time since the configuration in force was proved to be the newest.", viewAge))
 	if logsDropped != nil {
 		m.registry.MustRegister(factory.CounterOf("log_lines_dropped_total", "Log lines that did not fit the buffer.", logsDropped))
--- a/internal/edge/gatewayd/pick.go
+++ b/internal/edge/gatewayd/pick.go
@@ -12,8 +12,8 @@
 )
 
 // pick chooses an upstream for the next attempt, after a wait in the queue of a contended
-// plain service. It returns a refusal if the queue rejects the request. If there is no upstream, it tries to borrow a turn of
-// a rate-limited upstream from another gateway.
+// plain service. It returns a refusal if the queue rejects the request. If there is no upstream,
+// it tries to borrow a turn of a rate-limited upstream from another gateway.
 func (x *request) pick(ctx context.Context) (balance.Choice, bool, *gateway.Refusal) {
 	var choice balance.Choice
 	var ok bool
@@ -63,7 +63,7 @@
 	return choice, ok
 }
 
-// pickRequest returns the request for Pick. A stream that its caller may take up does not begin
+// pickRequest returns the request for Pick. A stream that its caller may resume does not begin
 // at a version that other gateways may not know yet. It runs in the control loop.
 func (x *request) pickRequest(now time.Time) balance.Request {
 	r := x.balanceRequest()
--- a/internal/edge/gatewayd/request.go
+++ b/internal/edge/gatewayd/request.go
@@ -123,7 +123,7 @@
 		return nil
 	}
 	defer x.releaseSuspect()
-	if refusal := x.takeUp(ctx); refusal != nil {
+	if refusal := x.resolveVersion(ctx); refusal != nil {
 		x.refuse(refusal)
 		return nil
 	}
--- a/internal/edge/gatewayd/request_log.go
+++ b/internal/edge/gatewayd/request_log.go
@@ -55,9 +55,9 @@
 	line.Msg("picked")
 }
 
-// logTakenUp logs that the caller takes up a stream that broke off earlier, and how its version
+// logResume logs that the caller resumes a stream that broke off earlier, and how its version
 // became known.
-func (x *request) logTakenUp(k stream.Known) {
+func (x *request) logResume(k stream.Known) {
 	x.log().
 		Str("resumes", x.call.Resumes).
 		Str("last_event", x.call.LastEvent).
@@ -65,7 +65,7 @@
 		Str("known", string(k.Source)).
 		Str("version_key", fmt.Sprintf("%08x", uint32(k.Version))).
 		Bool("single", k.Pool.Kind == rollout.Single).
-		Msg("stream is taken up")
+		Msg("caller resumes a stream")
 }
 
 // logChoice starts a log line about a choice, with the data that it is based on.
--- a/internal/edge/gatewayd/server.go
+++ b/internal/edge/gatewayd/server.go
@@ -113,7 +113,7 @@
 	partLog *occupancy.PartLog
 	// demand holds the demand for the pools here and at other gateways.
 	demand demandExchange
-	// streams holds the versions of streams that callers may take up.
+	// streams holds the versions of streams that callers may resume.
 	streams streams
 	// operatorBounds are the operators' bounds in the latest settings.
 	operatorBounds platform.Bounds
@@ -212,7 +212,7 @@
 	if s.o.Settings.Peers != "" {
 		group.Go(func() error { return s.exchangeLoop(work) })
 		group.Go(func() error { return s.reportLoop(work) })
-		group.Go(func() error { return s.vouchLoop(work) })
+		group.Go(func() error { return s.confirmLoop(work) })
 		for queue := range s.reportQueues {
 			group.Go(func() error { return s.streamReportLoop(work, queue) })
 		}
--- a/internal/edge/gatewayd/stream_find.go
+++ b/internal/edge/gatewayd/stream_find.go
@@ -19,9 +19,9 @@
 	// findTimeout bounds the search for a stream at other gateways, whose region may be 20 ms
 	// away and which may have to be connected to. A refusal must not come later.
 	findTimeout = 150 * time.Millisecond
-	// vouchInterval is how often a gateway that cannot prove by itself that a pool has a single
+	// confirmInterval is how often a gateway that cannot prove by itself that a pool has a single
 	// version asks another one.
-	vouchInterval = time.Second
+	confirmInterval = time.Second
 	// settledInterval is the least time between two questions for settled versions.
 	settledInterval = 200 * time.Millisecond
 )
@@ -93,12 +93,12 @@
 // noAttempt is asked for if only the versions of a pool matter.
 const noAttempt stream.Attempt = 0
 
-// vouchLoop asks other gateways about pools of which this one has not seen enough to prove that
+// confirmLoop asks other gateways about pools of which this one has not seen enough to prove that
 // they have a single version: after its start, or after it was cut off.
-func (s *Server) vouchLoop(ctx context.Context) error {
-	for loop.Sleep(ctx, vouchInterval) {
+func (s *Server) confirmLoop(ctx context.Context) error {
+	for loop.Sleep(ctx, confirmInterval) {
 		for _, pool := range s.unprovenPools() {
-			s.askToVouch(ctx, pool)
+			s.askToConfirm(ctx, pool)
 		}
 	}
 	return nil
@@ -122,8 +122,8 @@
 	return pools
 }
 
-// askToVouch asks a random gateway whether the pool has had a single version.
-func (s *Server) askToVouch(ctx context.Context, pool string) {
+// askToConfirm asks a random gateway whether the pool has had a single version.
+func (s *Server) askToConfirm(ctx context.Context, pool string) {
 	var address string
 	var ok bool
 	s.control.DoWithoutCancel(func(now time.Time) {
@@ -139,7 +139,7 @@
 		return
 	}
 	s.control.DoWithoutCancel(func(now time.Time) {
-		s.streams.Vouch(now, pool, answer)
+		s.streams.Confirm(now, pool, answer)
 		s.updateVersionKinds(now)
 	})
 }
--- a/internal/edge/gatewayd/stream_reports.go
+++ b/internal/edge/gatewayd/stream_reports.go
@@ -81,7 +81,7 @@
 }
 
 // awaitReport waits for a report to be acknowledged, but not for long: without it, a stream
-// whose gateway is lost cannot be taken up, and nothing else is at stake.
+// whose gateway is lost cannot be resumed, and nothing else is at stake.
 func awaitReport(ctx context.Context, acknowledged <-chan struct{}) {
 	ctx, cancel := context.WithTimeout(ctx, maxHold)
 	defer cancel()
--- a/internal/edge/gatewayd/streams.go
+++ b/internal/edge/gatewayd/streams.go
@@ -13,12 +13,12 @@
 
 // A stream must go on at the software version that began it. A gateway records the version
 // before it sends the first event. Unless a single version is proven to serve the pool, it
-// reports the version to two others as well. Whoever takes a stream up looks its version up.
+// reports the version to two others as well. Whoever resumes a stream looks its version up.
 
 // streams is what a gateway knows of the streams of callers. It is used only in the control
 // loop.
 type streams struct {
-	*stream.Book
+	*stream.Tracker
 	// kinds are the kinds of knowledge about the versions of each pool that were last logged.
 	kinds map[string]rollout.Kind
 	// settledAskedAt is when other gateways were last asked for settled versions.
@@ -26,7 +26,7 @@
 }
 
 func newStreams(firstStart bool) streams {
-	return streams{Book: stream.NewBook(firstStart), kinds: make(map[string]rollout.Kind)}
+	return streams{Tracker: stream.NewTracker(firstStart), kinds: make(map[string]rollout.Kind)}
 }
 
 // observeVersions records which versions serve. It runs in the control loop.
@@ -62,22 +62,22 @@
 	}
 }
 
-// isResumable reports whether the request is for a stream that its caller may take up.
+// isResumable reports whether the request is for a stream that its caller may resume.
 func (x *request) isResumable() bool {
 	return x.admission.Route.Kind == ingress.Stream && x.admission.Route.Resumable
 }
 
-// takesUp reports whether the caller takes up a stream of which it has events.
-func (x *request) takesUp() bool {
+// resumesStream reports whether the caller resumes a stream of which it has events.
+func (x *request) resumesStream() bool {
 	return x.isResumable() && (x.call.LastEvent != "" || x.call.Resumes != "")
 }
 
-// takeUp finds the version of a stream that the caller takes up. It refuses the request if the
-// version is not known. For a new stream it makes sure that this gateway knows at which versions
-// it may begin.
-func (x *request) takeUp(ctx context.Context) *gateway.Refusal {
+// resolveVersion finds the version of a stream that the caller resumes. It refuses the request if
+// the version is not known. For a new stream it makes sure that this gateway knows at which
+// versions it may begin.
+func (x *request) resolveVersion(ctx context.Context) *gateway.Refusal {
 	s := x.server
-	if !x.takesUp() {
+	if !x.resumesStream() {
 		if x.isResumable() {
 			s.learnSettled(ctx, x.admission.Pool)
 		}
@@ -89,8 +89,8 @@
 	if k.Source == stream.Unknown && x.call.Resumes != "" {
 		k = s.findElsewhere(ctx, x.admission.Pool, attempt, k)
 	}
-	s.metrics.takenUp.WithLabelValues(string(k.Source)).Inc()
-	x.logTakenUp(k)
+	s.metrics.callerResumes.WithLabelValues(string(k.Source)).Inc()
+	x.logResume(k)
 	if k.Source == stream.Unknown {
 		return gateway.UnknownVersion()
 	}
--- a/internal/gen/gladegauge/v1/gladegaugev1connect/gateway.connect.go
+++ b/internal/gen/gladegauge/v1/gladegaugev1connect/gateway.connect.go
@@ -64,7 +64,7 @@
 	// BorrowTurn asks a gateway that holds turns at a rate-limited upstream for one of them.
 	BorrowTurn(context.Context, *connect.Request[v1.BorrowTurnRequest]) (*connect.Response[v1.BorrowTurnResponse], error)
 	// ReportStreams reports at which software versions streams began at the caller, so that they
-	// can be taken up elsewhere after the caller is gone.
+	// can be resumed elsewhere after the caller is gone.
 	ReportStreams(context.Context, *connect.Request[v1.ReportStreamsRequest]) (*connect.Response[v1.ReportStreamsResponse], error)
 	// FindStream asks at which software version a stream began.
 	FindStream(context.Context, *connect.Request[v1.FindStreamRequest]) (*connect.Response[v1.FindStreamResponse], error)
@@ -173,7 +173,7 @@
 	// BorrowTurn asks a gateway that holds turns at a rate-limited upstream for one of them.
 	BorrowTurn(context.Context, *connect.Request[v1.BorrowTurnRequest]) (*connect.Response[v1.BorrowTurnResponse], error)
 	// ReportStreams reports at which software versions streams began at the caller, so that they
-	// can be taken up elsewhere after the caller is gone.
+	// can be resumed elsewhere after the caller is gone.
 	ReportStreams(context.Context, *connect.Request[v1.ReportStreamsRequest]) (*connect.Response[v1.ReportStreamsResponse], error)
 	// FindStream asks at which software version a stream began.
 	FindStream(context.Context, *connect.Request[v1.FindStreamRequest]) (*connect.Response[v1.FindStreamResponse], error)
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -47,7 +47,7 @@
 		kind, key := kinds[rng.IntN(len(kinds))], h.key(rng)
 		c := Call{ID: fmt.Sprintf("%s-%d-%d", kind, n, i), Kind: kind, Key: key}
 		c, _ = h.call(ctx, clients, rng, c)
-		h.takeUp(ctx, clients, rng, c)
+		h.resume(ctx, clients, rng, c)
 		time.Sleep(randomBelow(rng, 2*thinkTime))
 	}
 }
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -74,7 +74,7 @@
 	}
 }
 
-// The share of the streams taken up counts only those whose version is served by two replicas,
+// The share of the streams resumed counts only those whose version is served by two replicas,
 // at gateways without faults.
 func TestReturnsAreCounted(t *testing.T) {
 	tests := []struct {
@@ -82,15 +82,15 @@
 		mutate func(r *Record)
 		want   Returns
 	}{
-		{"all go on", func(*Record) {}, Returns{New: 1, Begun: 1, TakenUp: 2, GoneOn: 2}},
+		{"all go on", func(*Record) {}, Returns{New: 1, Begun: 1, Resumed: 2, Continued: 2}},
 		{"one is refused", func(r *Record) {
 			c := &r.Calls[len(r.Calls)-1]
 			c.Status, c.Body = http.StatusServiceUnavailable, ""
-		}, Returns{New: 1, Begun: 1, TakenUp: 2, GoneOn: 1}},
+		}, Returns{New: 1, Begun: 1, Resumed: 2, Continued: 1}},
 		{"one replica of the version is left", func(r *Record) { r.Draining["i-2"] = at(11) }, Returns{New: 1, Begun: 1}},
 		{"the gateway was killed just before the first return", func(r *Record) {
 			r.Events = append(r.Events, Event{At: at(12.5), Name: "kill", Gateway: 0, Until: at(12.7)})
-		}, Returns{New: 1, Begun: 1, TakenUp: 1, GoneOn: 1}},
+		}, Returns{New: 1, Begun: 1, Resumed: 1, Continued: 1}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/soak/kinds.go
+++ b/internal/soak/kinds.go
@@ -14,7 +14,7 @@
 	kindWrite = "write"
 	// kindChat is a stream that runs at most once; kindNote is a stream that another
 	// replica may resume, and kindBrief one that is sent to a single replica, so that its
-	// caller has to take it up.
+	// caller has to resume it.
 	kindChat  = "chat"
 	kindNote  = "note"
 	kindBrief = "brief"
@@ -26,7 +26,7 @@
 // isStream reports whether the response to requests of the kind is an event stream.
 func isStream(kind string) bool { return kind == kindChat || isResumable(kind) }
 
-// isResumable reports whether a caller may take up a stream of the kind.
+// isResumable reports whether a caller may resume a stream of the kind.
 func isResumable(kind string) bool { return kind == kindNote || kind == kindBrief }
 
 // runsOnce reports whether requests of the kind run at most once.
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -10,7 +10,7 @@
 	ID   string
 	Kind string
 	Key  string
-	// Resumes is the first attempt of the stream that the call takes up, and LastEvent the
+	// Resumes is the first attempt of the stream that the call resumes, and LastEvent the
 	// last event that its caller has; both are empty for other calls.
 	Resumes   string
 	LastEvent string
--- a/internal/soak/rollouts.go
+++ b/internal/soak/rollouts.go
@@ -17,9 +17,9 @@
 	maxRolloutPause = 900 * time.Millisecond
 	// maxDrain is the maximum time from listing a replica as draining to its removal.
 	maxDrain = 1500 * time.Millisecond
-	// maxTakeUps is the number of times that a caller takes up the same stream.
-	maxTakeUps = 3
-	// minReturnShare is the minimum share of the streams taken up that go on, relative to the
+	// maxResumes is the number of times that a caller resumes the same stream.
+	maxResumes = 3
+	// minReturnShare is the minimum share of the streams resumed that go on, relative to the
 	// share of new streams that begin.
 	minReturnShare = 0.9
 )
@@ -78,11 +78,11 @@
 	return old, true
 }
 
-// takeUp takes up a stream that broke off, at random gateways, until it is whole or the caller
+// resume resumes a stream that broke off, at random gateways, until it is whole or the caller
 // gives up. After a refusal it waits as told.
-func (h *Harness) takeUp(ctx context.Context, clients []*standin.Caller, rng *rand.Rand, c Call) {
+func (h *Harness) resume(ctx context.Context, clients []*standin.Caller, rng *rand.Rand, c Call) {
 	first, last := c.ID, lastEventOf(c.Body)
-	for n := range maxTakeUps {
+	for n := range maxResumes {
 		if !isResumable(c.Kind) || c.Whole || last == "" || last == strconv.Itoa(eventsPerStream) {
 			return
 		}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -162,14 +162,14 @@
 // minReturns is the number of returns from which on their share is checked.
 const minReturns = 12
 
-// returns counts the streams that callers took up in all runs.
+// returns counts the streams that callers resumed in all runs.
 var returns Returns
 
 func TestSoak(t *testing.T) {
 	t.Cleanup(func() {
-		t.Logf("streams begun: %d of %d; taken up: %d of %d", returns.Begun, returns.New, returns.GoneOn, returns.TakenUp)
-		if returns.TakenUp >= minReturns && returns.Share() < minReturnShare {
-			t.Errorf("%d of %d streams that were taken up went on, and %d of %d new ones began", returns.GoneOn, returns.TakenUp, returns.Begun, returns.New)
+		t.Logf("streams begun: %d of %d; resumed: %d of %d", returns.Begun, returns.New, returns.Continued, returns.Resumed)
+		if returns.Resumed >= minReturns && returns.Share() < minReturnShare {
+			t.Errorf("%d of %d streams that were resumed went on, and %d of %d new ones began", returns.Continued, returns.Resumed, returns.Begun, returns.New)
 		}
 	})
 	binary := filepath.Join(t.TempDir(), "gateway")
--- a/internal/soak/stream_checks.go
+++ b/internal/soak/stream_checks.go
@@ -41,19 +41,19 @@
 const returnQuietPeriod = time.Second
 
 // Returns counts the streams at gateways that had no fault of their own just before: new ones,
-// and those that callers took up while two replicas of their software version served.
+// and those that callers resumed while two replicas of their software version served.
 type Returns struct {
-	New, Begun      int
-	TakenUp, GoneOn int
+	New, Begun         int
+	Resumed, Continued int
 }
 
-// Share returns the share of the streams taken up that went on, relative to that of the new
+// Share returns the share of the streams resumed that went on, relative to that of the new
 // streams that began.
 func (n Returns) Share() float64 {
-	if n.TakenUp == 0 || n.Begun == 0 {
+	if n.Resumed == 0 || n.Begun == 0 {
 		return 1
 	}
-	return float64(n.GoneOn) / float64(n.TakenUp) * float64(n.New) / float64(n.Begun)
+	return float64(n.Continued) / float64(n.Resumed) * float64(n.New) / float64(n.Begun)
 }
 
 // addReturns adds the streams of this record.
@@ -76,8 +76,8 @@
 			n.New++
 			n.Begun += count(began)
 		case r.serving(versions[c.Resumes], c) > 1:
-			n.TakenUp++
-			n.GoneOn += count(began)
+			n.Resumed++
+			n.Continued += count(began)
 		}
 	}
 }
