gatewayd: a stream of unknown version goes on only if a single version is proven

Cause: after the upstream of a stream was replaced under its ID before the first event, the stream could go on elsewhere while this gateway had seen one version but could not prove that it was the only one.

Change: checkVersion asks for the proof.

--- a/internal/edge/gatewayd/resumed_streams_test.go
+++ b/internal/edge/gatewayd/resumed_streams_test.go
@@ -10,6 +10,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
 
 	gladegaugev1 "github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1"
 	"github.com/gladegauge/gladegauge/platform/standin"
@@ -329,3 +330,58 @@
 	is.NoErr(err)
 	g.control.DoWithoutCancel(func(time.Time) { is.Equal(g.streams.Reported(), 0) })
 }
+
+// An upstream started again under its ID between the choice and the first event: either version
+// may have sent the event, and no other upstream goes on with the stream.
+func TestUpstreamReplacedBeforeFirstEvent(t *testing.T) {
+	tests := []struct {
+		name string
+		// replace is true if the new incarnation is listed before the first event.
+		replace bool
+		whole   bool
+	}{
+		{"not replaced", false, true},
+		{"replaced", true, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			store := standin.NewStore(t)
+			store.PutConfig(configuration(1))
+			arrived, release := make(chan int, 1), make(chan struct{})
+			var replicas []*standin.Replica
+			for i := range 2 {
+				r := standin.NewReplica(t, fmt.Sprintf("i-%d", i), func(n int, req standin.Request) standin.Reply {
+					reply := breaksOff(n, req)
+					if req.LastEvent == "" {
+						arrived <- i
+						reply.Hold = release
+					}
+					return reply
+				})
+				r.Version = "v1"
+				store.PutReplica(r, "app", false)
+				replicas = append(replicas, r)
+			}
+			g := startPeerWith(t, store, "a", false)
+			w := &testEnv{t: t, is: is, server: g.Server}
+			w.await(func() bool { return w.upstreams() == len(replicas) && w.readiness() == 200 })
+			answer := make(chan standin.Answer, 1)
+			var group errgroup.Group
+			group.Go(func() error {
+				answer <- streamOf(standin.NewCaller(t, g.CallersAddress()), standin.Request{ID: "s", URI: "/note/1"})
+				return nil
+			})
+			if i := <-arrived; tt.replace {
+				r := replicas[i]
+				r.Version = "v2"
+				store.PutReplica(r, "app", false)
+				store.PutConfig(configuration(2))
+				w.await(func() bool { return g.version() == 2 })
+			}
+			close(release)
+			is.Equal((<-answer).Whole, tt.whole)
+			is.NoErr(group.Wait())
+		})
+	}
+}
--- a/internal/edge/gatewayd/streams.go
+++ b/internal/edge/gatewayd/streams.go
@@ -140,7 +140,7 @@
 		return
 	}
 	x.server.control.DoWithoutCancel(func(now time.Time) {
-		x.progress.VersionUnknown = x.server.streams.Pool(now, x.admission.Pool).Kind == rollout.Several
+		x.progress.VersionUnknown = x.server.streams.Pool(now, x.admission.Pool).Kind != rollout.Single
 	})
 }
 
