gatewayd, ingress, soak: what the reread of the whole change found

Behaviour is the same. The condition for streams that may be resumed stood in five places and is Route.MayResume; two loops over such routes share one. A request's singleVersion was also set when a stream began, where nothing reads it: the field is set for resumed streams only and is named for what it decides. prepareStream parts new streams from resumed ones. The soak numbers replicas and records the time of an event in one place each. Comments in plainer terms.

--- a/internal/core/gateway/admit.go
+++ b/internal/core/gateway/admit.go
@@ -90,7 +90,7 @@
 // poolID returns the ID that the choice among the route's pools is derived from. A stream that
 // is resumed goes on in the pool that began it.
 func poolID(route *ingress.Route, c Call) string {
-	if route.Kind == ingress.Stream && route.Resumable {
+	if route.MayResume() {
 		return cmp.Or(c.Resumes, c.ID)
 	}
 	return c.ID
--- a/internal/core/ingress/route.go
+++ b/internal/core/ingress/route.go
@@ -68,9 +68,10 @@
 }
 
 // MayRepeat reports whether a request may run more than once.
-func (r *Route) MayRepeat() bool {
-	return r.Kind == Repeatable || (r.Kind == Stream && r.Resumable)
-}
+func (r *Route) MayRepeat() bool { return r.Kind == Repeatable || r.MayResume() }
+
+// MayResume reports whether the route has streams that another upstream may go on with.
+func (r *Route) MayResume() bool { return r.Kind == Stream && r.Resumable }
 
 // serves reports whether the route sends requests to the pool.
 func (r *Route) serves(pool string) bool {
--- a/internal/core/ingress/table.go
+++ b/internal/core/ingress/table.go
@@ -206,12 +206,8 @@
 // none.
 func (t *Table) LongestResumable() time.Duration {
 	var longest time.Duration
-	for _, rs := range t.routes {
-		for _, r := range rs {
-			if r.Kind == Stream && r.Resumable {
-				longest = max(longest, r.Timeout)
-			}
-		}
+	for r := range t.resumableRoutes {
+		longest = max(longest, r.Timeout)
 	}
 	return longest
 }
@@ -219,18 +215,24 @@
 // ResumablePools returns the pools that serve routes with resumable streams, sorted.
 func (t *Table) ResumablePools() []string {
 	var pools []string
+	for r := range t.resumableRoutes {
+		for _, s := range r.Shares {
+			pools = append(pools, s.Pool)
+		}
+	}
+	slices.Sort(pools)
+	return slices.Compact(pools)
+}
+
+// resumableRoutes iterates over the routes with resumable streams.
+func (t *Table) resumableRoutes(yield func(*Route) bool) {
 	for _, rs := range t.routes {
 		for _, r := range rs {
-			if r.Kind != Stream || !r.Resumable {
-				continue
-			}
-			for _, s := range r.Shares {
-				pools = append(pools, s.Pool)
+			if r.MayResume() && !yield(r) {
+				return
 			}
 		}
 	}
-	slices.Sort(pools)
-	return slices.Compact(pools)
 }
 
 // NeedsKey reports whether requests on the route must carry a key.
--- a/internal/core/rollout/rollout_test.go
+++ b/internal/core/rollout/rollout_test.go
@@ -10,7 +10,7 @@
 const window = 10 * time.Second
 
 // A gateway that takes a pool for one of a single version resumes its streams anywhere. It may
-// do so only if no other version has served for as long as a caller may come back.
+// do so only if no other version has served for as long as a caller may resume a stream.
 func TestState(t *testing.T) {
 	v1, v2 := VersionOf("p", "v1"), VersionOf("p", "v2")
 	type step struct {
--- a/internal/core/stream/registry_test.go
+++ b/internal/core/stream/registry_test.go
@@ -9,7 +9,7 @@
 	"github.com/gladegauge/gladegauge/internal/core/rollout"
 )
 
-// A stream is known for as long as its caller may come back, and forgotten some time later.
+// A stream is known for as long as its caller may resume it, and forgotten some time later.
 func TestFind(t *testing.T) {
 	const window = 20 * time.Second
 	v1 := rollout.VersionOf("p", "v1")
--- a/internal/edge/gatewayd/pick.go
+++ b/internal/edge/gatewayd/pick.go
@@ -67,7 +67,7 @@
 // at a version that other gateways may not know yet. It runs in the control loop.
 func (x *request) pickRequest(now time.Time) balance.Request {
 	r := x.balanceRequest()
-	if x.isResumable() && x.version == rollout.Unstated {
+	if x.admission.Route.MayResume() && x.version == rollout.Unstated {
 		r.Avoid = x.server.streams.Unsettled(now, x.admission.Pool)
 	}
 	return r
--- a/internal/edge/gatewayd/request.go
+++ b/internal/edge/gatewayd/request.go
@@ -48,9 +48,10 @@
 	// lastEventID is the ID of the last stream event sent to the caller.
 	lastEventID string
 	// version is the software version that began the stream; unstated until it has begun, or
-	// if it is not known. singleVersion is true if the pool was proven to have only that one.
-	version       rollout.Version
-	singleVersion bool
+	// if it is not known. mayLackVersion is true for a resumed stream whose pool may have
+	// other versions only.
+	version        rollout.Version
+	mayLackVersion bool
 	// events is the number of events sent to the caller.
 	events int
 	// duplicateEvents is the number of events that were dropped because the caller already
@@ -123,7 +124,7 @@
 		return nil
 	}
 	defer x.releaseSuspect()
-	if refusal := x.resolveVersion(ctx); refusal != nil {
+	if refusal := x.prepareStream(ctx); refusal != nil {
 		x.refuse(refusal)
 		return nil
 	}
--- a/internal/edge/gatewayd/resumed_streams_test.go
+++ b/internal/edge/gatewayd/resumed_streams_test.go
@@ -284,7 +284,7 @@
 	return n
 }
 
-// A caller names the attempt that brought its first event, however often it comes back. All
+// A caller names the attempt that brought its first event, however often it resumes the stream. All
 // gateways that have sent it events may be gone by then.
 func TestStreamIsResumedAgain(t *testing.T) {
 	is := is.New(t)
--- a/internal/edge/gatewayd/streams.go
+++ b/internal/edge/gatewayd/streams.go
@@ -6,7 +6,6 @@
 
 	"github.com/gladegauge/gladegauge/internal/core/balance"
 	"github.com/gladegauge/gladegauge/internal/core/gateway"
-	"github.com/gladegauge/gladegauge/internal/core/ingress"
 	"github.com/gladegauge/gladegauge/internal/core/rollout"
 	"github.com/gladegauge/gladegauge/internal/core/stream"
 )
@@ -62,27 +61,25 @@
 	}
 }
 
-// isResumable reports whether the request is for a stream that its caller may resume.
-func (x *request) isResumable() bool {
-	return x.admission.Route.Kind == ingress.Stream && x.admission.Route.Resumable
-}
-
-// resumesStream reports whether the caller resumes a stream of which it has events.
-func (x *request) resumesStream() bool {
-	return x.isResumable() && (x.call.LastEvent != "" || x.call.Resumes != "")
+// prepareStream finds the version of a stream that the caller resumes, or makes sure that this
+// gateway knows at which versions a new one may begin. It returns a refusal if the request may
+// not be sent.
+func (x *request) prepareStream(ctx context.Context) *gateway.Refusal {
+	switch {
+	case !x.admission.Route.MayResume():
+		return nil
+	case x.call.LastEvent != "" || x.call.Resumes != "":
+		return x.resolveVersion(ctx)
+	default:
+		x.server.learnSettled(ctx, x.admission.Pool)
+		return nil
+	}
 }
 
-// resolveVersion finds the version of a stream that the caller resumes. It refuses the request if
-// the version is not known. For a new stream it makes sure that this gateway knows at which
-// versions it may begin.
+// resolveVersion finds the version of the stream that the caller resumes. It refuses the request
+// if the version is not known.
 func (x *request) resolveVersion(ctx context.Context) *gateway.Refusal {
 	s := x.server
-	if !x.resumesStream() {
-		if x.isResumable() {
-			s.learnSettled(ctx, x.admission.Pool)
-		}
-		return nil
-	}
 	attempt := stream.AttemptOf(x.call.Resumes)
 	var k stream.Known
 	s.control.DoWithoutCancel(func(now time.Time) { k = s.streams.Find(now, x.admission.Pool, attempt) })
@@ -94,7 +91,7 @@
 	if k.Source == stream.Unknown {
 		return gateway.UnknownVersion()
 	}
-	x.version, x.singleVersion = k.Version, k.Pool.Kind == rollout.Single
+	x.version, x.mayLackVersion = k.Version, k.Pool.Kind != rollout.Single
 	s.control.DoWithoutCancel(func(now time.Time) { x.recordStream(now, x.call.Resumes) })
 	return nil
 }
@@ -109,8 +106,7 @@
 	var acknowledged <-chan struct{}
 	s.control.DoWithoutCancel(func(now time.Time) {
 		x.version = s.table.VersionAt(choice)
-		x.singleVersion = s.streams.Pool(now, x.admission.Pool).Kind == rollout.Single
-		if x.isResumable() {
+		if x.admission.Route.MayResume() {
 			acknowledged = x.recordStream(now, x.call.ID)
 		}
 	})
@@ -146,7 +142,7 @@
 
 // noUpstreamLeft returns the refusal if no upstream is left to try.
 func (x *request) noUpstreamLeft() *gateway.Refusal {
-	if !x.singleVersion && x.version != rollout.Unstated && x.progress.Sent+x.progress.Unsent == 0 {
+	if x.mayLackVersion && x.version != rollout.Unstated && x.progress.Sent+x.progress.Unsent == 0 {
 		return gateway.UnavailableVersion()
 	}
 	return gateway.NoUpstreamLeft(x.server.now(), x.admission, x.progress)
--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -5,8 +5,9 @@
 // reaches the store, and all gateways reach each replica, through a proxy that delays or
 // drops data, drops one direction only, or resets connections. Gateways are paused,
 // killed, shut down and reloaded by signals. The store is restored from backups.
-// Meanwhile configurations, key revocations and replacements of replicas are published. A
-// seed determines the sequence of faults, which overlap. It does not determine the timing
+// Meanwhile configurations, key revocations and replacements of replicas are published.
+// Replicas of two software versions serve side by side while rollouts go forward and back,
+// and callers resume streams that broke off. A seed determines the sequence of faults, which overlap. It does not determine the timing
 // of the processes, so a violation may take more than one run of its seed to reproduce.
 //
 // # Usage
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -81,9 +81,15 @@
 
 // recordDuring records an event that lasts while action runs.
 func (h *Harness) recordDuring(name string, gateway int, action func()) {
-	at := time.Now()
+	h.recordEvent(Event{Name: name, Gateway: gateway}, action)
+}
+
+// recordEvent records the event with the times between which action runs.
+func (h *Harness) recordEvent(e Event, action func()) {
+	e.At = time.Now()
 	action()
-	h.record.addEvent(Event{At: at, Name: name, Gateway: gateway, Until: time.Now()})
+	e.Until = time.Now()
+	h.record.addEvent(e)
 }
 
 // failLink makes the link fail in a random way for the duration.
@@ -111,9 +117,8 @@
 	h.mu.Lock()
 	r := h.replicas[rng.IntN(len(h.replicas))]
 	h.mu.Unlock()
-	at := time.Now()
-	failLink(r.link, rng, d)
-	h.record.addEvent(Event{At: at, Name: "link to a replica", Gateway: noGateway, Replica: r.ID, Until: time.Now()})
+	e := Event{Name: "link to a replica", Gateway: noGateway, Replica: r.ID}
+	h.recordEvent(e, func() { failLink(r.link, rng, d) })
 }
 
 // exclusively runs action unless another fault affects the process at the moment.
--- a/internal/soak/replicas.go
+++ b/internal/soak/replicas.go
@@ -18,10 +18,13 @@
 
 // addReplica starts a replica and lists it. The caller holds the mutex, or nothing else
 // runs yet.
-func (h *Harness) addReplica() {
+func (h *Harness) addReplica() { h.replicas = append(h.replicas, h.newReplica(h.nextSoftware())) }
+
+// newReplica starts and lists a replica of a software version under a new identity.
+func (h *Harness) newReplica(software string) *replica {
 	id := fmt.Sprintf("i-%d", h.nextReplica)
 	h.nextReplica++
-	h.replicas = append(h.replicas, h.startReplica(id, zoneOf(h.nextReplica), h.nextSoftware()))
+	return h.startReplica(id, zoneOf(h.nextReplica), software)
 }
 
 // startReplica starts a replica of a software version under the identity and lists it.
--- a/internal/soak/rollouts.go
+++ b/internal/soak/rollouts.go
@@ -72,9 +72,7 @@
 		return nil, false
 	}
 	old := h.replicas[i]
-	id := fmt.Sprintf("i-%d", h.nextReplica)
-	h.nextReplica++
-	h.replicas[i] = h.startReplica(id, zoneOf(h.nextReplica), to)
+	h.replicas[i] = h.newReplica(to)
 	return old, true
 }
 
