gatewayd: the parts of a prompt on the lines of crashes and lost requests

Engines ended one after the other under requests of which no two were alike. Whether they have a part of their prompts in common could not be told: no log line named the parts. No decision changes.

--- a/internal/core/balance/cache.go
+++ b/internal/core/balance/cache.go
@@ -78,7 +78,7 @@
 // there. It returns the shared parts whose state changed, with Upstream unset.
 func (c *cache) record(now time.Time, p Prompt, keys []uint64, read bool) []occupancy.Part {
 	var added []occupancy.Part
-	shared := len(p.shared())
+	shared := len(p.Shared())
 	for i, key := range keys {
 		if c.put(now, key, p.Parts[i].Tokens, read) && i < shared {
 			added = append(added, occupancy.Part{Key: key, Tokens: p.Parts[i].Tokens, Read: read})
--- a/internal/core/balance/connections.go
+++ b/internal/core/balance/connections.go
@@ -63,7 +63,7 @@
 // engines copy cached parts from one another, it is one of the next with an idle connection if
 // the first has none.
 func (t *Table) home(now time.Time, p *pool, candidates []*upstream, prompt Prompt, keys []uint64) *upstream {
-	shared := prompt.shared()
+	shared := prompt.Shared()
 	if len(shared) == 0 || !t.prefersConnected(p) || !p.copiesCache() || !p.quickToRead(shared) {
 		return homeOf(candidates, prompt, keys)
 	}
--- a/internal/core/balance/fetch.go
+++ b/internal/core/balance/fetch.go
@@ -29,7 +29,7 @@
 // assumes to be there. That saved a tenth of the repeated prefill of shared parts on one
 // day of bursts, and a fifth on another.
 func (p *pool) sourceFor(now time.Time, chosen *upstream, candidates []*upstream, prompt Prompt, keys []uint64) source {
-	if len(prompt.shared()) == 0 || !p.copiesCache() {
+	if len(prompt.Shared()) == 0 || !p.copiesCache() {
 		return source{}
 	}
 	best := bestSource(now, chosen, candidates, prompt, keys)
@@ -55,7 +55,7 @@
 			best = source{upstream: u, tokens: tokens}
 		}
 	}
-	shared := prompt.shared()
+	shared := prompt.Shared()
 	for _, u := range candidates {
 		consider(u, u.cache.prefilledTokens(now, prompt, keys[:len(shared)]))
 	}
--- a/internal/core/balance/home.go
+++ b/internal/core/balance/home.go
@@ -12,7 +12,7 @@
 
 // homeOf returns the upstream to which all gateways send the deepest shared part.
 func homeOf(candidates []*upstream, p Prompt, keys []uint64) *upstream {
-	shared := len(p.shared())
+	shared := len(p.Shared())
 	if shared == 0 {
 		return nil
 	}
@@ -36,7 +36,7 @@
 	cachedTokens := u.cache.cachedTokens(now, p, keys)
 	if home {
 		shared := 0
-		for _, part := range p.shared() {
+		for _, part := range p.Shared() {
 			shared += part.Tokens
 		}
 		cachedTokens = max(cachedTokens, int(homeCachedShare*float64(shared)))
--- a/internal/core/balance/prompt.go
+++ b/internal/core/balance/prompt.go
@@ -4,8 +4,10 @@
 
 // Part is a part of a prompt that other requests may share.
 type Part struct {
-	// ID is the hash of the part's identity.
-	ID     uint64
+	// ID is the hash of the part's name.
+	ID uint64
+	// Name is the identity that the caller gave to the part.
+	Name   string
 	Tokens int
 }
 
@@ -33,8 +35,8 @@
 	return float64(p.MaxOutput) / 2
 }
 
-// shared returns the parts that other requests may share.
-func (p Prompt) shared() []Part {
+// Shared returns the parts that other requests may share.
+func (p Prompt) Shared() []Part {
 	if len(p.Parts) < 2 {
 		return nil
 	}
--- a/internal/edge/gatewayd/request_log.go
+++ b/internal/edge/gatewayd/request_log.go
@@ -98,7 +98,7 @@
 	if f == gateway.Lost {
 		// The request may have crashed the upstream. The fingerprint shows whether the same
 		// request was present at other crashes under another request ID.
-		line = line.Stringer("print", x.fingerprint()).Dur("since_head", x.sinceHead())
+		line = line.Stringer("print", x.fingerprint()).Strs("parts", partNames(x.call.Prompt)).Dur("since_head", x.sinceHead())
 	}
 	line.
 		Int("attempt", len(x.tried)).
--- a/internal/edge/gatewayd/suspects.go
+++ b/internal/edge/gatewayd/suspects.go
@@ -78,7 +78,7 @@
 	}
 	s := x.server
 	lost := suspects.Failure{
-		Print: x.fingerprint(), Request: x.call.ID, Organisation: x.organisation(),
+		Print: x.fingerprint(), Request: x.call.ID, Organisation: x.organisation(), Parts: partNames(x.call.Prompt),
 		IncarnationKey: c.IncarnationKey(), Upstream: c.ID, Ran: s.now().Sub(x.sentAt),
 	}
 	leaving, known := false, false
--- a/internal/edge/suspects/tracker.go
+++ b/internal/edge/suspects/tracker.go
@@ -58,6 +58,8 @@
 	// Request is the request's ID, for logs.
 	Request      string
 	Organisation string
+	// Parts are the names of the parts of its prompt that other requests may share.
+	Parts []string
 	// IncarnationKey identifies the upstream incarnation; Upstream is its name.
 	IncarnationKey uint64
 	Upstream       string
@@ -71,7 +73,7 @@
 	t.RecordCrash(f.At, f.Print, f.IncarnationKey, f.Ran)
 	t.count()
 	t.log.Warn().Str("request", f.Request).Stringer("print", f.Print).Str("upstream", f.Upstream).
-		Str("organisation", f.Organisation).Dur("ran", f.Ran).
+		Str("organisation", f.Organisation).Strs("parts", f.Parts).Dur("ran", f.Ran).
 		Int("ends", t.Crashes(f.Print)).Stringer("verdict", t.Check(f.At, f.Print)).
 		Msg("upstream crashed while running a request")
 }
