--- a/internal/edge/gatewayd/crash_test.go
+++ b/internal/edge/gatewayd/crash_test.go
@@ -18,6 +18,15 @@
 // crashBody is the body of a request that crashes each engine that runs it.
 const crashBody = "end"
 
+// crashPart is the part of a prompt that crashes each engine that begins to answer it, unless
+// it is the last one.
+const crashPart = "dead"
+
+// crashes reports whether the request crashes the engine that runs it.
+func crashes(r standin.Request) bool {
+	return r.Body == crashBody || strings.Contains(r.PromptParts, crashPart+":")
+}
+
 // crashEnv is a set of gateways in two availability zones, and engines that crash when
 // they run the harmful request.
 type crashEnv struct {
@@ -35,7 +44,7 @@
 	w.store.PutConfig(cfg)
 	for i := range engines {
 		r := standin.NewReplica(t, fmt.Sprintf("i-%d", i), func(_ int, r standin.Request) standin.Reply {
-			return standin.Reply{Crash: r.Body == crashBody, Events: []string{"a", "b"}}
+			return standin.Reply{Crash: crashes(r), Events: []string{"a", "b"}}
 		})
 		w.replicas = append(w.replicas, r)
 		w.store.PutReplica(r, "app", false)
@@ -60,12 +69,21 @@
 
 // send sends a request with a new ID to one of the gateways.
 func (w *crashEnv) send(gateway int, uri, body string) standin.Answer {
+	return w.sendParts(gateway, uri, body)
+}
+
+// sendParts sends a request with a new ID whose prompt has the parts, and then one of its own.
+func (w *crashEnv) sendParts(gateway int, uri, body string, parts ...string) standin.Answer {
 	w.calls++
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	defer cancel()
+	prompt := ""
+	for _, part := range parts {
+		prompt += part + ":10,"
+	}
 	return w.callers[gateway].Call(ctx, standin.Request{
 		ID: fmt.Sprintf("r-%d", w.calls), Host: "x.example", URI: uri, Key: "key-a",
-		Body: body, DeadlineMs: 1500, Tokens: "10,10", PromptParts: fmt.Sprintf("%d:10", w.calls),
+		Body: body, DeadlineMs: 1500, Tokens: "10,10", PromptParts: fmt.Sprintf("%s%d:10", prompt, w.calls),
 	})
 }
 
