gatewayd: new connections are closed unread while a gateway cannot keep up

The users' platform may hand most new connections of a zone or a region to one gateway for some seconds. What was looked at:

- A gateway with too little of a processor for what it gets: it reads all requests and answers none in time, and its view of the store becomes too old.

The gateway measures by how much its control loop is late. While that is high three times in a row and new connections come 1.5 times as often as usual, it closes a growing part of them unread, 0.95 at most; their callers meet another gateway at once. In a zone without another gateway it closes none.

The decision is core/surge, without input or output; TestSurge and TestNoSurge play it.

--- a/internal/core/balance/replay_admission_test.go
+++ b/internal/core/balance/replay_admission_test.go
@@ -86,8 +86,10 @@
 	deadline time.Duration
 	// share is a gateway's share of the demand; nil if all have the same.
 	share func(g *plainGateway) float64
-	nodes map[string]*plainReplica
-	fleet []*plainGateway
+	// concentration makes most calls arrive at one gateway; nil for none.
+	concentration *replayConcentration
+	nodes         map[string]*plainReplica
+	fleet         []*plainGateway
 	// calls, tries, inTime, late and lost count calls and their results; timedOut counts
 	// those that ended with an unknown outcome because of a wait in a replica's queue.
 	calls, tries, inTime, late, lost, timedOut int
@@ -154,6 +156,7 @@
 			work *= 5
 		}
 		p.calls++
+		p.concentration.sent(p.now)
 		p.try(&plainCall{at: p.now, deadline: p.now.Add(p.deadline), work: work, hasty: p.rng.Float64() < plainHasty}, gateway())
 		p.arrive(perSecond, gateway)
 	})
@@ -310,6 +313,9 @@
 	if p.now.Sub(c.arrived) <= plainTarget {
 		p.inTimeByTry++
 	}
+	if c.tries == 1 {
+		p.concentration.served(c.at)
+	}
 	if p.now.Sub(c.at) <= plainTarget {
 		p.inTime++
 		p.ended(c, 1)
--- a/internal/core/balance/replay_simulation_test.go
+++ b/internal/core/balance/replay_simulation_test.go
@@ -93,6 +93,8 @@
 	// connections are the connections between gateways and engines; nil if they are not
 	// simulated.
 	connections *replayConnections
+	// concentration makes most requests arrive at one gateway; nil for none.
+	concentration *replayConcentration
 	// firstEvents is the number of responses that began, and waited the sum of the times
 	// from their arrival until then.
 	firstEvents int
@@ -185,13 +187,14 @@
 
 // request creates a caller's request at a random gateway.
 func (r *replay) request(c *replayClass) {
-	r.requestAt(c, r.gateways[r.rng.IntN(len(r.gateways))], r.organisations.draw())
+	r.requestAt(c, r.gateways[r.concentration.gateway(r.now, r.rng, len(r.gateways))], r.organisations.draw())
 }
 
 // requestAt creates a request of the organisation at the gateway.
 func (r *replay) requestAt(c *replayClass, g *replayGateway, organisation uint64) {
 	q := &replayRequest{class: c, gateway: g, arrivedAt: r.now, organisation: organisation}
 	r.organisations.sent(q)
+	r.concentration.sent(r.now)
 	q.output = max(1, int(r.spread(c.output, c.spread)))
 	q.prompt = Prompt{Model: 1, MaxOutput: 4 * c.output, OutputHint: q.output}
 	if r.admitsByMemory {
@@ -317,6 +320,9 @@
 	run.gateway.table.Ended(r.now, run.choice, Completed, Answer{Tokens: run.generated, LongestGap: run.longest})
 	first := run.began.Sub(run.arrivedAt)
 	r.organisations.completed(run, r.now)
+	if first <= run.class.timeout && !run.retried {
+		r.concentration.served(run.arrivedAt)
+	}
 	switch {
 	case first > run.class.timeout:
 		r.count(run.class, abandonedResult)
--- a/internal/edge/gatewayd/listen.go
+++ b/internal/edge/gatewayd/listen.go
@@ -118,7 +118,7 @@
 	callers := l.server(s.handler())
 	group.Go(func() error {
 		s.awaitLimits(ctx, callers)
-		return l.run(callers, l.callers)
+		return l.run(callers, callerListener{Listener: l.callers, server: s})
 	})
 }
 
--- a/internal/edge/gatewayd/metrics.go
+++ b/internal/edge/gatewayd/metrics.go
@@ -68,6 +68,8 @@
 	retriesDenied prometheus.Counter
 	// limited is the number of upstreams with a limit.
 	limited prometheus.Gauge
+	// closedUnread counts callers' connections that were closed unread in a surge.
+	closedUnread prometheus.Counter
 	// suspects is the number of requests and parts of prompts that upstreams crashed under, by
 	// verdict.
 	suspects *prometheus.GaugeVec
@@ -124,11 +126,12 @@
 		admissionWaiting: admissionFactory.Gauge("admission_waiting", "Requests to plain services that wait in a queue of the gateway."),
 		admissionWait:    admissionFactory.Histogram("admission_wait_seconds", "Time that requests to plain services waited in a queue of the gateway, until they were sent or rejected."),
 		invalidPaces:     factory.Counter("invalid_pace_reports_total", "Load reports of upstreams whose pace was out of range and dropped."),
+		closedUnread:     factory.Counter("connections_closed_unread_total", "Callers' new connections that were closed unread because the gateway could not keep up."),
 		ends:             factory.Counter("upstream_ends_total", "Listed upstreams that were found to have ended."),
 	}
 	m.registry.MustRegister(m.requests, m.refusals, m.attempts, m.storeCalls, m.inTime, m.firstByte,
 		m.completion, m.connections, m.resumes, m.continues, m.faults, m.version, m.epoch, m.revision, m.upstreams, m.peerCalls, m.peerBytes, m.gateways,
-		m.zoneAttempts, m.zoneUpstreams, m.ends, m.notices, m.retriesDenied, m.limited, m.suspects, m.suspectRequests, m.demandDropped, m.aboveLevel,
+		m.zoneAttempts, m.zoneUpstreams, m.ends, m.notices, m.retriesDenied, m.limited, m.suspects, m.suspectRequests, m.closedUnread, m.demandDropped, m.aboveLevel,
 		m.admissions, m.admissionWaiting, m.admissionWait, m.invalidPaces, m.reused, m.callerResumes, m.softwareVersions, m.reportsDropped)
 	m.registry.MustRegister(factory.GaugeOf("view_age_milliseconds", "Time since the configuration in force was proved to be the newest.", viewAge))
 	if logsDropped != nil {
--- a/internal/edge/gatewayd/server.go
+++ b/internal/edge/gatewayd/server.go
@@ -33,6 +33,7 @@
 	"github.com/gladegauge/gladegauge/internal/core/occupancy"
 	"github.com/gladegauge/gladegauge/internal/core/retry"
 	"github.com/gladegauge/gladegauge/internal/core/roster"
+	"github.com/gladegauge/gladegauge/internal/core/surge"
 	"github.com/gladegauge/gladegauge/internal/core/suspect"
 	"github.com/gladegauge/gladegauge/internal/edge/clock"
 	"github.com/gladegauge/gladegauge/internal/edge/exchange"
@@ -125,7 +126,9 @@
 	// upstream connection broke recently.
 	suspects *suspects.Tracker
 	lost     []suspects.Failure
-	feed     *feed.Feed
+	// guard decides on callers' new connections.
+	guard callerGuard
+	feed  *feed.Feed
 	// storedConfig is the configuration that was last read from the store itself, and
 	// restoreWindow the time in which the absence of changes in a restored store proves
 	// nothing.
@@ -171,6 +174,7 @@
 		feed:           feed.New(),
 		feedChanged:    make(chan struct{}),
 	}
+	s.guard.guard = surge.New(now())
 	bounds := admissionBounds(o.Settings.Bounds)
 	s.bounds.Store(&bounds)
 	s.table.SetColdLimits(coldLimits(o.Settings.Bounds), s.holds)
@@ -217,6 +221,7 @@
 			group.Go(func() error { return s.streamReportLoop(work, queue) })
 		}
 	}
+	group.Go(func() error { return s.measureLag(work) })
 	group.Go(func() error { return s.control.Every(work, sweepInterval, s.sweep) })
 	group.Go(func() error { return s.control.Every(work, resourcesInterval, s.logResources) })
 	listeners.serve(work, group, s)
