gatewayd: failing test of answers that end with their connection as upstreams crash

The stand-in's streams can come without chunks, and a replica can crash within one. A part of prompts that crashes upstreams after a whole event clears itself with each crash, as the end of the connection looks like the end of the answer. Inside an event the stream counts as broken off and the part is blocked.

--- a/internal/edge/gatewayd/crash_parts_test.go
+++ b/internal/edge/gatewayd/crash_parts_test.go
@@ -140,3 +140,52 @@
 	is.True(x.blocked())
 	is.True(x.checkSuspect() != nil)
 }
+
+// Answers without length or chunks end with their connection, also if that ends because their
+// upstream crashes. Such an end clears nothing: a part that crashes upstreams after a whole
+// event, or inside one, is blocked.
+func TestPartThatCrashesUpstreamsInUnframedAnswers(t *testing.T) {
+	tests := []struct {
+		name     string
+		midEvent bool
+	}{
+		{"after an event", false},
+		{"inside an event", true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			w := newTestEnv(t, 14, func(_ int, r standin.Request) standin.Reply {
+				reply := standin.Reply{Events: []string{"a", "b", "c"}, Unframed: true}
+				if crashes(r) {
+					reply.Crash, reply.CutAfter, reply.CutMidEvent = true, 1, tt.midEvent
+				}
+				return reply
+			})
+			crashed := func() int {
+				n := 0
+				for _, r := range w.replicas {
+					if r.Crashed() {
+						n++
+					}
+				}
+				return n
+			}
+			send := func(id, parts string) standin.Answer {
+				return w.caller.Call(context.Background(), standin.Request{
+					ID: id, Host: "x.example", URI: "/chat/1", Key: "key-a", Body: id, DeadlineMs: 1500, Tokens: "10,10", PromptParts: parts,
+				})
+			}
+			for i := range 12 {
+				send(fmt.Sprint("guilty-", i), guiltyParts(i))
+				for k := range 16 {
+					// Sound requests of others find the upstreams that have ended.
+					a := send(fmt.Sprint("sound-", i, "-", k), "a:10,own:10")
+					is.Equal(a.Status, http.StatusOK)
+				}
+			}
+			is.True(crashed() <= 5)
+		})
+	}
+}
