gatewayd: an answer that ends with its connection proves nothing until its upstream lives on

Answers without length or chunks end with their connection, and so do those of an upstream that crashes after a whole event. Such an end counted as success: it cleared the part that had crashed the upstream, and protected it for half a minute. The class of fault: the end of a transport taken for the end of a message.

Such answers wait with the requests whose connection broke. After 3 s an upstream that lives proves them whole; one that left the list proves nothing. Callers get them as before, and their connection was not used again before either.

--- a/internal/edge/exchange/answer.go
+++ b/internal/edge/exchange/answer.go
@@ -44,6 +44,12 @@
 // Read reads the body of the response.
 func (a *Answer) Read(p []byte) (int, error) { return a.body.Read(p) }
 
+// EndsWithConnection reports whether the body has neither a length nor chunks. Its end then
+// looks the same as that of an upstream that crashes.
+func (a *Answer) EndsWithConnection() bool {
+	return a.ContentLength < 0 && len(a.TransferEncoding) == 0
+}
+
 // Close ends the exchange. The connection is reused only if the request was written and
 // the response read completely.
 func (a *Answer) Close() {
--- a/internal/edge/gatewayd/attempt.go
+++ b/internal/edge/gatewayd/attempt.go
@@ -8,6 +8,7 @@
 	"github.com/gladegauge/gladegauge/internal/core/balance"
 	"github.com/gladegauge/gladegauge/internal/core/gateway"
 	"github.com/gladegauge/gladegauge/internal/edge/exchange"
+	"github.com/gladegauge/gladegauge/internal/edge/suspects"
 	"github.com/gladegauge/gladegauge/platform"
 )
 
@@ -35,6 +36,7 @@
 		return failure, err
 	}
 	x.headAt = x.server.now()
+	x.unframed = got.EndsWithConnection()
 	a := response{Answer: got, choice: choice, head: platform.DecodeAnswer(got.StatusCode, got.Header)}
 	if a.head.InvalidPace {
 		x.server.metrics.invalidPaces.Inc()
@@ -92,6 +94,11 @@
 	}
 	x.server.metrics.attempt(choice, o)
 	survived := x.survived(o)
+	var answered suspects.Failure
+	if survived && x.unframed {
+		answered = x.failedAt(choice)
+		answered.Answered = true
+	}
 	if survived {
 		// Computed here because hashing takes several microseconds, which would block the
 		// control loop.
@@ -101,7 +108,11 @@
 		if o == balance.Dead || o == balance.Replaced {
 			x.server.recordUpstreamEnd(now, choice.Instance, o)
 		}
-		if survived {
+		switch {
+		case answered.Answered:
+			answered.At = now
+			x.server.addLost(answered)
+		case survived:
 			x.server.suspects.ReportSuccess(now, x.suspectRequest(), now.Sub(x.sentAt), x.call.ID)
 		}
 		x.server.table.Ended(now, choice, o, balance.Answer{Tokens: tokens, LongestGap: x.longestGap, Load: load})
--- a/internal/edge/gatewayd/request.go
+++ b/internal/edge/gatewayd/request.go
@@ -89,6 +89,9 @@
 	// succeeded is true once the upstream answered with a success status: when the whole
 	// body of a stream has arrived, otherwise when the header is sent on.
 	succeeded bool
+	// unframed is true if the answer of the current attempt has neither a length nor chunks, so
+	// that it ends with its connection.
+	unframed bool
 }
 
 // serve forwards one request to an upstream and the response back to the caller.
--- a/internal/edge/gatewayd/server.go
+++ b/internal/edge/gatewayd/server.go
@@ -123,7 +123,7 @@
 	// loggedSize is the number of gateways in the latest log line about it.
 	loggedSize int
 	// suspects are the requests that upstreams crashed under, and lost those whose
-	// upstream connection broke recently.
+	// upstream connection ended recently.
 	suspects *suspects.Tracker
 	lost     []suspects.Failure
 	// guard decides on callers' new connections.
@@ -244,6 +244,7 @@
 
 // sweep removes state that is no longer used. It runs in the control loop.
 func (s *Server) sweep(now time.Time) {
+	s.expireLost(now)
 	s.verifySuspects(now)
 	s.suspects.Sweep(now, s.metrics.suspects)
 	s.releaseAll(now)
--- a/internal/edge/gatewayd/suspects.go
+++ b/internal/edge/gatewayd/suspects.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -13,15 +12,6 @@
 	"github.com/gladegauge/gladegauge/internal/edge/suspects"
 )
 
-const (
-	// lostRetention is the time after a request's connection broke in which the end of its
-	// upstream is attributed to the request. A new connection to the upstream has been
-	// tried by then.
-	lostRetention = 3 * time.Second
-	// maxLost bounds the number of requests whose connection broke recently.
-	maxLost = 1024
-)
-
 // addressHash returns the hash of this gateway's address; 0 if it has no address for other
 // gateways.
 func (s *Server) addressHash() uint64 {
@@ -139,8 +129,7 @@
 			return
 		}
 		lost.At = now
-		s.lost = append(s.lost, lost)
-		s.lost = s.lost[max(0, len(s.lost)-maxLost):]
+		s.addLost(lost)
 		known = s.table.IsGone(now, c.Instance)
 	})
 	if leaving {
@@ -170,21 +159,3 @@
 	live := s.table.LiveIncarnations(now)
 	s.suspects.Verify(func(incarnation uint64) bool { return live[incarnation] })
 }
-
-// recordUpstreamEnd records that an instance of an upstream has ended, and which requests
-// of this gateway it was running. It runs in the control loop.
-func (s *Server) recordUpstreamEnd(now time.Time, in balance.Instance, o balance.Outcome) {
-	if !s.table.IsGone(now, in) {
-		s.metrics.ends.Inc()
-		s.log.Warn().Str("upstream", in.ID).Str("address", in.Address).Str("zone", in.Zone).Str("pool", in.Pool).
-			Stringer("outcome", o).Msg("upstream has ended")
-	}
-	key := in.IncarnationKey()
-	s.lost = slices.DeleteFunc(s.lost, func(l suspects.Failure) bool {
-		old := now.Sub(l.At) > lostRetention
-		if l.IncarnationKey == key && !old {
-			s.suspects.ReportCrash(l)
-		}
-		return l.IncarnationKey == key || old
-	})
-}
