soak: parts that crash replicas, answers without chunks, most new connections at one gateway

Requests of which no two are alike have one part of their prompts in common, in three places, and crash each replica; sound streams share their caller and their other part. One answer in six has neither length nor chunks. For five seconds at a time 85 of 100 calls open a new connection to one gateway.

New checks, from what callers and replicas see: at most three runs with the part long after the fifth crash; while most new connections go to one gateway, it serves reads at least 0.75 times as often as gateways do at other times. Both are tested against records that break them.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -55,8 +55,14 @@
 // call makes a call at a random gateway, records it and returns it with its response.
 func (h *Harness) call(ctx context.Context, clients []*standin.Caller, rng *rand.Rand, c Call) (Call, standin.Answer) {
 	c.Gateway = rng.IntN(len(h.procs))
+	client := clients[c.Gateway]
+	if n := h.concentrated.Load(); n != noGateway && rng.IntN(100) < concentrationPercent {
+		c.Gateway = int(n)
+		client = standin.NewCaller(h.t, h.procs[n].settings.Callers)
+		defer client.Close()
+	}
 	c.Incarnation, c.Sent = h.procs[c.Gateway].currentIncarnation(), time.Now()
-	a := send(ctx, clients[c.Gateway], newRequest(c, rng.IntN(pathsPerKind)))
+	a := send(ctx, client, newRequest(c, rng.IntN(pathsPerKind)))
 	c.Done, c.Status, c.Whole, c.Sealed, c.Body = time.Now(), a.Status, a.Whole, a.Sealed(), a.Body
 	c.LeavingReplica, c.LimitedReplica = a.LeavingReplica(), a.LimitedReplica()
 	h.record.addCall(c)
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -46,6 +46,8 @@
 	{"evacuated zones get no new requests", evacuatedZonesAvoided},
 	{"graceful shutdowns drop no requests", shutdownsDropNothing},
 	{"requests that crash replicas are blocked", crashingRequestsBlocked},
+	{"parts that crash replicas are blocked", crashingPartsBlocked},
+	{"a gateway with most new connections serves", concentrationServed},
 	{"full service recovers", serviceRecovered},
 }
 
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -46,6 +46,32 @@
 	}
 }
 
+// addPartCrashes adds calls with a part that crashed one replica each, at these times.
+func (r *Record) addPartCrashes(seconds ...float64) {
+	r.addCrashes(seconds...)
+	for i := range r.CrashingCalls {
+		r.CrashingCalls[i].Part = true
+	}
+}
+
+// addConcentration makes most new connections go to the first gateway, with reads of which it
+// serves some, and as many reads before that are all served.
+func (r *Record) addConcentration(reads, served int) {
+	r.Concentrations = append(r.Concentrations, Concentration{Gateway: 0, At: at(10), Until: at(18)})
+	add := func(id string, sent float64, status int) {
+		r.Calls = append(r.Calls, Call{ID: id, Kind: kindRead, Key: permanentKey, Sent: at(sent), Done: at(sent + 0.1), Status: status, Whole: true, Sealed: status == http.StatusOK, Body: expectedBody(kindRead, id, "")})
+		r.Runs = append(r.Runs, Run{ID: id, Replica: "i-1", At: at(sent), Organisation: organisationPrefix + "1"})
+	}
+	for i := range reads {
+		add(fmt.Sprint("before-", i), 8, http.StatusOK)
+		status := http.StatusOK
+		if i >= served {
+			status = http.StatusBadGateway
+		}
+		add(fmt.Sprint("during-", i), 14, status)
+	}
+}
+
 // addLimitedArrivals makes the replica of the first call announce a rate limit with its
 // response, and adds n requests that reach it, 20 per second.
 func (r *Record) addLimitedArrivals(perSecond float64, n int) {
@@ -213,6 +239,12 @@
 			r.addCrashes(3, 4, 5, 6, 11, 12, 13, 14)
 			r.reassignKey(0, 1)
 		}},
+		{"parts that crash replicas are blocked", func(r *Record) { r.addPartCrashes(3, 4, 5, 6, 7, 12, 13, 14, 15) }},
+		{"", func(r *Record) { r.addPartCrashes(3, 4, 5, 6, 7, 12, 13, 14) }},
+		{"", func(r *Record) { r.addPartCrashes(3, 4, 5, 6, 7, 8, 9, 10, 11) }},
+		{"a gateway with most new connections serves", func(r *Record) { r.addConcentration(20, 14) }},
+		{"", func(r *Record) { r.addConcentration(20, 15) }},
+		{"", func(r *Record) { r.addConcentration(19, 0) }},
 		{"", func(r *Record) { r.Calls[0].Key, r.Calls[0].Sent = "old", at(3) }},
 		{"configuration versions never go back", func(r *Record) { r.Runs[0].Organisation = organisationPrefix + "2" }},
 		{"configuration versions never go back", func(r *Record) { r.Versions[2] = at(1) }},
--- a/internal/soak/crashes.go
+++ b/internal/soak/crashes.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/gladegauge/gladegauge/internal/edge/loop"
@@ -21,14 +22,21 @@
 	// foreignEntryDuration is how long the entry of another writer replaces a replica's
 	// store entry, until the replica writes its own again.
 	foreignEntryDuration = 300 * time.Millisecond
-	// maxLateCrashes is the maximum number of times that the request may still reach a
-	// replica long after its third crash.
-	maxLateCrashes = 3
+	// crashPart is the part of a prompt that crashes each replica that answers it, unless it
+	// is the last one.
+	crashPart = "dead"
+	// maxLateCrashes is the maximum number of times that the request, or one with the part,
+	// may still reach a replica long after its third crash, or the part's fifth.
+	maxLateCrashes    = 3
+	enoughCrashes     = 3
+	enoughPartCrashes = 5
 )
 
-// CrashingCall is one call of the request that crashes replicas.
+// CrashingCall is one call of a request that crashes replicas.
 type CrashingCall struct {
-	ID         string
+	ID string
+	// Part is true if a part of its prompt is the cause; otherwise it is the whole request.
+	Part       bool
 	Gateway    int
 	Sent, Done time.Time
 }
@@ -56,6 +64,30 @@
 	}
 }
 
+// InjectCrashingParts sends requests of which no two are alike and which have the part that
+// crashes replicas in common, to random gateways, until the context ends. Their other parts
+// and their caller are those of sound requests.
+func (h *Harness) InjectCrashingParts(ctx context.Context, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 83)) //nolint:gosec // Seeded on purpose.
+	prompts := []string{"%s:10,aa:60,own-%d:40", "aa:60,%s:10,own-%d:40", "aa:60,cc:20,%s:10,own-%d:40"}
+	for n := 0; loop.Sleep(ctx, randomBelow(rng, maxCrashPause)); n++ {
+		p := h.procs[rng.IntN(len(h.procs))]
+		k := CrashingCall{ID: fmt.Sprintf("part-%d", n), Part: true, Gateway: p.n, Sent: time.Now()}
+		send(ctx, standin.NewCaller(h.t, p.settings.Callers), standin.Request{
+			ID: k.ID, Host: host, URI: "/" + kindChat + "/1", Key: permanentKey, Body: k.ID, DeadlineMs: callTimeoutMs,
+			Tokens: "100,200", PromptParts: fmt.Sprintf(prompts[rng.IntN(len(prompts))], crashPart, n),
+		})
+		k.Done = time.Now()
+		h.record.addCrashingCall(k)
+		h.restartCrashed()
+	}
+}
+
+// crashesReplica reports whether the request crashes the replica that runs it.
+func crashesReplica(r standin.Request) bool {
+	return r.Body == crashBody || strings.Contains(r.PromptParts, crashPart+":")
+}
+
 // crashReplica crashes the replica that runs a request. It closes the replica's link
 // first, so that nothing listens at the listed address.
 func (h *Harness) crashReplica(id string) standin.Reply {
@@ -112,6 +144,9 @@
 	runs := r.runsByID()
 	crashes := make(map[string][]time.Time)
 	for _, k := range r.CrashingCalls {
+		if k.Part {
+			continue
+		}
 		for _, run := range runs[k.ID] {
 			crashes[run.Organisation] = append(crashes[run.Organisation], run.At)
 		}
@@ -128,18 +163,54 @@
 // lateCrashes returns the number of calls that were sent long after the third crash,
 // through gateways without faults, and still ran for the organisation.
 func (r *Record) lateCrashes(runs map[string][]Run, organisation string, crashes []time.Time) int {
-	if len(crashes) <= maxLateCrashes {
+	return r.lateRuns(crashes, enoughCrashes, func(k CrashingCall) bool {
+		return !k.Part && slices.ContainsFunc(runs[k.ID], func(n Run) bool { return n.Organisation == organisation })
+	})
+}
+
+// crashingPartsBlocked: long after the fifth crash under the part, requests with it reach hardly
+// any replica through gateways without faults, whatever else they hold.
+func crashingPartsBlocked(r *Record) []string {
+	runs := r.runsByID()
+	var times []time.Time
+	for _, k := range r.CrashingCalls {
+		for _, run := range runs[k.ID] {
+			if k.Part {
+				times = append(times, run.At)
+			}
+		}
+	}
+	late := r.lateRuns(times, enoughPartCrashes, func(k CrashingCall) bool { return k.Part && len(runs[k.ID]) > 0 })
+	if late > maxLateCrashes {
+		return []string{fmt.Sprintf("%d of %d crashes were long after the fifth", late, len(times))}
+	}
+	return nil
+}
+
+// lateRuns returns the number of calls that ran although they were sent, through gateways without
+// faults, long after there were enough crashes.
+func (r *Record) lateRuns(crashes []time.Time, enough int, ran func(k CrashingCall) bool) int {
+	if len(crashes) <= maxLateCrashes+enough-enoughCrashes {
 		return 0
 	}
 	slices.SortFunc(crashes, time.Time.Compare)
-	third := crashes[2]
+	last := crashes[enough-1]
 	late := 0
 	for _, k := range r.CrashingCalls {
 		c := Call{Gateway: k.Gateway, Sent: k.Sent, Done: k.Done}
-		ran := slices.ContainsFunc(runs[k.ID], func(n Run) bool { return n.Organisation == organisation })
-		if ran && k.Sent.After(third.Add(quietPeriod)) && r.undisturbed(c) {
+		if ran(k) && k.Sent.After(last.Add(quietPeriod)) && r.undisturbed(c) {
 			late++
 		}
 	}
 	return late
 }
+
+// crashingRuns is the number of runs of requests that crash replicas.
+func (r *Record) crashingRuns() int {
+	runs := r.runsByID()
+	n := 0
+	for _, k := range r.CrashingCalls {
+		n += len(runs[k.ID])
+	}
+	return n
+}
--- a/internal/soak/harness.go
+++ b/internal/soak/harness.go
@@ -31,6 +31,8 @@
 	procs  []*process
 	// faultsDisabled is true once replicas must not fail by themselves any more.
 	faultsDisabled atomic.Bool
+	// concentrated is the gateway that most new connections go to, or noGateway.
+	concentrated atomic.Int64
 
 	mu  sync.Mutex
 	rng *rand.Rand
@@ -65,6 +67,7 @@
 		limits:         make(map[string]Limit),
 		software:       1,
 	}
+	h.concentrated.Store(noGateway)
 	h.publish()
 	for range replicaCount {
 		h.addReplica()
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -72,13 +72,14 @@
 	}
 }
 
-// Close closes the link and all its connections.
+// Close closes the link and resets all its connections: answers without length or chunks must
+// not look complete.
 func (p *Proxy) Close() {
 	_ = p.listener.Close()
 	p.mu.Lock()
 	p.closed = true
 	for c := range p.conns {
-		_ = c.Close()
+		reset(c)
 	}
 	p.mu.Unlock()
 	_ = p.group.Wait()
@@ -169,6 +170,9 @@
 			for errors.Is(err, io.EOF) && p.drops(lost) {
 				time.Sleep(slowDelay)
 			}
+			if !errors.Is(err, io.EOF) {
+				reset(dst)
+			}
 			return nil
 		}
 	}
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -90,6 +90,8 @@
 	Evacuations   []Evacuation
 	Limits        []Limit
 	CrashingCalls []CrashingCall
+	// Concentrations are the times at which most new connections went to one gateway.
+	Concentrations []Concentration
 }
 
 func newRecord() *Record {
@@ -109,6 +111,12 @@
 	r.Calls = append(r.Calls, c)
 }
 
+func (r *Record) recordConcentration(c Concentration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Concentrations = append(r.Concentrations, c)
+}
+
 func (r *Record) addCrashingCall(k CrashingCall) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/soak/replicas.go
+++ b/internal/soak/replicas.go
@@ -49,6 +49,9 @@
 // streamPause is the pause of a replica after the first event of a stream.
 const streamPause = 100 * time.Millisecond
 
+// unframedOneIn is the number of requests of which one is answered without length and chunks.
+const unframedOneIn = 6
+
 // refusePercent is the percentage of requests that replicas refuse to run.
 const refusePercent = 3
 
@@ -98,12 +101,13 @@
 	if roll < refusePercent || (continues && req.LastEvent == "") {
 		return standin.Reply{Refuse: true}
 	}
-	if req.Body == crashBody {
+	if crashesReplica(req) {
 		h.record.addRun(Run{ID: req.ID, Replica: id, At: time.Now(), Organisation: req.Tenant})
 		return h.crashReplica(id)
 	}
 	h.record.addRun(Run{ID: req.ID, Replica: id, At: time.Now(), Organisation: req.Tenant, Continues: continues})
 	reply := successReply(req, software)
+	reply.Unframed = xxhash.Sum64String(req.ID)%unframedOneIn == 0
 	roll -= refusePercent
 	for _, m := range replyFaults {
 		if roll -= m.percent; roll < 0 {
@@ -111,6 +115,8 @@
 			break
 		}
 	}
+	// Without chunks only an end inside an event shows that the stream broke off.
+	reply.CutMidEvent = reply.CutMidEvent || reply.Unframed
 	return reply
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -54,6 +54,14 @@
 		h.InjectCrashes(loadCtx, seed)
 		return nil
 	})
+	group.Go(func() error {
+		h.InjectCrashingParts(loadCtx, seed)
+		return nil
+	})
+	group.Go(func() error {
+		h.InjectConcentrations(loadCtx, seed)
+		return nil
+	})
 	group.Go(func() error {
 		h.InjectFalseReports(loadCtx)
 		return nil
@@ -90,6 +98,8 @@
 	h.record.addReturns(&returns)
 	t.Logf("seed %d: %d calls, %d arrivals, %d runs, %d events, %d limits, %d turns lent", seed, len(h.record.Calls), len(h.record.Arrivals),
 		len(h.record.Runs), len(h.record.Events), len(h.record.Limits), h.countInLogs(`"lent":true`))
+	t.Logf("seed %d: %d calls of crashing requests, %d runs; blocked %d, surges %d", seed, len(h.record.CrashingCalls), h.record.crashingRuns(),
+		h.countInLogs(`"reason":"ends_upstreams"`), h.countInLogs(`"closing":true`))
 	if len(violations) == 0 {
 		return
 	}
