suspect, e2e: the first message of prompts that crash engines, at entries; package text

Entries blame the beginning of a prompt as gateways blame its parts. Through two entries, seven requests with one first message and different ones after it: all of those that ran crashed their engine on (more than five of eight), five at most now (TestFirstMessageThatCrashesEngines). Parts that were answered long ago are dropped each second instead of when the list is full.

--- a/internal/core/suspect/recent_parts.go
+++ b/internal/core/suspect/recent_parts.go
@@ -5,7 +5,7 @@
 const (
 	// recentPeriod is how long a part counts as answered recently.
 	recentPeriod = 10 * time.Second
-	// maxRecentParts bounds the parts that are kept, at about 50 bytes each.
+	// maxRecentParts bounds the parts that are kept, at about 150 bytes each.
 	maxRecentParts = 4096
 )
 
--- a/internal/core/suspect/registry.go
+++ b/internal/core/suspect/registry.go
@@ -210,6 +210,7 @@
 
 // Sweep drops the fingerprints without a crash during the retention time.
 func (r *Registry) Sweep(now time.Time) {
+	r.recentParts.dropBefore(now.Add(-recentPeriod))
 	for p, rec := range r.records {
 		kept := retention
 		if len(rec.crashes) >= blockAt {
--- a/internal/e2e/crash_test.go
+++ b/internal/e2e/crash_test.go
@@ -125,3 +125,25 @@
 	}
 	is.Equal(missedTargets(), before) // blocked requests do not count as missed targets
 }
+
+// Requests of which no two are alike begin with one and the same message, which crashes each
+// engine that answers it: all engines crashed. It is blocked at every entry; requests that
+// begin otherwise are served.
+func TestFirstMessageThatCrashesEngines(t *testing.T) {
+	is := is.New(t)
+	entries, crashed, awaitExchanges := newCrashStack(t, 8)
+	call := func(i int, first string) response {
+		body := fmt.Sprintf(`{"model":"judge","stream":true,"max_tokens":10,"messages":[{"role":"system","content":%q},{"role":"user","content":"question %d"}]}`, first, i)
+		return send("POST", entries[i%2].url("listen")+"/v1/chat/completions", salishKey, body)
+	}
+	const enough = 5
+	for i := range 7 {
+		call(i, crashPrompt)
+		awaitExchanges()
+	}
+	is.True(crashed() <= enough)
+	for i := range entries {
+		is.Equal(call(i, crashPrompt).status, http.StatusBadRequest)
+		is.Equal(call(i, "You are a judge.").status, http.StatusOK)
+	}
+}
