suspect: reported crashes are confirmed by upstreams that were known and have ended

An incarnation that a gateway had never listed counted as ended, so that one lying gateway could have made crashes up. A gateway now remembers for an hour which incarnations left its list, and confirms only those and the ones that it found gone. Crashes from before it had a list cannot be confirmed and are believed: gateways that start later have to learn of blocks.

--- a/internal/core/balance/gone.go
+++ b/internal/core/balance/gone.go
@@ -1,6 +1,9 @@
 package balance
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // When a part of a pool crashes at once, the dead engines look idle. Every gateway sends
 // its next requests there and detects each of them separately until the list is updated.
@@ -12,6 +15,10 @@
 	// peerGoneGrace is how long data from an upstream overrides such reports. It is a
 	// little longer than the reports take to arrive.
 	peerGoneGrace = 500 * time.Millisecond
+	// endedRetention is how long incarnations that left the list are kept, and maxEnded bounds
+	// them, at about 50 bytes each.
+	endedRetention = time.Hour
+	maxEnded       = 4096
 	// maxAvoidedShare is the fraction of a pool that may be avoided because of reports by
 	// other gateways. Beyond it the reports say more about the reporting gateways.
 	maxAvoidedShare = 0.5
@@ -50,6 +57,33 @@
 	return live
 }
 
+// recordEnded records that an incarnation was removed from the list.
+func (t *Table) recordEnded(now time.Time, incarnation uint64) {
+	if len(t.ended) >= maxEnded {
+		maps.DeleteFunc(t.ended, func(_ uint64, at time.Time) bool { return now.Sub(at) > endedRetention })
+	}
+	if len(t.ended) < maxEnded {
+		t.ended[incarnation] = now
+	}
+}
+
+// EndedIncarnations returns the incarnation keys of the upstreams that were listed and have
+// ended as far as this gateway knows.
+func (t *Table) EndedIncarnations(now time.Time) map[uint64]bool {
+	ended := make(map[uint64]bool, len(t.ended))
+	for incarnation := range t.ended {
+		ended[incarnation] = true
+	}
+	for _, u := range t.upstreams {
+		if u.gone(now) {
+			ended[u.incarnation] = true
+		} else {
+			delete(ended, u.incarnation) // It was listed again.
+		}
+	}
+	return ended
+}
+
 // EndExpected reports whether the end of the upstream is expected: it announced that it
 // leaves, its availability zone is being emptied, or it is no longer listed.
 func (t *Table) EndExpected(id string) bool {
--- a/internal/core/balance/isolate_test.go
+++ b/internal/core/balance/isolate_test.go
@@ -54,3 +54,21 @@
 	is.True(Instance{ID: "a", Born: 1}.IncarnationKey() != Instance{ID: "a", Born: 2}.IncarnationKey())
 	is.True(Instance{ID: "a", Born: 1}.IncarnationKey() != Instance{ID: "b", Born: 1}.IncarnationKey())
 }
+
+// An upstream that was listed and is gone, or whose place another incarnation took, has ended;
+// one that is listed again, or was never listed, has not.
+func TestEndedIncarnations(t *testing.T) {
+	is := is.New(t)
+	table := New("a")
+	a, b, c := Instance{ID: "a", Born: 1}, Instance{ID: "b", Born: 1}, Instance{ID: "c", Born: 1}
+	table.SetInstances(t0, []Instance{a, b, c})
+	is.Equal(len(table.EndedIncarnations(t0)), 0)
+	next := Instance{ID: "b", Born: 2}
+	table.SetInstances(t0, []Instance{next, c})
+	table.MarkGone(t0, c)
+	ended := table.EndedIncarnations(t0)
+	is.Equal(len(ended), 3)
+	is.True(ended[a.IncarnationKey()] && ended[b.IncarnationKey()] && ended[c.IncarnationKey()])
+	table.SetInstances(t0, []Instance{a, next, c})
+	is.True(!table.EndedIncarnations(t0)[a.IncarnationKey()])
+}
--- a/internal/core/balance/table.go
+++ b/internal/core/balance/table.go
@@ -126,7 +126,9 @@
 	pools     map[string]*pool
 	// unlisted holds the notices of incarnations that are not on the list.
 	unlisted notice.StateCache
-	lastRun  uint64
+	// ended is when incarnations were removed from the list.
+	ended   map[uint64]time.Time
+	lastRun uint64
 	// peersAt is when loads of other gateways were last received, peersAge how old they
 	// were on arrival, and gateways the number of gateways including this one.
 	peersAt  time.Time
@@ -154,6 +156,7 @@
 	return &Table{
 		zone:         zone,
 		upstreams:    make(map[string]*upstream),
+		ended:        make(map[uint64]time.Time),
 		pools:        make(map[string]*pool),
 		gateways:     1,
 		holds:        func(time.Time, uint64, int) bool { return true },
@@ -214,6 +217,7 @@
 			c.Added = append(c.Added, in.ID)
 		case u.RestartedAs(in):
 			t.unlisted.Put(now, u.incarnation, u.notices)
+			t.recordEnded(now, u.incarnation)
 			u = t.newUpstream(now, in, u.Evacuated)
 			c.Restarted = append(c.Restarted, in.ID)
 		}
@@ -230,6 +234,7 @@
 	for id, u := range t.upstreams {
 		if !seen[id] {
 			t.unlisted.Put(now, u.incarnation, u.notices)
+			t.recordEnded(now, u.incarnation)
 			delete(t.upstreams, id)
 			c.Removed = append(c.Removed, id)
 		}
--- a/internal/core/suspect/doc.go
+++ b/internal/core/suspect/doc.go
@@ -38,7 +38,7 @@
 //	}
 //	r.RecordCrash(now, q, start, ran) // the incarnation crashed while running it
 //	r.RecordSuccess(now, q, ran)      // it was answered to its end
-//	r.Verify(lives)                   // periodically
+//	r.Verify(since, ended)            // periodically
 //	m := r.NextMessage(peer, false)   // message to another gateway
 //	r.Receive(now, peer, m, 0)
 package suspect
--- a/internal/core/suspect/registry.go
+++ b/internal/core/suspect/registry.go
@@ -181,12 +181,13 @@
 }
 
 // Verify records which of the crashes that other gateways reported this one can confirm: those
-// of incarnations that do not live.
-func (r *Registry) Verify(lives func(incarnation uint64) bool) {
+// of incarnations that it knew and that have ended. Crashes from before since, when this gateway
+// began to know the upstreams, cannot be confirmed and are believed.
+func (r *Registry) Verify(since time.Time, ended func(incarnation uint64) bool) {
 	for _, rec := range r.records {
 		for i, c := range rec.crashes {
 			if !c.verified {
-				rec.crashes[i].verified = !lives(c.incarnation)
+				rec.crashes[i].verified = c.at.Before(since) || ended(c.incarnation)
 			}
 		}
 	}
--- a/internal/edge/gatewayd/apply.go
+++ b/internal/edge/gatewayd/apply.go
@@ -108,6 +108,9 @@
 // applyRoster puts the list of upstreams into force. It runs in the control loop.
 func (s *Server) applyRoster(now time.Time) {
 	list := s.roster.Current(now)
+	if s.listedAt.IsZero() && len(list) > 0 {
+		s.listedAt = now
+	}
 	changes := s.table.SetInstances(now, list)
 	s.observeVersions(now, list)
 	s.publishUpstreams(now, list)
--- a/internal/edge/gatewayd/server.go
+++ b/internal/edge/gatewayd/server.go
@@ -126,6 +126,8 @@
 	// upstream connection ended recently.
 	suspects *suspects.Tracker
 	lost     []suspects.Failure
+	// listedAt is when this gateway first had a list of upstreams.
+	listedAt time.Time
 	// guard decides on callers' new connections.
 	guard callerGuard
 	feed  *feed.Feed
--- a/internal/edge/gatewayd/suspects.go
+++ b/internal/edge/gatewayd/suspects.go
@@ -150,12 +150,12 @@
 	return j.Verdict
 }
 
-// verifySuspects confirms the crashes that other gateways reported: those of upstreams that do
-// not live as far as this gateway knows. It runs in the control loop.
+// verifySuspects confirms the crashes that other gateways reported: those of upstreams that
+// have ended as far as this gateway knows. It runs in the control loop.
 func (s *Server) verifySuspects(now time.Time) {
 	if !s.suspects.Any() {
 		return
 	}
-	live := s.table.LiveIncarnations(now)
-	s.suspects.Verify(func(incarnation uint64) bool { return live[incarnation] })
+	ended := s.table.EndedIncarnations(now)
+	s.suspects.Verify(s.listedAt, func(incarnation uint64) bool { return ended[incarnation] })
 }
