gatewayd, suspect, surge: what the reread of the change found

- The run that a gateway may try after a block was refused by the second check before it was sent: the permission was spent when it was admitted.
It is spent when the run ends (TestOneTrialAfterBlock asks for the check in between).
- A request was counted as an arrival at each check, two or more times.
It is counted once.
- Requests were checked three times while anything was on record, half an hour after any crash.
A request is checked again only 50 ms after its last check.
- The usual rate of new connections begins at 0, so that in its first half minute a gateway took any load for a surge.
The estimate is corrected for its age, and there is no surge in the first 10 s (row 'a start under load' of TestNoSurge).
- The counter by verdict counts changes of the verdict instead of checks.

--- a/internal/core/surge/guard.go
+++ b/internal/core/surge/guard.go
@@ -28,6 +28,8 @@
 	rateHalfLife  = 500 * time.Millisecond
 	// surgeFactor is how much higher than usual the rate must be.
 	surgeFactor = 1.5
+	// minAge is the time after the first connection from which on the usual rate is known.
+	minAge = 10 * time.Second
 )
 
 // rate is an exponentially decaying rate of events per second. The zero value is a rate of 0.
@@ -53,6 +55,8 @@
 	usual      rate
 	closed     float64
 	acceptedAt time.Time
+	// firstAt is when the first connection came.
+	firstAt time.Time
 }
 
 // New returns a guard that accepts all connections.
@@ -80,11 +84,16 @@
 }
 
 // surges reports whether new connections come more often than usual.
-func (g *Guard) surges() bool { return g.present.value > surgeFactor*g.usual.value }
+func (g *Guard) surges() bool {
+	return g.usual.at.Sub(g.firstAt) >= minAge && g.present.value > surgeFactor*g.Usual()
+}
 
 // Admit decides on a new connection: false means that it is to be closed unread. random is a
 // uniformly distributed number from 0 to 1.
 func (g *Guard) Admit(now time.Time, random float64) bool {
+	if g.firstAt.IsZero() {
+		g.firstAt = now
+	}
 	g.present.add(now, 1, rateHalfLife)
 	if g.closed == 0 {
 		g.usual.add(now, 1, usualHalfLife)
@@ -105,5 +114,12 @@
 // Rate is the present rate of new connections per second, and Usual the usual one.
 func (g *Guard) Rate() float64 { return g.present.value }
 
-// Usual is the usual rate of new connections per second.
-func (g *Guard) Usual() float64 { return g.usual.value }
+// Usual is the usual rate of new connections per second. What was counted so far is a part of
+// it only, as the rate began at 0.
+func (g *Guard) Usual() float64 {
+	age := g.usual.at.Sub(g.firstAt).Seconds()
+	if age <= 0 {
+		return 0
+	}
+	return g.usual.value / (1 - math.Exp2(-age/usualHalfLife.Seconds()))
+}
--- a/internal/core/surge/guard_test.go
+++ b/internal/core/surge/guard_test.go
@@ -109,6 +109,10 @@
 			s.work *= 4
 			s.play(now, 50, 10*time.Second)
 		}},
+		{"a start under load", func(s *server, now time.Time) {
+			s.guard, s.work = New(now), 15*time.Millisecond
+			s.play(now, 100, 9*time.Second)
+		}},
 		{"three times the connections, which it can serve", func(s *server, now time.Time) { s.play(now, 150, 10*time.Second) }},
 	}
 	for _, tt := range tests {
--- a/internal/core/suspect/doc.go
+++ b/internal/core/suspect/doc.go
@@ -29,6 +29,7 @@
 //
 //	r := suspect.NewRegistry(self, epoch)
 //	q := suspect.Request{Print: suspect.PrintOf(content), Parts: parts}
+//	r.Arrived(q)
 //	j := r.Admit(now, q)
 //	switch j.Verdict {
 //	case suspect.Blocked: // refuse, and tell the caller not to retry
--- a/internal/core/suspect/parts_test.go
+++ b/internal/core/suspect/parts_test.go
@@ -286,7 +286,7 @@
 	for i := range 5 {
 		for gateway, g := range f.gateways {
 			for range 12 {
-				g.Release(g.Admit(f.now, f.promptRequest("system", fmt.Sprint("own-", gateway))))
+				g.Arrived(f.promptRequest("system", fmt.Sprint("own-", gateway)))
 			}
 		}
 		killer := requestFor("killer")
--- a/internal/core/suspect/record.go
+++ b/internal/core/suspect/record.go
@@ -80,8 +80,9 @@
 	arrivals, before int
 	// common is true if most requests had it by the latest crash.
 	common bool
-	// triedAgain is true once this gateway ran it again after a block.
-	triedAgain bool
+	// trial is true while this gateway runs it once more after a block, triedAgain from then
+	// on.
+	trial, triedAgain bool
 }
 
 // partBlockAt is the number of crashes that block a part of prompts. Many requests share it, so
@@ -111,6 +112,7 @@
 func (r *record) startRound(now time.Time, round uint32) {
 	r.round = round
 	r.crashes = nil
+	r.trial, r.triedAgain = false, false
 	r.changedAt = now
 }
 
--- a/internal/core/suspect/registry.go
+++ b/internal/core/suspect/registry.go
@@ -27,7 +27,7 @@
 	self       uint64
 	records    map[Print]*record
 	crashTimes crashTimes
-	// arrivals is the number of requests with prompts that were admitted or not.
+	// arrivals is the number of requests with prompts that arrived.
 	arrivals int
 	// goodRequests and goodParts were answered in the last half minute, recentParts within
 	// seconds.
--- a/internal/core/suspect/registry_test.go
+++ b/internal/core/suspect/registry_test.go
@@ -130,7 +130,10 @@
 	feed(r, []observation{{1, "p", 1, 0, 0, 0}, {2, "p", 2, 0, 0, 0}, {3, "p", 3, 0, 0, 0}})
 	trial := r.Admit(after(130), requestFor("p"))
 	is.Equal(trial.Verdict, Quarantined)
+	is.Equal(r.Check(after(130), requestFor("p")).Verdict, Quarantined) // checked again before it is sent
+	is.Equal(r.Admit(after(130), requestFor("p")).Verdict, Occupied)
 	r.Release(trial)
+	is.Equal(r.Check(after(130), requestFor("p")).Verdict, Blocked)
 	feed(r, []observation{{131, "p", 4, 0, 0, 0}})
 	for hour := range 24 {
 		is.Equal(r.Admit(after(float64(702+3600*hour)), requestFor("p")).Verdict, Blocked)
--- a/internal/core/suspect/replay_test.go
+++ b/internal/core/suspect/replay_test.go
@@ -199,6 +199,7 @@
 	if len(up) == 0 {
 		return
 	}
+	r.gateways[v.gateway].Arrived(v.request)
 	v.judgement = r.gateways[v.gateway].Admit(r.now, v.request)
 	if verdict := v.judgement.Verdict; verdict == Blocked || verdict == Occupied {
 		if v.killer == "" {
--- a/internal/core/suspect/verdict.go
+++ b/internal/core/suspect/verdict.go
@@ -123,7 +123,6 @@
 // Admit returns the verdict on a request that is about to run. If it is Quarantined, the
 // caller must call Release after the run.
 func (r *Registry) Admit(now time.Time, q Request) Judgement {
-	r.recordArrival(q)
 	j := r.Check(now, q)
 	if j.Verdict != Quarantined {
 		return j
@@ -137,13 +136,14 @@
 	for _, p := range j.held {
 		rec := r.records[p]
 		rec.running++
-		rec.triedAgain = rec.triedAgain || r.mayTryAgain(now, rec)
+		rec.trial = r.mayTryAgain(now, rec)
 	}
 	return j
 }
 
-// recordArrival counts the request for the share of the requests that have its parts.
-func (r *Registry) recordArrival(q Request) {
+// Arrived counts a request for the share of the requests that have its parts. It is called once
+// for each, whatever becomes of it.
+func (r *Registry) Arrived(q Request) {
 	if len(q.Parts) == 0 {
 		return
 	}
@@ -160,6 +160,8 @@
 	for _, p := range j.held {
 		if rec, ok := r.records[p]; ok && rec.running > 0 {
 			rec.running--
+			rec.triedAgain = rec.triedAgain || rec.trial
+			rec.trial = false
 		}
 	}
 }
--- a/internal/edge/entryd/suspects.go
+++ b/internal/edge/entryd/suspects.go
@@ -44,7 +44,9 @@
 	if !x.s.sync.Suspects().Any() {
 		return nil
 	}
-	x.judgement = x.s.sync.Suspects().Admit(now, x.suspectRequest())
+	q := x.suspectRequest()
+	x.s.sync.Suspects().Arrived(q)
+	x.judgement = x.s.sync.Suspects().Admit(now, q)
 	switch x.judgement.Verdict {
 	case suspect.Blocked:
 		return crashProblem(false)
--- a/internal/edge/gatewayd/attempt.go
+++ b/internal/edge/gatewayd/attempt.go
@@ -62,7 +62,7 @@
 // have been blocked, or the upstream may have announced to other requests that it is leaving,
 // that gateways should back off, or a rate limit under which this request has no turn.
 func (x *request) maySend(choice balance.Choice) bool {
-	if x.remaining() <= 0 || x.blocked() {
+	if x.remaining() <= 0 || (x.needsCheck() && x.blocked()) {
 		return false
 	}
 	closed := *x.server.closed.Load()
--- a/internal/edge/gatewayd/request.go
+++ b/internal/edge/gatewayd/request.go
@@ -83,7 +83,9 @@
 	// parts are the fingerprints of the shared parts of its prompt; nil until first needed.
 	parts []suspect.Print
 	// judgement is the verdict on the request; a quarantined one is registered as running.
+	// checkedAt is when it was last checked; zero before that.
 	judgement suspect.Judgement
+	checkedAt time.Time
 	// cause is the fingerprint for which the request was blocked after it had run.
 	cause suspect.Print
 	// succeeded is true once the upstream answered with a success status: when the whole
@@ -192,11 +194,14 @@
 		x.releaseChoice(choice)
 		return choice, gateway.TooLate(x.progress)
 	}
-	if refusal := x.checkSuspect(); refusal != nil {
+	if !x.needsCheck() {
+		return choice, nil
+	}
+	refusal = x.checkSuspect()
+	if refusal != nil {
 		x.releaseChoice(choice)
-		return choice, refusal
 	}
-	return choice, nil
+	return choice, refusal
 }
 
 // tryUpstreams makes attempts at upstreams until the request has a response.
--- a/internal/edge/gatewayd/surge_test.go
+++ b/internal/edge/gatewayd/surge_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/gladegauge/gladegauge/internal/core/surge"
 	"github.com/gladegauge/gladegauge/platform/standin"
 )
 
@@ -17,6 +18,13 @@
 	is := is.New(t)
 	w := newTestEnv(t, 1, func(_ int, _ standin.Request) standin.Reply { return standin.Reply{} })
 	is.Equal(w.call("/read/1").Status, http.StatusOK)
+	now := w.server.now()
+	w.server.guard.mu.Lock()
+	w.server.guard.guard = surge.New(now.Add(-20 * time.Second))
+	for i := range 20 {
+		w.server.guard.guard.Admit(now.Add(time.Duration(i-20)*time.Second), 1)
+	}
+	w.server.guard.mu.Unlock()
 	const lag = 300 * time.Millisecond
 	unread, served := 0, 0
 	for i := range 200 {
--- a/internal/edge/gatewayd/suspects.go
+++ b/internal/edge/gatewayd/suspects.go
@@ -41,42 +41,57 @@
 }
 
 // checkSuspect checks the request against what upstreams crashed under. It is called before the
-// request is prepared, and again before each attempt: more may be known by then.
+// request is prepared, and again before each attempt, as more may be known by then.
 func (x *request) checkSuspect() *gateway.Refusal {
 	if !x.server.suspects.Any() {
 		return nil
 	}
 	q := x.suspectRequest()
+	before := x.judgement.Verdict
 	x.server.control.DoWithoutCancel(func(now time.Time) {
-		if x.judgement.Verdict == suspect.Quarantined {
-			// The run is registered already, and would occupy itself.
-			if j := x.server.suspects.Check(now, q); j.Verdict == suspect.Blocked {
-				x.server.suspects.Release(x.judgement)
-				x.judgement = j
-			}
-			return
+		if x.checkedAt.IsZero() {
+			x.server.suspects.Arrived(q)
 		}
-		x.judgement = x.server.suspects.Admit(now, q)
+		x.checkedAt = now
+		x.judgement = x.judge(now, q)
 	})
-	if x.judgement.Verdict != suspect.Free {
-		x.server.metrics.suspectRequests.WithLabelValues(x.judgement.Verdict.String()).Inc()
+	v := x.judgement.Verdict
+	if v != suspect.Free && v != before {
+		x.server.metrics.suspectRequests.WithLabelValues(v.String()).Inc()
 	}
-	ran := x.progress.MayHaveRun
-	switch x.judgement.Verdict {
-	case suspect.Blocked:
-		return gateway.CrashesUpstreams(ran)
-	case suspect.Occupied:
-		if ran {
-			return gateway.NoUpstreamLeft(x.server.now(), x.admission, x.progress)
-		}
+	switch {
+	case v == suspect.Blocked:
+		return gateway.CrashesUpstreams(x.progress.MayHaveRun)
+	case v == suspect.Occupied && x.progress.MayHaveRun:
+		return gateway.NoUpstreamLeft(x.server.now(), x.admission, x.progress)
+	case v == suspect.Occupied:
 		return gateway.Occupied()
-	case suspect.Quarantined:
+	case v == suspect.Quarantined:
 		x.progress.Suspect = true
-	default:
 	}
 	return nil
 }
 
+// judge returns the verdict on the request. One that is registered as running already is not
+// registered again. It runs in the control loop.
+func (x *request) judge(now time.Time, q suspect.Request) suspect.Judgement {
+	if x.judgement.Verdict != suspect.Quarantined {
+		return x.server.suspects.Admit(now, q)
+	}
+	if j := x.server.suspects.Check(now, q); j.Verdict == suspect.Blocked {
+		x.server.suspects.Release(x.judgement)
+		return j
+	}
+	return x.judgement
+}
+
+// recheckAfter is the time after which a request is checked again before it is sent. Within less
+// hardly anything becomes known, and most requests are sent at once.
+const recheckAfter = 50 * time.Millisecond
+
+// needsCheck reports whether the request was last checked some time ago.
+func (x *request) needsCheck() bool { return x.server.now().Sub(x.checkedAt) > recheckAfter }
+
 // blocked reports whether the request is blocked by now.
 func (x *request) blocked() bool {
 	if !x.server.suspects.Any() {
