gatewayd: an upstream that leaves the list unannounced has ended for the last answers there

Answers that ended with their connection are kept for 3 s. If their upstream leaves the list in that time without having announced it, it counts as ended for those within 100 ms of the last one. The bound of the test stays; it removes crashed replicas from the store now, as the platform does after three heartbeats, instead of relying on sound requests to meet them.

The rows of these tests run one after the other, and crashed replicas leave the list before sound requests are sent: beside nine processes of the same tests sound requests got 404 and 401, as a port of 127.0.0.1 that one gateway has left goes to another.

--- a/internal/edge/gatewayd/apply.go
+++ b/internal/edge/gatewayd/apply.go
@@ -111,7 +111,9 @@
 	if s.listedAt.IsZero() && len(list) > 0 {
 		s.listedAt = now
 	}
+	answered := s.answeredAtOpen()
 	changes := s.table.SetInstances(now, list)
+	s.attributeUnlisted(now, answered, changes)
 	s.observeVersions(now, list)
 	s.publishUpstreams(now, list)
 	if v := s.view.Load(); v.Table != nil && len(changes.Added) > 0 {
--- a/internal/edge/gatewayd/crash_test.go
+++ b/internal/edge/gatewayd/crash_test.go
@@ -87,6 +87,28 @@
 	})
 }
 
+// unlistCrashed removes the engines that crashed from the store, as the platform does once they
+// are silent, and waits until all gateways know. Another process may get their ports.
+func (w *crashEnv) unlistCrashed() {
+	w.t.Helper()
+	for _, r := range w.replicas {
+		if r.Crashed() {
+			w.store.RemoveReplica(r.ID)
+		}
+	}
+	left := len(w.replicas) - w.crashedEngines()
+	w.await(func() bool {
+		for _, p := range w.peers {
+			n := 0
+			p.control.DoWithoutCancel(func(time.Time) { n = p.table.Size("app") })
+			if n != left {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // crashedEngines returns the number of engines that crashed.
 func (w *crashEnv) crashedEngines() int {
 	n := 0
--- a/internal/edge/gatewayd/lost.go
+++ b/internal/edge/gatewayd/lost.go
@@ -35,7 +35,12 @@
 		s.log.Warn().Str("upstream", in.ID).Str("address", in.Address).Str("zone", in.Zone).Str("pool", in.Pool).
 			Stringer("outcome", o).Msg("upstream has ended")
 	}
-	key := in.IncarnationKey()
+	s.attributeEnd(now, in.IncarnationKey())
+}
+
+// attributeEnd attributes the end of an incarnation to the requests that it was running. It runs
+// in the control loop.
+func (s *Server) attributeEnd(now time.Time, key uint64) {
 	crashedAt := s.crashTime(now, key)
 	s.lost = slices.DeleteFunc(s.lost, func(f suspects.Failure) bool {
 		if f.IncarnationKey != key || now.Sub(f.At) > lostRetention {
@@ -50,6 +55,34 @@
 	})
 }
 
+// answeredAtOpen returns the upstreams, by ID, that are not expected to end and at which an answer
+// ended with its connection a short time ago, and their incarnations. It runs in the control
+// loop.
+func (s *Server) answeredAtOpen() map[string]uint64 {
+	var open map[string]uint64
+	for _, f := range s.lost {
+		if !f.Answered || s.table.EndExpected(f.Upstream) {
+			continue
+		}
+		if open == nil {
+			open = make(map[string]uint64)
+		}
+		open[f.Upstream] = f.IncarnationKey
+	}
+	return open
+}
+
+// attributeUnlisted attributes the end of upstreams that left the list unannounced to the answers
+// that ended last there: nobody may have found their connections refused. It runs in the control
+// loop.
+func (s *Server) attributeUnlisted(now time.Time, answered map[string]uint64, changes balance.Changes) {
+	for _, id := range slices.Concat(changes.Removed, changes.Restarted) {
+		if key, ok := answered[id]; ok {
+			s.attributeEnd(now, key)
+		}
+	}
+}
+
 // crashTime is when the incarnation crashed, as far as the requests that ran there show: when
 // the first connection broke, or else when the last answer ended with its connection.
 func (s *Server) crashTime(now time.Time, key uint64) time.Time {
