--- a/review/standin/config.go
+++ b/review/standin/config.go
@@ -15,3 +15,15 @@
 		MaxBody: 4_194_304,
 	}
 }
+
+// floodConfig is a configuration with one streaming route, as that of ruling-lookup at the site.
+func floodConfig() standin.Config {
+	return standin.Config{
+		Version: 3,
+		Routes: []standin.Route{
+			{Name: "ruling-lookup", Host: "judges.example", Prefix: "/ruling/", Kind: "streaming", Pool: "judge-model", TimeoutMs: 5000, TargetLatencyMs: 1200, TargetGapMs: 1000, Attempts: 1},
+		},
+		Keys:    map[string][]string{"member": {"key-1"}},
+		MaxBody: 4_194_304,
+	}
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -31,6 +31,7 @@
 // cases are the review cases by name.
 var cases = map[string]func(l *lab) bool{
 	"early-answer": earlyAnswer,
+	"flood":        flooded,
 }
 
 func main() {
