--- a/review/standin/config.go
+++ b/review/standin/config.go
@@ -4,26 +4,28 @@
 
 import "github.com/gladegauge/gladegauge/platform/standin"
 
-// earlyConfig is a configuration with one route of a plain service.
+// earlyConfig is a configuration with a plain and a streaming route.
 func earlyConfig() standin.Config {
 	return standin.Config{
 		Version: 3,
 		Routes: []standin.Route{
 			{Name: "upload", Host: "players.example", Prefix: "/up/", Kind: "non_idempotent", Pool: "players-app", TimeoutMs: 5000, TargetLatencyMs: 1200, Attempts: 1},
+			{Name: "ruling-lookup", Host: "players.example", Prefix: "/ask/", Kind: "streaming", Pool: "players-app", TimeoutMs: 5000, TargetLatencyMs: 1200, TargetGapMs: 1000, Attempts: 1},
 		},
 		Keys:    map[string][]string{"member": {"key-1"}},
 		MaxBody: 4_194_304,
 	}
 }
 
-// floodConfig is a configuration with one streaming route, as that of ruling-lookup at the site.
+// floodConfig is a configuration with one streaming route, as that of policy-check at the site
+// tbc-activate.
 func floodConfig() standin.Config {
 	return standin.Config{
 		Version: 3,
 		Routes: []standin.Route{
-			{Name: "ruling-lookup", Host: "judges.example", Prefix: "/ruling/", Kind: "streaming", Pool: "judge-model", TimeoutMs: 5000, TargetLatencyMs: 1200, TargetGapMs: 1000, Attempts: 1},
+			{Name: "policy-check", Host: "policy.example", Prefix: "/policy/", Kind: "streaming", Pool: "gladegauge-pool", TimeoutMs: 4000, TargetLatencyMs: 1200, TargetGapMs: 1000, Attempts: 1},
 		},
-		Keys:    map[string][]string{"member": {"key-1"}},
+		Keys:    map[string][]string{"carrier": {"key-1"}},
 		MaxBody: 4_194_304,
 	}
 }
--- a/review/standin/early.go
+++ b/review/standin/early.go
@@ -12,18 +12,26 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
-// Sizes and times of the case early-answer. The body is the largest one of the site's first kind of
-// request, and the answer is within the size of its plain answers.
+// Sizes and times of the case early-answer.
 const (
-	earlyBody     = 110_000
-	earlyAnswers  = 4_000
-	earlyPiece    = 10_000
-	earlyPause    = 20 * time.Millisecond
-	earlyLater    = 30 * time.Millisecond
-	earlyRequests = 10
+	// earlyBody is the largest body of the site's first kind of request, ruling-lookup, and
+	// earlyAnswerSize is within the size of the site's plain answers.
+	earlyBody       = 110_000
+	earlyAnswerSize = 4_000
+	// A client sends a body in pieces, as over a link of 4 Mbit/s.
+	earlyPiece = 10_000
+	earlyPause = 20 * time.Millisecond
+	// earlyLater is when a replica reads on that has answered early.
+	earlyLater = 30 * time.Millisecond
+	// One of two replicas answers one long request in earlyEvery early, for earlyLength: the largest
+	// dose of garble in the site file (x = 0.05, for_s = 5, share .5).
+	earlyEvery   = 20
+	earlyLength  = 5 * time.Second
+	earlyClients = 16
 )
 
 // bodyOf returns a body whose every 16 bytes name their request and offset.
@@ -35,12 +43,14 @@
 	return b.Bytes()[:size]
 }
 
-// earlyReplica answers long requests before it has read them, keeps the connection and reads on
-// later. Without the disruption it answers once it has read the request.
+// earlyReplica answers a request once it has read it. With early set, it answers some long requests
+// before it has read them, keeps the connection and reads on later.
 type earlyReplica struct {
-	l  *lab
-	id string
-	ln net.Listener
+	l        *lab
+	id       string
+	ln       net.Listener
+	early    bool
+	requests atomic.Int64
 
 	mu  sync.Mutex
 	got map[string][]byte
@@ -48,13 +58,16 @@
 	wg  sync.WaitGroup
 }
 
-func newEarlyReplica(l *lab, id string) *earlyReplica {
+func newEarlyReplica(l *lab, id string, early bool) *earlyReplica {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		panic(err)
 	}
-	r := &earlyReplica{l: l, id: id, ln: ln, got: make(map[string][]byte), end: make(map[string]string)}
+	r := &earlyReplica{l: l, id: id, ln: ln, early: early, got: make(map[string][]byte), end: make(map[string]string)}
 	l.Cleanup(func() { _ = ln.Close() })
+	l.store.Put("servers/"+id, []byte(fmt.Sprintf(
+		`{"service":"players-app","address":%q,"zone":"a","version":"1","slots":64,"state":"ready","cold_remaining_ms":0,"call_seq":0,"born":%d}`,
+		ln.Addr().String(), time.Now().UnixMilli())))
 	go func() {
 		for {
 			c, err := ln.Accept()
@@ -91,8 +104,10 @@
 // handle answers one request and reads its body.
 func (r *earlyReplica) handle(c net.Conn, req *http.Request) bool {
 	id := req.Header.Get("X-Gladegauge-Attempt-Id")
-	if r.l.trouble {
-		r.answer(c, id)
+	stream := strings.HasPrefix(req.URL.Path, "/ask/")
+	early := r.early && r.requests.Add(1)%earlyEvery == 3
+	if early {
+		r.answer(c, id, stream)
 		r.l.note("replica answered %s before it read the body (length %d, %v)", id, req.ContentLength, req.TransferEncoding)
 		time.Sleep(earlyLater)
 	}
@@ -106,36 +121,85 @@
 	r.mu.Lock()
 	r.got[id], r.end[id] = body, end
 	r.mu.Unlock()
-	if !r.l.trouble && err == nil {
-		r.answer(c, id)
-		r.l.note("replica answered %s after it read the body", id)
+	if !early && err == nil {
+		r.answer(c, id, stream)
+	}
+	if stream && err == nil {
+		r.endStream(c)
 	}
 	return err == nil
 }
 
-func (r *earlyReplica) answer(c net.Conn, id string) {
-	body := strings.Repeat("a", earlyAnswers)
+// answer sends a whole answer, or the head and the first event of a stream.
+func (r *earlyReplica) answer(c net.Conn, id string, stream bool) {
+	if stream {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Gladegauge-Attempt-Id: %s\r\nX-Gladegauge-Replica-Seal: seal-%s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id, r.id)
+		r.event(c, 1)
+		return
+	}
+	body := strings.Repeat("a", earlyAnswerSize)
 	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Gladegauge-Attempt-Id: %s\r\nX-Gladegauge-Replica-Seal: seal-%s\r\nContent-Length: %d\r\n\r\n%s", id, r.id, len(body), body)
 }
 
-// earlyAnswer sends long requests to a replica that answers before it has read them. It reports
-// whether all that the replica got as bodies were the clients' bytes.
+// event sends one event of a stream.
+func (r *earlyReplica) event(c net.Conn, n int) {
+	text := fmt.Sprintf("id: %d\ndata: token\n\n", n)
+	fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text)
+}
+
+// endStream sends the rest of a stream.
+func (r *earlyReplica) endStream(c net.Conn) {
+	for n := 2; n <= 10; n++ {
+		r.event(c, n)
+	}
+	fmt.Fprint(c, "0\r\n\r\n")
+}
+
+// earlyAnswer sends long requests to two replicas, one of which answers some of them before it has
+// read them. It reports whether all that the replicas got as bodies were the clients' bytes.
 func earlyAnswer(l *lab) bool {
 	l.store.PutConfig(earlyConfig())
-	r := newEarlyReplica(l, "i-early")
-	l.store.Put("servers/"+r.id, []byte(fmt.Sprintf(`{"service":"players-app","address":%q,"zone":"a","version":"1","slots":6,"state":"ready","cold_remaining_ms":0,"call_seq":0,"born":%d}`, r.ln.Addr().String(), time.Now().UnixMilli())))
+	replicas := []*earlyReplica{newEarlyReplica(l, "i-1", l.trouble), newEarlyReplica(l, "i-2", false)}
 	g := l.newGateways(1)[0]
 	g.start(true)
 	g.awaitReady()
-	for i := range earlyRequests {
-		sendSlowly(l, g.callers, fmt.Sprintf("len-%03d", i), false)
-		sendSlowly(l, g.callers, fmt.Sprintf("chk-%03d", i), true)
+	until := time.Now().Add(earlyLength)
+	var wg sync.WaitGroup
+	for i := range earlyClients {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for n := 0; time.Now().Before(until); n++ {
+				switch (i + n) % 3 {
+				case 0:
+					sendSlowly(l, g.callers, "/up/1", fmt.Sprintf("l%02d-%03d", i, n), false)
+				case 1:
+					sendSlowly(l, g.callers, "/up/1", fmt.Sprintf("c%02d-%03d", i, n), true)
+				default:
+					sendSlowly(l, g.callers, "/ask/1", fmt.Sprintf("s%02d-%03d", i, n), true)
+				}
+			}
+		}()
 	}
+	wg.Wait()
 	time.Sleep(500 * time.Millisecond)
-	r.wg.Wait()
 	held := true
+	for _, r := range replicas {
+		r.wg.Wait()
+		held = r.check() && held
+	}
+	return held
+}
+
+// check compares what the replica got as bodies with what the clients sent. It reports whether there
+// were no other bytes.
+func (r *earlyReplica) check() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if len(r.got) == 0 {
+		panic("no request reached replica " + r.id)
+	}
+	whole, other := 0, 0
 	for id, got := range r.got {
 		want := bodyOf(id, earlyBody)
 		n := 0
@@ -144,23 +208,21 @@
 		}
 		switch {
 		case n == len(got) && n == len(want):
-			l.note("replica got %s: the client's %d bytes", id, n)
+			whole++
 		case n == len(got):
-			l.note("replica got %s: the first %d of the client's %d bytes, then %s", id, n, len(want), r.end[id])
+			r.l.note("replica %s got for %s: the first %d of the client's %d bytes, then %s", r.id, id, n, len(want), r.end[id])
 		default:
-			held = false
-			l.note("replica got %s: %d bytes (%s); %d are the client's first ones, but then come other bytes: %q where %q is due",
-				id, len(got), r.end[id], n, got[n:min(n+16, len(got))], want[n:min(n+16, len(want))])
+			other++
+			r.l.note("replica %s got for %s: %d bytes (end of the request: %s); %d are the client's first ones, but then come other bytes: %q where %q is due",
+				r.id, id, len(got), r.end[id], n, got[n:min(n+16, len(got))], want[n:min(n+16, len(want))])
 		}
 	}
-	if len(r.got) == 0 {
-		panic("no request reached the replica")
-	}
-	return held
+	r.l.note("replica %s got %d requests: %d bodies as sent, %d with other bytes", r.id, len(r.got), whole, other)
+	return other == 0
 }
 
 // sendSlowly sends one long request in pieces, as over a link of 4 Mbit/s, and reads its answer.
-func sendSlowly(l *lab, address, id string, chunked bool) {
+func sendSlowly(l *lab, address, path, id string, chunked bool) {
 	c, err := net.Dial("tcp", address)
 	if err != nil {
 		panic(err)
@@ -181,8 +243,7 @@
 	if chunked {
 		framing = "Transfer-Encoding: chunked"
 	}
-	fmt.Fprintf(c, "POST /up/1 HTTP/1.1\r\nHost: players.example\r\nX-Gladegauge-Attempt-Id: %s\r\nX-Gladegauge-Deadline-Ms: 5000\r\nX-Gladegauge-Key: key-1\r\n%s\r\n\r\n", id, framing)
-	l.note("client sends %s (%s)", id, framing)
+	fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: players.example\r\nX-Gladegauge-Attempt-Id: %s\r\nX-Gladegauge-Deadline-Ms: 5000\r\nX-Gladegauge-Key: key-1\r\n%s\r\n\r\n", path, id, framing)
 	for rest := body; len(rest) > 0; {
 		piece := rest[:min(earlyPiece, len(rest))]
 		rest = rest[len(piece):]
@@ -202,7 +263,7 @@
 	}
 	select {
 	case a := <-answered:
-		l.note("client got for %s: %s", id, a)
+		l.note("client sent %s to %s (%s) and got %s", id, path, framing, a)
 	case <-time.After(6 * time.Second):
 		l.note("client got nothing for %s", id)
 	}
--- a/review/standin/lab.go
+++ b/review/standin/lab.go
@@ -94,9 +94,11 @@
 	name                      string
 	callers, readiness, peers string
 	metricsPort               int
-	seeds                     []string
-	cmd                       *exec.Cmd
-	done                      chan struct{}
+	// memoryMB is limits.memory_mb of the settings.
+	memoryMB int
+	seeds    []string
+	cmd      *exec.Cmd
+	done     chan struct{}
 }
 
 // freeAddress returns a free loopback address.
@@ -114,7 +116,7 @@
 	var list []*process
 	var seeds []string
 	for i := range n {
-		p := &process{l: l, name: fmt.Sprintf("front-%d", i+1), callers: l.freeAddress(), readiness: l.freeAddress(), peers: l.freeAddress()}
+		p := &process{l: l, name: fmt.Sprintf("front-%d", i+1), callers: l.freeAddress(), readiness: l.freeAddress(), peers: l.freeAddress(), memoryMB: 284}
 		_, port, _ := net.SplitHostPort(l.freeAddress())
 		_, _ = fmt.Sscan(port, &p.metricsPort)
 		seeds = append(seeds, p.peers)
@@ -136,7 +138,7 @@
 		"ip=127.0.0.1", "zone=a", "region=r", "zones.a=r",
 		"listen.frontend=" + p.callers, "listen.readiness=" + p.readiness, "listen.control=" + p.peers,
 		"seeds=" + strings.Join(p.seeds, ","), fmt.Sprintf("first_start=%v", first), "in_tolerance=false",
-		"limits.cpu_share=0.304", "limits.cores=1", "limits.memory_mb=284", "limits.max_fds=4100", "limits.link_mbps=1000.0", "limits.disk_mb=0",
+		"limits.cpu_share=0.304", "limits.cores=1", fmt.Sprintf("limits.memory_mb=%d", p.memoryMB), "limits.max_fds=4100", "limits.link_mbps=1000.0", "limits.disk_mb=0",
 		"discovery=platform", "entry=vip", "heartbeat_ms=1200",
 		"bounds.seed_lag_s=3", "bounds.reuse_after_s=2", "bounds.contact_ms=3000", "bounds.ack_ms=4000", "bounds.catch_up_s=4",
 		"bounds.drain_ms=2000", "bounds.grace_s=8", "bounds.loss_slack_ms=200", "bounds.config_apply_ms=2000",
