--- a/review/standin/config.go
+++ b/review/standin/config.go
@@ -29,3 +29,16 @@
 		MaxBody: 4_194_304,
 	}
 }
+
+// foreignConfig is a configuration with the routes of players-app at the site salish-shuffle.
+func foreignConfig() standin.Config {
+	return standin.Config{
+		Version: 3,
+		Routes: []standin.Route{
+			{Name: "registration", Host: "players.example", Prefix: "/registration/", Kind: "non_idempotent", Pool: "players-app", TimeoutMs: 1000, TargetLatencyMs: 150, Attempts: 1, Tier: 2},
+			{Name: "standings-push", Host: "players.example", Prefix: "/standings/", Kind: "idempotent", Pool: "players-app", TimeoutMs: 1000, TargetLatencyMs: 150, Attempts: 2, Tier: 2},
+		},
+		Keys:    map[string][]string{"member": {"key-1"}},
+		MaxBody: 4_194_304,
+	}
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -32,7 +32,7 @@
 var cases = map[string]func(l *lab) bool{
 	"early-answer": earlyAnswer,
 	"flood":        flooded,
-	"foreign":      foreignEntries,
+	"foreign":      foreignEntry,
 }
 
 func main() {
