--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -15,6 +15,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -61,12 +63,16 @@
 			code = exitFailed
 		}
 	}()
-	guard := time.AfterFunc(caseLimit, func() {
-		l.note("the case could not run: out of time")
+	giveUp := func(why string) {
+		l.note("the case could not run: %s", why)
 		l.close()
 		os.Exit(exitFailed)
-	})
+	}
+	guard := time.AfterFunc(caseLimit, func() { giveUp("out of time") })
 	defer guard.Stop()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	go func() { giveUp((<-signals).String()) }()
 	if run(l) {
 		l.note("RULE HELD")
 		return exitHeld
