--- a/review/standin/config.go
+++ b/review/standin/config.go
@@ -17,15 +17,15 @@
 	}
 }
 
-// floodConfig is a configuration with one streaming route, as that of policy-check at the site
-// tbc-activate.
+// floodConfig is a configuration with one streaming route, as that of ruling-lookup at the site
+// salish-shuffle.
 func floodConfig() standin.Config {
 	return standin.Config{
 		Version: 3,
 		Routes: []standin.Route{
-			{Name: "policy-check", Host: "policy.example", Prefix: "/policy/", Kind: "streaming", Pool: "gladegauge-pool", TimeoutMs: 4000, TargetLatencyMs: 1200, TargetGapMs: 1000, Attempts: 1},
+			{Name: "ruling-lookup", Host: "judges.example", Prefix: "/ruling/", Kind: "streaming", Pool: "judge-model", TimeoutMs: 5000, TargetLatencyMs: 1200, TargetGapMs: 1000, Attempts: 1, Tier: 2},
 		},
-		Keys:    map[string][]string{"carrier": {"key-1"}},
+		Keys:    map[string][]string{"member": {"key-1"}},
 		MaxBody: 4_194_304,
 	}
 }
--- a/review/standin/lab.go
+++ b/review/standin/lab.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -99,8 +100,13 @@
 	seeds    []string
 	cmd      *exec.Cmd
 	done     chan struct{}
+	// startedAt is when the process was last started, in nanoseconds since 1970.
+	startedAt atomic.Int64
 }
 
+// uptime is the time since the process was last started.
+func (p *process) uptime() time.Duration { return time.Since(time.Unix(0, p.startedAt.Load())) }
+
 // freeAddress returns a free loopback address.
 func (l *lab) freeAddress() string {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -168,6 +174,7 @@
 	}
 	done := make(chan struct{})
 	p.cmd, p.done = cmd, done
+	p.startedAt.Store(time.Now().UnixNano())
 	p.l.note("%s started", p.name)
 	go func() {
 		err := cmd.Wait()
