exchange: what is skipped of answers to other requests has bounds

What callers saw: an upstream that answers another request with a body without end, in chunks or with a length of 900 GB, kept its caller without any answer until the caller's deadline. A request that may be repeated was not tried elsewhere, and one that runs once was not told that its outcome is unknown. The gateway read at the speed of the sender meanwhile.

Cause: readHead copied the body of such an answer to its end, without bounds in bytes or time, and then once more by closing the body, which net/http reads to its end as well.

The fix: the bodies of all answers to other requests of one attempt may hold 256 KiB and take 300 ms together. Beyond that, or if the connection is to close after such an answer, the attempt is lost at once, with a cause of its own in the log: nothing of the request's own can follow there. What follows is decided as for other lost attempts: another one within the budget, or 502. skipped_bytes_total counts what was skipped, which shows an upstream that costs reading time though none of its attempts fails.

--- a/internal/edge/exchange/errors.go
+++ b/internal/edge/exchange/errors.go
@@ -10,6 +10,13 @@
 // bound.
 var ErrHeadTooLarge = errors.New("the head of the response is too large")
 
+// ErrSkippedTooLarge and ErrSkippedTooSlow are the causes of a LostError if the bodies of the
+// responses to other requests, which precede the request's own, exceed the bounds.
+var (
+	ErrSkippedTooLarge = errors.New("the responses to other requests are too large")
+	ErrSkippedTooSlow  = errors.New("the responses to other requests arrive too slowly")
+)
+
 // UnsentError means that no byte of the request was written, so that it cannot have run.
 type UnsentError struct{ Cause error }
 
--- a/internal/edge/exchange/exchange.go
+++ b/internal/edge/exchange/exchange.go
@@ -15,7 +15,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -29,14 +28,9 @@
 // request has been sent to another upstream.
 const DefaultDialTimeout = 300 * time.Millisecond
 
-const (
-	// maxSkipped bounds the responses that are read for one request: interim responses and
-	// responses to other requests are skipped.
-	maxSkipped = 4
-	// bufferBytes is the size of the buffers of a connection, and the largest body that is
-	// written before the response is read.
-	bufferBytes = 4 << 10
-)
+// bufferBytes is the size of the buffers of a connection, and the largest body that is written
+// before the response is read.
+const bufferBytes = 4 << 10
 
 // Options are the settings of a client.
 type Options struct {
@@ -47,6 +41,9 @@
 	// again. OnReuse may be nil.
 	OnConnect func()
 	OnReuse   func()
+	// OnSkip is called with the number of bytes of each body that belongs to another request. It
+	// may be nil.
+	OnSkip func(n int64)
 	// MaxOpen returns the number of connections to the address, in use and idle, up to which
 	// idle ones are kept; 0 for no bound, and below 0 for no idle ones. It must be safe for concurrent use, and may be nil.
 	MaxOpen func(address string) int
@@ -147,8 +144,9 @@
 }
 
 // readHead returns the first response that belongs to the request. It fails if the head of a
-// response is longer than maxHeadBytes.
+// response is longer than maxHeadBytes, or if more must be skipped than the bounds allow.
 func readHead(cn *conn, call Call) (*http.Response, error) {
+	skipped := newSkipper(cn)
 	for range maxSkipped {
 		cn.head.begin()
 		resp, err := http.ReadResponse(cn.br, call.Request)
@@ -168,13 +166,8 @@
 		if call.Matches(resp) {
 			return resp, nil
 		}
-		_, err = io.Copy(io.Discard, resp.Body)
-		_ = resp.Body.Close()
-		if err != nil {
-			return nil, errors.Wrap(err, "read response to another request")
-		}
-		if resp.Close {
-			return nil, errors.New("connection closed after responses to other requests only")
+		if err := skipped.skip(resp); err != nil {
+			return nil, err
 		}
 	}
 	return nil, errors.New("too many responses to other requests")
--- a/internal/edge/gatewayd/metrics.go
+++ b/internal/edge/gatewayd/metrics.go
@@ -37,8 +37,10 @@
 	inTime      *prometheus.CounterVec
 	connections prometheus.Counter
 	reused      prometheus.Counter
-	resumes     prometheus.Counter
-	continues   prometheus.Counter
+	// skippedBytes counts the bytes of bodies that belonged to other requests.
+	skippedBytes prometheus.Counter
+	resumes      prometheus.Counter
+	continues    prometheus.Counter
 	// callerResumes counts the streams that callers resumed, by how their version became known, and
 	// reportsDropped the reports of streams that did not fit the queue.
 	callerResumes  *prometheus.CounterVec
@@ -100,6 +102,7 @@
 		completion:       factory.Histograms("completion_seconds", "Time to the complete answer.", "kind"),
 		connections:      factory.Counter("connections_total", "Connections opened to upstreams."),
 		reused:           factory.Counter("connections_reused_total", "Idle connections to upstreams that were used again."),
+		skippedBytes:     factory.Counter("skipped_bytes_total", "Bytes of upstreams' answers that belonged to other requests than the one in progress."),
 		resumes:          factory.Counter("resumes_total", "Streams resumed by another upstream."),
 		continues:        factory.Counter("continues_total", "Streams continued from a backup of their run's memory."),
 		callerResumes:    factory.Counters("caller_resumes_total", "Streams that callers resumed after they had broken off, by how their software version became known.", "known"),
@@ -135,7 +138,7 @@
 	m.registry.MustRegister(m.requests, m.refusals, m.attempts, m.storeCalls, m.inTime, m.firstByte,
 		m.completion, m.connections, m.resumes, m.continues, m.faults, m.version, m.epoch, m.revision, m.upstreams, m.peerCalls, m.peerBytes, m.gateways,
 		m.zoneAttempts, m.zoneUpstreams, m.ends, m.notices, m.retriesDenied, m.limited, m.suspects, m.suspectRequests, m.closedUnread, m.demandDropped, m.aboveLevel,
-		m.admissions, m.admissionWaiting, m.admissionWait, m.invalidPaces, m.reused, m.callerResumes, m.softwareVersions, m.reportsDropped, m.unused)
+		m.admissions, m.admissionWaiting, m.admissionWait, m.invalidPaces, m.reused, m.callerResumes, m.softwareVersions, m.reportsDropped, m.unused, m.skippedBytes)
 	m.registry.MustRegister(factory.GaugeOf("view_age_milliseconds", "Time since the configuration in force was proved to be the newest.", viewAge))
 	if logsDropped != nil {
 		m.registry.MustRegister(factory.CounterOf("log_lines_dropped_total", "Log lines that did not fit the buffer.", logsDropped))
--- a/internal/edge/gatewayd/server.go
+++ b/internal/edge/gatewayd/server.go
@@ -199,6 +199,7 @@
 		KeepAlive: func(h http.Header) time.Duration { return platform.DecodeAnswer(0, h).KeepAlive },
 		OnConnect: func() { s.metrics.connections.Inc() },
 		OnReuse:   func() { s.metrics.reused.Inc() },
+		OnSkip:    func(n int64) { s.metrics.skippedBytes.Add(float64(n)) },
 		MaxOpen:   func(address string) int { return (*s.maxOpen.Load())[address] },
 		Clock:     s.now,
 	})
