program, deploy: the gateway names the commit that it was built from

The linker now sets it from git; outside a checkout it stays as it was.

"version" prints the commit in a checkout and (devel) in a tree without git.

--- a/internal/edge/program/command.go
+++ b/internal/edge/program/command.go
@@ -13,8 +13,16 @@
 	"github.com/gladegauge/gladegauge/internal/edge/settings"
 )
 
-// Version returns the version of the main module in the build information.
+// revision names the commit that the program was built from. The linker sets it; it is empty in
+// builds outside a checkout.
+var revision string
+
+// Version returns the commit that the program was built from, or else the version of the main
+// module in the build information.
 func Version() string {
+	if revision != "" {
+		return revision
+	}
 	info, ok := debug.ReadBuildInfo()
 	if !ok {
 		return "unknown"
