--- a/internal/edge/exchange/errors.go
+++ b/internal/edge/exchange/errors.go
@@ -6,9 +6,12 @@
 // when the connection was ready.
 var ErrWithheld = errors.New("withheld: the upstream accepts no requests at present")
 
-// ErrHeadTooLarge is the cause of a LostError if the head of the response has no end within the
-// bound.
-var ErrHeadTooLarge = errors.New("the head of the response is too large")
+// ErrHeadTooLarge and ErrHeadTooSlow are the causes of a LostError if the head of the response
+// has begun and has no end within the bounds.
+var (
+	ErrHeadTooLarge = errors.New("the head of the response is too large")
+	ErrHeadTooSlow  = errors.New("the head of the response arrives too slowly")
+)
 
 // ErrSkippedTooLarge and ErrSkippedTooSlow are the causes of a LostError if the bodies of the
 // responses to other requests, which precede the request's own, exceed the bounds.
--- a/internal/edge/exchange/exchange.go
+++ b/internal/edge/exchange/exchange.go
@@ -14,6 +14,7 @@
 package exchange
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -144,18 +145,15 @@
 }
 
 // readHead returns the first response that belongs to the request. It fails if the head of a
-// response is longer than maxHeadBytes, or if more must be skipped than the bounds allow.
+// response exceeds its bounds, or if more must be skipped than the bounds allow.
 func readHead(cn *conn, call Call) (*http.Response, error) {
 	skipped := newSkipper(cn)
 	for range maxSkipped {
-		cn.head.begin()
+		cn.head.begin(cn.br.Buffered() > 0)
 		resp, err := http.ReadResponse(cn.br, call.Request)
 		cn.head.end()
-		switch {
-		case err != nil && cn.head.exceeded():
-			return nil, errors.WithStack(ErrHeadTooLarge)
-		case err != nil:
-			return nil, errors.WithStack(err)
+		if err != nil {
+			return nil, errors.WithStack(cmp.Or(cn.head.exceeded(), err))
 		}
 		if call.OnResponse != nil {
 			call.OnResponse(resp)
--- a/internal/edge/exchange/head_test.go
+++ b/internal/edge/exchange/head_test.go
@@ -60,6 +60,57 @@
 	}
 }
 
+// An upstream that begins a head and sends the rest byte by byte, or not at all, fails the exchange
+// soon. Its caller waited until the deadline of the request.
+func TestSlowHead(t *testing.T) {
+	const pause = 20 * time.Millisecond
+	tests := []struct {
+		name  string
+		begin string
+		again string
+	}{
+		{"status line", "", "H"},
+		{"status line of HTTP", "HTTP/1.1 200 ", "x"},
+		{"field", "HTTP/1.1 200 OK\r\nA: ", "x"},
+		{"interim response", "HTTP/1.1 103 Early Hints\r\nA: ", "x"},
+		{"nothing more", "HTTP/1.1 200 OK\r\nA: ", ""},
+		{"behind a response to another request", answer("other", "no") + "HTTP/1.1 200 OK\r\nA: ", ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			c, _ := client(&fakeClock{now: time.Unix(1000, 0)})
+			began := time.Now()
+			_, err := get(t, c, serveOnce(t, trickle(tt.begin, tt.again, pause)), "")
+			var lost *LostError
+			is.True(errors.As(err, &lost))
+			is.True(errors.Is(err, ErrHeadTooSlow))
+			is.True(time.Since(began) < 5*time.Second) // not only at the deadline of get
+		})
+	}
+}
+
+// The time of a head begins with its first byte: an upstream may take longer to answer, and to
+// send the body of its answer.
+func TestTimeOfHeadBeginsWithFirstByte(t *testing.T) {
+	is := is.New(t)
+	address := serveOnce(t, func(conn net.Conn) error {
+		for _, text := range []string{"", "HTTP/1.1 103 Early Hints\r\n\r\n", "HTTP/1.1 200 OK\r\n", "Id: mine\r\nContent-Length: 2\r\n\r\n", "ok"} {
+			if _, err := io.WriteString(conn, text); err != nil {
+				return err
+			}
+			if !strings.HasSuffix(text, "OK\r\n") {
+				time.Sleep(maxHeadTime * 3 / 2)
+			}
+		}
+		return nil
+	})
+	c, _ := client(&fakeClock{now: time.Unix(1000, 0)})
+	got, err := get(t, c, address, "")
+	is.NoErr(err)
+	is.Equal(got, "ok")
+}
+
 // The lines that frame the chunks of a body, and its trailers, are bounded as well.
 func TestChunksWithoutEnd(t *testing.T) {
 	const head = "HTTP/1.1 200 OK\r\nId: mine\r\nTransfer-Encoding: chunked\r\n\r\n"
