exchange: the rest of a refusal's body is read for 300 ms at most

What callers saw: an upstream that refuses a request as not run, and sends the short body of its refusal a byte each 20 ms, kept its caller without an answer until the deadline, though the gateway knew that the request had not run and other upstreams had room.

Cause: Close reads the rest of a body of up to 16 KiB to keep the connection, before the next attempt begins, and had no bound in time for it.

The fix: that rest is read for as long as what is skipped of other answers, 300 ms. If it takes longer, the connection is closed.

--- a/internal/edge/exchange/answer.go
+++ b/internal/edge/exchange/answer.go
@@ -4,6 +4,9 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
+
+	"github.com/gladegauge/gladegauge/internal/edge/clock"
 )
 
 // drainBytes is the maximum size of a remaining body that is read to reuse its connection.
@@ -49,6 +52,16 @@
 // RequestWritten reports whether the whole request was written.
 func (a *Answer) RequestWritten() bool { return a.writer.complete() }
 
+// SetReadTimeout bounds the time for what is still to be read of the body, from now on; 0 for no
+// bound.
+func (a *Answer) SetReadTimeout(d time.Duration) {
+	until := time.Time{}
+	if d > 0 {
+		until = clock.Deadline(d)
+	}
+	_ = a.conn.SetReadDeadline(until)
+}
+
 // AwaitRequest waits until the whole request is written or cannot be, or the context ends.
 func (a *Answer) AwaitRequest(ctx context.Context) {
 	select {
@@ -58,10 +71,12 @@
 }
 
 // Close ends the exchange. The connection is reused only if the request was written and
-// the response read completely.
+// the response read completely. A short rest of the body is read for that, for up to maxSkipTime.
 func (a *Answer) Close() {
 	if !a.body.complete && a.ContentLength >= 0 && a.ContentLength <= drainBytes {
+		a.SetReadTimeout(maxSkipTime)
 		_, _ = io.CopyN(io.Discard, a.body, a.ContentLength+1)
+		a.SetReadTimeout(0)
 	}
 	// An upstream may respond before it has read a long body. The rest of the body would
 	// then precede the next request on the connection.
