gatewayd: the body of an upstream's error is there within 300 ms

What callers saw: an upstream that answers 500 and sends the body of its error a byte each 20 ms kept its caller without an answer until the deadline. A request that may be repeated was not tried elsewhere.

Cause: the body of an error is read whole before another attempt may replace it, with a bound of 64 KiB and none in time.

Evidence: the row "error, slowly" of TestAnswersWithoutEnd took 1.6 s for all three kinds of request, past the deadline of 1.5 s, with the code before; now the request that may be repeated is served by the other upstream within 1 s, and the others get 502.

The fix: the body of an error has 300 ms from its head. Beyond that the attempt is lost, like one whose error breaks off.

--- a/internal/edge/gatewayd/response.go
+++ b/internal/edge/gatewayd/response.go
@@ -7,6 +7,7 @@
 	"mime"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -20,6 +21,10 @@
 // to the caller, so that another attempt can replace a broken one.
 const maxBufferedBytes = 64 << 10
 
+// errorBodyTime is the time in which the body of an upstream's error must be there. It follows its
+// head at once; the time covers the retransmission of a lost packet.
+const errorBodyTime = 300 * time.Millisecond
+
 // response is the response of one upstream.
 type response struct {
 	*exchange.Answer
@@ -88,7 +93,9 @@
 // bufferError reads an upstream's own error, which another attempt may replace.
 func (x *request) bufferError(ctx context.Context, a response) (gateway.Failure, error) {
 	x.responseStarted(a)
+	a.SetReadTimeout(errorBodyTime)
 	data, err := io.ReadAll(io.LimitReader(a, maxBufferedBytes+1))
+	a.SetReadTimeout(0)
 	if err == nil && len(data) > maxBufferedBytes {
 		err = errors.Newf("more than %d bytes", maxBufferedBytes)
 	}
