gatewayd: a request that may be repeated is not kept by a body that comes slowly

What callers saw: an upstream that begins a success and sends its body a byte each 20 ms kept the caller of a request that may be repeated without an answer until its deadline, while other upstreams had room.

Cause: the timeout for the response ended with the head, though up to 64 KiB of the body are kept before anything is sent to the caller.

The fix: the timeout ends once the kept part has been read. As before, it only moves a request if another upstream has a free slot, within the budget.

--- a/internal/edge/gatewayd/attempt.go
+++ b/internal/edge/gatewayd/attempt.go
@@ -155,10 +155,16 @@
 	})
 }
 
-// responseStarted records the arrival of the first event of a stream, or of the header of any
-// other response.
+// responseStarted records the arrival of the first event of a stream, or of the header of an
+// error, and ends the timeout for the response.
 func (x *request) responseStarted(a response) {
 	x.timeouts.responseStarted()
+	x.recordResponse(a)
+}
+
+// recordResponse records the arrival of the first event of a stream, or of the header of any
+// other response.
+func (x *request) recordResponse(a response) {
 	x.loadRecorded = true
 	x.server.control.DoWithoutCancel(func(now time.Time) {
 		x.server.table.ResponseStarted(now, a.choice)
--- a/internal/edge/gatewayd/response.go
+++ b/internal/edge/gatewayd/response.go
@@ -109,8 +109,10 @@
 // relayWhole forwards a response that is not a stream. A small one is read completely
 // first.
 func (x *request) relayWhole(ctx context.Context, a response) (gateway.Failure, error) {
-	x.responseStarted(a)
+	x.recordResponse(a)
 	data, err := io.ReadAll(io.LimitReader(a, maxBufferedBytes+1))
+	// Until here nothing was sent to the caller, so that another upstream may still answer.
+	x.timeouts.responseStarted()
 	if err != nil {
 		return x.failureOf(ctx, err), errors.Wrap(err, "body cut short")
 	}
--- a/internal/edge/gatewayd/timeouts.go
+++ b/internal/edge/gatewayd/timeouts.go
@@ -35,10 +35,10 @@
 	cancel func()
 	// now returns the current time.
 	now func() time.Time
-	// response runs until the response of the upstream starts; nil if the request may not be
+	// response runs until there is something to send to the caller; nil if the request may not be
 	// moved to another upstream.
 	response *stallTimer
-	// responded is true once the response started or the attempt ended. The timeout for the
+	// responded is true once that is so or the attempt ended. The timeout for the
 	// response may be running its check at that moment and restart its timer.
 	responded atomic.Bool
 	// gapTimeout is the maximum silence of a stream after an event; 0 means unlimited.
@@ -126,8 +126,8 @@
 	return gapTimeoutFactor * x.admission.Route.EventGapTarget
 }
 
-// responseStarted stops the timeout for the response: the first event of a stream arrived, or
-// the header of any other response.
+// responseStarted stops the timeout for the response: the first event of a stream arrived, the
+// header of an error, or so much of any other response as is kept before it is sent on.
 func (t *timeouts) responseStarted() {
 	t.responded.Store(true)
 	if t.response != nil {
