exchange: bytes without end do not count as a dropped idle connection

What operators would see: new connections to all upstreams, for ten seconds, after three of them sent bytes without end on reused connections.

Cause: every exchange that failed within 50 ms on a reused connection counted as one whose connection the upstream had dropped while it was idle. Bytes without end fail it within milliseconds since they have bounds.

Evidence: two rows of TestIdleLimitIgnoresBytesWithoutEnd failed before: a limit of 500 ms was learned from an endless head, and from an endless answer to another request. None is now; a dropped connection still sets it.

The fix: failures by these bounds are left out. The connection was open, as bytes arrived on it.

--- a/internal/edge/exchange/exchange.go
+++ b/internal/edge/exchange/exchange.go
@@ -113,8 +113,7 @@
 		if ctx.Err() != nil && errors.Is(err, net.ErrClosed) {
 			return nil, &LostError{Cause: errors.WithStack(context.Cause(ctx))}
 		}
-		var body *BodyError
-		if now := c.o.Clock(); ctx.Err() == nil && !errors.As(err, &body) && now.Sub(sentAt) <= maxResetDelay {
+		if now := c.o.Clock(); ctx.Err() == nil && mayBeDropped(err) && now.Sub(sentAt) <= maxResetDelay {
 			c.limit.recordReset(now, call.Address, cn.idle)
 		}
 		return nil, err
--- a/internal/edge/exchange/exchange_test.go
+++ b/internal/edge/exchange/exchange_test.go
@@ -380,6 +380,35 @@
 	}
 }
 
+// Bytes without end on a reused connection say nothing about idle connections. Three upstreams
+// that sent them made a gateway open new connections to all others.
+func TestIdleLimitIgnoresBytesWithoutEnd(t *testing.T) {
+	tests := []struct {
+		name string
+		text string
+		want time.Duration
+	}{
+		{"dropped", "", 500 * time.Millisecond},
+		{"head", strings.Repeat("x", 2*maxHeadBytes), 0},
+		{"response to another request", "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 900000000000\r\n\r\n", 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			u := newUpstream(t, answer("mine", "1"), tt.text)
+			now := &fakeClock{now: time.Unix(1000, 0)}
+			c, _ := client(now)
+			a, err := begin(c, u.l.Addr().String())
+			is.NoErr(err)
+			is.NoErr(end(a))
+			now.now = now.now.Add(time.Second)
+			_, err = begin(c, u.l.Addr().String())
+			is.True(err != nil)
+			is.Equal(c.limit.current(now.now, u.l.Addr().String()), tt.want)
+		})
+	}
+}
+
 // The limit that is learned from one upstream applies to all only once several of them drop
 // connections. Two upstreams that reset answers made a gateway open new connections to all
 // others.
--- a/internal/edge/exchange/idle.go
+++ b/internal/edge/exchange/idle.go
@@ -4,6 +4,8 @@
 	"maps"
 	"sync"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Parameters of the learned idle limit. Some upstreams drop an idle connection sooner than
@@ -71,6 +73,13 @@
 	return min(own, all)
 }
 
+// mayBeDropped reports whether an exchange may have failed because the upstream had dropped its
+// connection: not if the body of the request failed, or if bytes without end arrived.
+func mayBeDropped(err error) bool {
+	var body *BodyError
+	return !errors.As(err, &body) && !errors.Is(err, ErrHeadTooLarge) && !errors.Is(err, ErrSkippedTooLarge)
+}
+
 // recordReset records that a connection to the address failed on its first use after the
 // idle time.
 func (l *idleLimit) recordReset(now time.Time, address string, idle time.Duration) {
