entries, agents: heads of answers and an engine's report have bounds

What operators would see: an agent or entry killed over its memory by an engine, another process or the platform's service that sends a head of up to 10 MB on each connection, or by an engine whose report of what it has loaded has no end.

Cause: these clients had net/http's default of 10 MB for a head, and the report was decoded from the body without a bound.

The fix: 64 KiB for each head, as at the gateway, and 1 MiB for the report.

--- a/internal/edge/agentd/server.go
+++ b/internal/edge/agentd/server.go
@@ -91,15 +91,12 @@
 		return nil, err
 	}
 	s.rpcHTTP = client
-	s.upstream = upstream.New(o.UpstreamURL, &http.Client{Transport: &http.Transport{
-		MaxIdleConnsPerHost: config.MaxSlots,
-		DisableCompression:  true,
-	}})
+	s.upstream = upstream.New(o.UpstreamURL, upstream.NewHTTPClient(config.MaxSlots))
 	count := func(kind, result string) { s.metrics.PlatformCalls.WithLabelValues(kind, result).Inc() }
 	s.sync = spread.New(spread.Options{
 		Self:      member.Host{ID: o.ID, Role: member.Agent, Zone: o.Zone, Pool: o.Pool},
 		Loop:      s.loop,
-		Platform:  platform.New(o.Platform, http.DefaultClient, count),
+		Platform:  platform.New(o.Platform, platform.NewHTTPClient(), count),
 		HTTP:      client,
 		URL:       s.o.Keys.URL,
 		Seeds:     program.SplitList(o.Seeds),
--- a/internal/edge/entryd/server.go
+++ b/internal/edge/entryd/server.go
@@ -104,7 +104,7 @@
 	s.sync = spread.New(spread.Options{
 		Self:      member.Host{ID: o.ID, Role: member.Entry, Zone: o.Zone},
 		Loop:      s.loop,
-		Platform:  platform.New(o.Platform, http.DefaultClient, count),
+		Platform:  platform.New(o.Platform, platform.NewHTTPClient(), count),
 		HTTP:      client,
 		URL:       o.Keys.URL,
 		Seeds:     program.SplitList(o.Seeds),
--- a/internal/edge/platform/platform.go
+++ b/internal/edge/platform/platform.go
@@ -6,7 +6,7 @@
 //
 // # Usage
 //
-//	c := platform.New(url, httpClient, count)
+//	c := platform.New(url, platform.NewHTTPClient(), count)
 //	value, err := c.Read(ctx, platform.ManifestName)
 package platform
 
@@ -70,6 +70,17 @@
 	count func(kind, result string)
 }
 
+// maxHeadBytes bounds the head of an answer.
+const maxHeadBytes = 64 << 10
+
+// NewHTTPClient returns an HTTP client for the service, with the defaults of net/http but for the
+// bound of the head.
+func NewHTTPClient() *http.Client {
+	t := http.DefaultTransport.(*http.Transport).Clone()
+	t.MaxResponseHeaderBytes = maxHeadBytes
+	return &http.Client{Transport: t}
+}
+
 // New returns a client of the service at the base URL. It calls count for each request.
 func New(base string, c *http.Client, count func(kind, result string)) *Client {
 	return &Client{base: base, http: c, count: count}
--- a/internal/edge/rpc/rpc.go
+++ b/internal/edge/rpc/rpc.go
@@ -134,10 +134,11 @@
 	p.SetHTTP2(true)
 	p.SetUnencryptedHTTP2(k.Plaintext)
 	t := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		Protocols:           p,
-		IdleConnTimeout:     idleTimeout,
-		TLSHandshakeTimeout: dialTimeout,
+		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		Protocols:              p,
+		IdleConnTimeout:        idleTimeout,
+		TLSHandshakeTimeout:    dialTimeout,
+		MaxResponseHeaderBytes: MaxHeaderBytes,
 		HTTP2: &http.HTTP2Config{
 			SendPingTimeout: pingInterval,
 			PingTimeout:     pingTimeout,
--- a/internal/edge/upstream/orders.go
+++ b/internal/edge/upstream/orders.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 
 	"github.com/cockroachdb/errors"
@@ -43,7 +44,7 @@
 		return placement.State{}, errors.Newf("upstream state: %s", resp.Status)
 	}
 	var body stateResponse
-	if err := json.NewDecoder(resp.Body).Decode(&body); err != nil {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxStateBytes)).Decode(&body); err != nil {
 		return placement.State{}, errors.Wrap(err, "upstream state")
 	}
 	return placement.State{Version: body.Version, Adapters: body.Adapters, Role: body.Role}, nil
--- a/internal/edge/upstream/upstream.go
+++ b/internal/edge/upstream/upstream.go
@@ -6,7 +6,7 @@
 //
 // # Usage
 //
-//	c := upstream.New(url, httpClient)
+//	c := upstream.New(url, upstream.NewHTTPClient(slots))
 //	end := c.Do(ctx, call, func(p upstream.Chunk) error { return forward(p) })
 package upstream
 
@@ -39,7 +39,9 @@
 
 // Limits of the parts of a response.
 const (
+	maxHeadBytes   = 64 << 10
 	maxEventBytes  = 1 << 20
+	maxStateBytes  = 1 << 20
 	readBufferSize = 16 << 10
 )
 
@@ -108,6 +110,15 @@
 	http *http.Client
 }
 
+// NewHTTPClient returns an HTTP client of one upstream that keeps so many idle connections.
+func NewHTTPClient(maxIdle int) *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost:    maxIdle,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeadBytes,
+	}}
+}
+
 // New returns a client for the upstream at base.
 func New(base string, c *http.Client) *Client {
 	return &Client{base: strings.TrimSuffix(base, "/"), http: c}
--- a/internal/edge/upstream/upstream_test.go
+++ b/internal/edge/upstream/upstream_test.go
@@ -6,8 +6,10 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -73,6 +75,40 @@
 	is.Equal(end.Result, NotAccepted)
 }
 
+// A response of the upstream whose head exceeds the bound fails the call. Heads of up to 10 MB were
+// held in memory.
+func TestLongHead(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Long", strings.Repeat("x", 2*maxHeadBytes))
+	}))
+	defer server.Close()
+	end := New(server.URL, NewHTTPClient(1)).Do(context.Background(), Call{Method: "POST", Path: "/", Headers: make(http.Header)}, func(Chunk) error { return nil })
+	is.Equal(end.Result, Aborted)
+}
+
+// A report of the upstream without end fails after a bounded number of bytes. It was held in
+// memory until the deadline.
+func TestStateWithoutEnd(t *testing.T) {
+	is := is.New(t)
+	sent := make(chan int, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		n, err := w.Write([]byte(`{"version":"`))
+		piece := bytes.Repeat([]byte("x"), 64<<10)
+		for more := 0; err == nil; n += more {
+			more, err = w.Write(piece)
+		}
+		sent <- n
+	}))
+	defer server.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	_, err := New(server.URL, NewHTTPClient(1)).State(ctx)
+	is.True(err != nil)
+	is.NoErr(ctx.Err())
+	is.True(<-sent <= 32*maxStateBytes) // with what the kernel holds
+}
+
 // TestSentOnce breaks a kept-alive connection after it accepted a request. The HTTP
 // transport must not resend the request on its own, whatever its method and headers.
 func TestSentOnce(t *testing.T) {
