--- a/internal/edge/exchange/pool.go
+++ b/internal/edge/exchange/pool.go
@@ -130,8 +130,9 @@
 	return excess
 }
 
-// Sweep closes idle connections that have expired or exceed the bound, and all idle
-// connections to addresses that are no longer wanted.
+// Sweep closes idle connections that have expired, have received data or exceed the bound, and
+// all idle connections to addresses that are no longer wanted. Data on an idle connection belongs
+// to no request, and would fill the buffers of the host until the connection is used again.
 func (c *Client) Sweep(wanted func(address string) bool) {
 	now := c.o.Clock()
 	var closing []*conn
@@ -144,7 +145,7 @@
 		}
 		remaining := list[:0]
 		for _, cn := range list {
-			if now.Before(cn.until) {
+			if now.Before(cn.until) && healthy(cn.Conn) {
 				remaining = append(remaining, cn)
 			} else {
 				closing = append(closing, cn)
--- a/internal/edge/exchange/pool_test.go
+++ b/internal/edge/exchange/pool_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"slices"
@@ -151,6 +152,42 @@
 	is.Equal(c.idle[address][0], answers[2].conn) // the one that was returned last
 }
 
+// A connection that receives bytes, or is closed by its upstream, while it is idle is closed at the
+// next sweep. It took up to the connection's expiry, in which an upstream could send on.
+func TestSweepClosesConnectionsWithData(t *testing.T) {
+	tests := []struct {
+		name string
+		do   func(conn net.Conn) error
+		kept int
+	}{
+		{"silent", func(net.Conn) error { return nil }, 1},
+		{"bytes", func(conn net.Conn) error { _, err := io.WriteString(conn, "x"); return err }, 0},
+		{"closed", func(conn net.Conn) error { return conn.Close() }, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			u := newUpstream(t, answer("mine", "1"))
+			c, _ := client(&fakeClock{now: time.Unix(1000, 0)})
+			address := u.l.Addr().String()
+			a, err := begin(c, address)
+			is.NoErr(err)
+			is.NoErr(end(a))
+			u.mu.Lock()
+			is.NoErr(tt.do(u.conns[0]))
+			u.mu.Unlock()
+			for range 500 {
+				c.Sweep(func(string) bool { return true })
+				if len(c.idle[address]) == tt.kept {
+					break
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			is.Equal(len(c.idle[address]), tt.kept)
+		})
+	}
+}
+
 // A connection that the upstream closes while it is idle is not used: the request goes out
 // on a new one, and the closed one counts as idle no longer.
 func TestUpstreamClosesEarly(t *testing.T) {
