exchange: what is skipped is bounded in the bytes of the connection

The bound on answers to other requests counted the bytes of their bodies. In chunks of one byte the connection carries six times as many, and parsing them takes longer than the bound in time: the row "chunks" of TestResponseToAnotherRequestWithoutEnd, which asks for the bound in bytes, failed once under the race detector.

What such an upstream costs the gateway is the bytes on the connection, so these count now, by the limiter that heads have; the two had the same logic.

--- a/internal/edge/exchange/answer.go
+++ b/internal/edge/exchange/answer.go
@@ -71,10 +71,11 @@
 }
 
 // Close ends the exchange. The connection is reused only if the request was written and
-// the response read completely. A short rest of the body is read for that, for up to maxSkipTime.
+// the response read completely. A short rest of the body is read for that, for as long
+// as the bodies of responses to other requests.
 func (a *Answer) Close() {
 	if !a.body.complete && a.ContentLength >= 0 && a.ContentLength <= drainBytes {
-		a.SetReadTimeout(maxSkipTime)
+		a.SetReadTimeout(skipBounds.time)
 		_, _ = io.CopyN(io.Discard, a.body, a.ContentLength+1)
 		a.SetReadTimeout(0)
 	}
--- a/internal/edge/exchange/conn.go
+++ b/internal/edge/exchange/conn.go
@@ -14,8 +14,8 @@
 	client  *Client
 	address string
 	br      *bufio.Reader
-	// head bounds what br reads while it reads the head of a response.
-	head *headLimiter
+	// limiter bounds what br reads of some parts of a response.
+	limiter *limiter
 	// inUse is true while a request uses the connection. It is guarded by client.mu.
 	inUse bool
 	// until is when an idle connection expires.
@@ -28,8 +28,8 @@
 
 // newConn returns a new connection that is in use.
 func (c *Client) newConn(nc net.Conn, address string) *conn {
-	head := &headLimiter{conn: nc}
-	cn := &conn{Conn: nc, client: c, address: address, head: head, br: bufio.NewReaderSize(head, bufferBytes)}
+	l := &limiter{conn: nc}
+	cn := &conn{Conn: nc, client: c, address: address, limiter: l, br: bufio.NewReaderSize(l, bufferBytes)}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.use(cn)
--- a/internal/edge/exchange/exchange.go
+++ b/internal/edge/exchange/exchange.go
@@ -148,11 +148,11 @@
 func readHead(cn *conn, call Call) (*http.Response, error) {
 	skipped := newSkipper(cn)
 	for range maxSkipped {
-		cn.head.begin(cn.br.Buffered() > 0)
+		cn.limiter.begin(headBounds, cn.br.Buffered() > 0)
 		resp, err := http.ReadResponse(cn.br, call.Request)
-		cn.head.end()
+		cn.limiter.end()
 		if err != nil {
-			return nil, errors.WithStack(cmp.Or(cn.head.exceeded(), err))
+			return nil, errors.WithStack(cmp.Or(cn.limiter.exceeded(), err))
 		}
 		if call.OnResponse != nil {
 			call.OnResponse(resp)
--- a/internal/edge/exchange/exchange_test.go
+++ b/internal/edge/exchange/exchange_test.go
@@ -389,7 +389,7 @@
 		want time.Duration
 	}{
 		{"dropped", "", 500 * time.Millisecond},
-		{"head", strings.Repeat("x", 2*maxHeadBytes), 0},
+		{"head", strings.Repeat("x", 2*headBounds.bytes), 0},
 		{"response to another request", "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 900000000000\r\n\r\n", 0},
 	}
 	for _, tt := range tests {
--- a/internal/edge/exchange/head_test.go
+++ b/internal/edge/exchange/head_test.go
@@ -100,7 +100,7 @@
 				return err
 			}
 			if !strings.HasSuffix(text, "OK\r\n") {
-				time.Sleep(maxHeadTime * 3 / 2)
+				time.Sleep(headBounds.time * 3 / 2)
 			}
 		}
 		return nil
@@ -140,7 +140,7 @@
 // A head within the bound is read, and each response on a connection has a bound of its own.
 func TestHeadWithinBound(t *testing.T) {
 	is := is.New(t)
-	large := "HTTP/1.1 200 OK\r\nId: mine\r\nA: " + strings.Repeat("x", maxHeadBytes-100) + "\r\nContent-Length: 2\r\n\r\nok"
+	large := "HTTP/1.1 200 OK\r\nId: mine\r\nA: " + strings.Repeat("x", headBounds.bytes-100) + "\r\nContent-Length: 2\r\n\r\nok"
 	u := newUpstream(t, large, large, answer("mine", "3"))
 	c, opened := client(&fakeClock{now: time.Unix(1000, 0)})
 	for _, want := range []string{"ok", "ok", "3"} {
--- a/internal/edge/exchange/skip.go
+++ b/internal/edge/exchange/skip.go
@@ -1,38 +1,31 @@
 package exchange
 
 import (
+	"cmp"
 	"io"
 	"net/http"
-	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
-
-	"github.com/gladegauge/gladegauge/internal/edge/clock"
 )
 
-const (
-	// maxSkipped bounds the responses that are read for one request: interim responses and
-	// responses to other requests are skipped.
-	maxSkipped = 4
-	// maxSkippedBytes and maxSkipTime bound the bodies of the responses to other requests that
-	// are read for one request. Upstreams send such a response whole; the time covers the
-	// retransmission of a lost packet.
-	maxSkippedBytes = 256 << 10
-	maxSkipTime     = 300 * time.Millisecond
-)
+// maxSkipped bounds the responses that are read for one request: interim responses and responses
+// to other requests are skipped.
+const maxSkipped = 4
+
+// skipBounds limit the bodies of the responses to other requests, all together, that are read for
+// one request. Upstreams send such a response whole; the time covers the retransmission of a lost
+// packet.
+var skipBounds = bounds{bytes: 256 << 10, time: 300 * time.Millisecond, tooLarge: ErrSkippedTooLarge, tooSlow: ErrSkippedTooSlow}
 
 // skipper reads the bodies of responses to other requests during one exchange.
 type skipper struct {
 	cn *conn
-	// bytes and time are what is left of the bounds.
-	bytes int64
-	time  time.Duration
+	// left is what is left of the bounds.
+	left bounds
 }
 
-func newSkipper(cn *conn) *skipper {
-	return &skipper{cn: cn, bytes: maxSkippedBytes, time: maxSkipTime}
-}
+func newSkipper(cn *conn) *skipper { return &skipper{cn: cn, left: skipBounds} }
 
 // skip reads the body of a response to another request. If it fails, no response to the request
 // can follow on the connection, or only after too much: the connection is then to be closed, and
@@ -41,26 +34,18 @@
 	switch {
 	case resp.Close:
 		return errors.New("connection closed after responses to other requests only")
-	case resp.ContentLength > s.bytes:
+	case resp.ContentLength > int64(s.left.bytes):
 		return errors.WithStack(ErrSkippedTooLarge)
 	}
-	began := s.cn.client.o.Clock()
-	_ = s.cn.SetReadDeadline(clock.Deadline(s.time))
-	n, err := io.CopyN(io.Discard, resp.Body, s.bytes+1)
-	_ = s.cn.SetReadDeadline(time.Time{})
-	s.bytes -= n
-	s.time -= s.cn.client.o.Clock().Sub(began)
-	if s.cn.client.o.OnSkip != nil {
-		s.cn.client.o.OnSkip(n)
-	}
-	switch {
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return errors.WithStack(ErrSkippedTooSlow)
-	case err == nil:
-		return errors.WithStack(ErrSkippedTooLarge)
-	case !errors.Is(err, io.EOF):
-		return errors.Wrap(err, "read response to another request")
-	default:
-		return nil
+	o := s.cn.client.o
+	began := o.Clock()
+	s.cn.limiter.begin(s.left, true)
+	n, err := io.Copy(io.Discard, resp.Body)
+	s.cn.limiter.end()
+	s.left.bytes = s.cn.limiter.left
+	s.left.time -= o.Clock().Sub(began)
+	if o.OnSkip != nil {
+		o.OnSkip(n)
 	}
+	return errors.Wrap(cmp.Or(s.cn.limiter.exceeded(), err), "read response to another request")
 }
--- a/internal/edge/exchange/skip_test.go
+++ b/internal/edge/exchange/skip_test.go
@@ -22,7 +22,7 @@
 		short    = "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 10000\r\n\r\n"
 	)
 	// Each is within the bound, and all of them together are not.
-	part := strings.Repeat("x", maxSkippedBytes/2)
+	part := strings.Repeat("x", skipBounds.bytes/2)
 	parts := strings.Repeat(fmt.Sprintf("HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: %d\r\n\r\n%s", len(part), part), 3)
 	tests := []struct {
 		name  string
@@ -77,7 +77,7 @@
 // connection is kept.
 func TestResponseToAnotherRequestWithinBounds(t *testing.T) {
 	is := is.New(t)
-	other := fmt.Sprintf("HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: %d\r\n\r\n%s", maxSkippedBytes, strings.Repeat("x", maxSkippedBytes))
+	other := fmt.Sprintf("HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: %d\r\n\r\n%s", skipBounds.bytes, strings.Repeat("x", skipBounds.bytes))
 	u := newUpstream(t, other+answer("mine", "1"), other+answer("mine", "2"))
 	c, opened := client(&fakeClock{now: time.Unix(1000, 0)})
 	skipped := int64(0)
@@ -88,5 +88,5 @@
 		is.Equal(got, want)
 	}
 	is.Equal(*opened, 1)
-	is.Equal(skipped, int64(2*maxSkippedBytes))
+	is.Equal(skipped, int64(2*skipBounds.bytes))
 }
