--- a/internal/edge/gatewayd/endless_answers_test.go
+++ b/internal/edge/gatewayd/endless_answers_test.go
@@ -4,11 +4,14 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/gladegauge/gladegauge/platform/standin"
 )
@@ -22,14 +25,15 @@
 // deadline, and the connection of the upstream is closed soon. Callers waited for their whole
 // deadline where these bytes belonged to another request, came slowly, or followed a refusal.
 func TestAnswersWithoutEnd(t *testing.T) {
-	for i, e := range standin.EndlessAnswers("") {
+	for i, e := range standin.EndlessAnswers("", "") {
 		for _, uri := range []string{"/read/1", "/write/1", "/chat/1"} {
 			t.Run(e.Name+" "+uri, func(t *testing.T) {
 				t.Parallel()
 				is := is.New(t)
+				var sent endlessLog
 				w := newTestEnv(t, 2, func(n int, r standin.Request) standin.Reply {
 					if n == 0 {
-						return standin.Reply{Endless: &standin.EndlessAnswers(r.ID)[i]}
+						return sent.reply(standin.EndlessAnswers(r.ID, "whole")[i])
 					}
 					return standin.Reply{Body: "good"}
 				})
@@ -41,7 +45,7 @@
 				switch {
 				case e.Whole:
 					is.Equal(a.Status, http.StatusOK)
-					is.Equal(a.Body, standin.EndlessBody)
+					is.Equal(a.Body, "whole")
 				case uri == "/read/1", e.Refusal:
 					is.Equal(a.Status, http.StatusOK)
 					is.Equal(a.Body, "good")
@@ -50,8 +54,8 @@
 					is.Equal(len(w.ran()), 1)
 				}
 				is.True(a.Whole)
-				w.await(func() bool { return len(w.endless()) == 1 })
-				is.True(w.endless()[0].Bytes <= endlessReadBytes)
+				w.await(func() bool { return len(sent.all()) == 1 })
+				is.True(sent.all()[0] <= endlessReadBytes)
 				if !e.Whole {
 					is.True(time.Since(began) < 2*time.Second) // the connection is closed as well
 				}
@@ -113,17 +117,18 @@
 			t.Run(tt.name+" "+uri, func(t *testing.T) {
 				t.Parallel()
 				is := is.New(t)
+				var sent endlessLog
 				w := newTestEnv(t, 1, func(_ int, r standin.Request) standin.Reply {
-					return standin.Reply{Endless: &standin.EndlessAnswer{
+					return sent.reply(standin.EndlessAnswer{
 						Begin: standin.RawAnswer(r.ID, http.StatusOK, tt.lines, ""), Again: tt.again, Pause: 10 * time.Millisecond,
-					}}
+					})
 				})
 				a := w.call(uri)
 				is.NoErr(a.Err)
 				is.Equal(a.Status, http.StatusOK)
 				is.True(len(a.Body) > maxBufferedBytes)
 				is.True(!a.Whole)
-				w.await(func() bool { return len(w.endless()) == 1 })
+				w.await(func() bool { return len(sent.all()) == 1 })
 			})
 		}
 	}
@@ -163,11 +168,71 @@
 	}
 }
 
-// endless returns what all replicas sent of bytes without end.
-func (w *testEnv) endless() []standin.Sent {
-	var all []standin.Sent
-	for _, r := range w.replicas {
-		all = append(all, r.Endless()...)
+// Requests of another pool are served while all upstreams of one send bytes without end, at the
+// speed of the network and at every place, and each of these costs a bounded number of bytes.
+func TestOtherPoolsBesideAnswersWithoutEnd(t *testing.T) {
+	const (
+		callers = 8
+		reads   = 60
+	)
+	var sent endlessLog
+	w := newTestEnv(t, 3, func(n int, r standin.Request) standin.Reply {
+		list := standin.EndlessAnswers(r.ID, "whole")
+		return sent.reply(list[n%len(list)])
+	})
+	cfg := configuration(2)
+	cfg.Routes = append(cfg.Routes, standin.Route{Name: "other", Host: "x.example", Prefix: "/other/", Kind: "non_idempotent", Pool: "other", TimeoutMs: 2000, TargetLatencyMs: 1000, Attempts: 1})
+	w.store.PutConfig(cfg)
+	sound := standin.NewReplica(t, "i-sound", func(int, standin.Request) standin.Reply { return standin.Reply{Body: "good"} })
+	w.store.PutReplica(sound, "other", false)
+	w.await(func() bool { return w.poolSize("other") == 1 && w.call("/other/1").Status == http.StatusOK })
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var group errgroup.Group
+	for i := range callers {
+		group.Go(func() error {
+			for n := 0; ctx.Err() == nil; n++ {
+				w.caller.Call(ctx, standin.Request{ID: fmt.Sprintf("e-%d-%d", i, n), Host: "x.example", URI: "/write/1", Key: "key-a", DeadlineMs: 1500})
+			}
+			return nil
+		})
 	}
-	return all
+	served := 0
+	for range reads {
+		if w.call("/other/1").Status == http.StatusOK {
+			served++
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	cancel()
+	_ = group.Wait()
+	w.is.True(served >= reads*95/100)
+	w.is.True(len(sent.all()) >= callers)
+	for _, n := range sent.all() {
+		w.is.True(n <= endlessReadBytes)
+	}
+}
+
+// endlessLog records how many bytes without end were sent on each connection that is closed. It is
+// safe for concurrent use.
+type endlessLog struct {
+	mu   sync.Mutex
+	sent []int
+}
+
+// reply returns a reply with the answer that is recorded.
+func (l *endlessLog) reply(e standin.EndlessAnswer) standin.Reply {
+	e.OnClosed = func(sent int) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.sent = append(l.sent, sent)
+	}
+	return standin.Reply{Endless: &e}
+}
+
+// all returns the numbers of bytes.
+func (l *endlessLog) all() []int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.sent)
 }
