--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -52,6 +52,7 @@
 	{"requests that crash replicas are blocked", crashingRequestsBlocked},
 	{"parts that crash replicas are blocked", crashingPartsBlocked},
 	{"a gateway with most new connections serves", concentrationServed},
+	{"gateways keep to their memory", memoryBounded},
 	{"full service recovers", serviceRecovered},
 }
 
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -173,6 +173,8 @@
 		{"requests that are malformed or not whole do not run", func(r *Record) {
 			r.Runs = append(r.Runs, Run{ID: badPrefix + "0-1", Replica: "i-1", At: at(40)})
 		}},
+		{"", func(r *Record) { r.addMemory(0, standin.MemoryMB*1_000_000) }},
+		{"gateways keep to their memory", func(r *Record) { r.addMemory(0, standin.MemoryMB*1_000_000+1) }},
 		{"entries of other writers get no requests", func(r *Record) { r.BadEntryRequests = 1 }},
 		{"replicas that announce their shutdown get no new requests", func(r *Record) {
 			r.Events = nil
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -109,6 +109,8 @@
 	Bodies  []standin.Received
 	// Concentrations are the times at which most new connections went to one gateway.
 	Concentrations []Concentration
+	// Memory maps a gateway to the largest resident memory that it had, in bytes.
+	Memory map[int]int
 	// BadEntryRequests is the number of requests to the server whose address is in entries of
 	// another writer.
 	BadEntryRequests int
@@ -122,6 +124,7 @@
 		Zones:    make(map[string]string),
 		Software: make(map[string][]string),
 		Starts:   make(map[string][]time.Time),
+		Memory:   make(map[int]int),
 	}
 }
 
--- a/internal/soak/replicas.go
+++ b/internal/soak/replicas.go
@@ -99,9 +99,12 @@
 	h.record.addArrival(Arrival{ID: req.ID, Replica: id, At: time.Now()})
 	roll := h.randomPercent()
 	continues := req.ContinueFrom != ""
-	if roll < refusePercent || (continues && req.LastEvent == "") {
+	if continues && req.LastEvent == "" {
 		return standin.Reply{Refuse: true}
 	}
+	if roll < refusePercent {
+		return refusal(req)
+	}
 	if crashesReplica(req) {
 		h.record.addRun(Run{ID: req.ID, Replica: id, At: time.Now(), Organisation: req.Tenant})
 		return h.crashReplica(id)
@@ -120,6 +123,9 @@
 			break
 		}
 	}
+	if roll >= 0 && roll < endlessPercent {
+		reply.Endless = endlessAnswer(req, func(e standin.EndlessAnswer) bool { return !e.Refusal && (!e.Whole || reply.Events == nil) })
+	}
 	// Without chunks only an end inside an event shows that the stream broke off.
 	reply.CutMidEvent = reply.CutMidEvent || reply.Unframed
 	return reply
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -53,6 +53,10 @@
 		h.InjectFalseReports(loadCtx)
 		return nil
 	})
+	group.Go(func() error {
+		h.RecordMemory(loadCtx)
+		return nil
+	})
 	faultCtx, endFaults := context.WithTimeout(context.Background(), *faultDuration)
 	defer endFaults()
 	startAll(faultCtx, &group, seed, h.Evacuate, h.InjectNotices, h.Limits, h.InjectRollouts)
@@ -77,7 +81,7 @@
 		len(h.record.Runs), len(h.record.Events), len(h.record.Limits), h.countInLogs(`"lent":true`))
 	t.Logf("seed %d: %d calls of crashing requests, %d runs; blocked %d, surges %d", seed, len(h.record.CrashingCalls), h.record.crashingRuns(),
 		h.countInLogs(`"reason":"ends_upstreams"`), h.countInLogs(`"closing":true`))
-	t.Logf("seed %d: %d long bodies, %d of them answered early by replicas, %d pipelined and answered; %d stalls", seed, len(h.record.Uploads), h.record.earlyAnswers(), h.record.pipelined(), len(h.record.Stalls))
+	t.Logf("seed %d: %d long bodies, %d of them answered early by replicas, %d pipelined and answered; %d stalls; memory %v", seed, len(h.record.Uploads), h.record.earlyAnswers(), h.record.pipelined(), len(h.record.Stalls), h.record.Memory)
 	if len(violations) == 0 {
 		return
 	}
