--- a/internal/edge/gatewayd/loads_test.go
+++ b/internal/edge/gatewayd/loads_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -160,3 +161,43 @@
 	}
 	w.is.True(relays >= 3) // four cells, one of them perhaps this gateway's own
 }
+
+// A report that arrives several times counts once, and one that arrives behind a later one has an
+// effect only until the next report, or until it is too old.
+func TestLoadReportsRepeatedAndReordered(t *testing.T) {
+	const from = "127.0.0.1:1" // no gateway
+	w, peers := newLoadsEnv(t)
+	at := balance.Choice{Instance: balance.Instance{ID: "i-a"}}
+	relay := slices.IndexFunc(peers, func(p *testPeer) bool {
+		self := false
+		p.control.DoWithoutCancel(func(now time.Time) { _, self = p.fleet.Relay(now) })
+		return self
+	})
+	w.is.True(relay >= 0)
+	p := peers[relay]
+	report := func(requests int) {
+		req := &gladegaugev1.TellLoadsRequest{Gateway: from, Loads: encodeLoads(occupancy.Loads{xxhash.Sum64String(at.ID): {Requests: requests}})}
+		_, err := p.TellLoads(context.Background(), connect.NewRequest(req))
+		w.is.NoErr(err)
+	}
+	tests := []struct {
+		name    string
+		reports []int
+		want    int
+	}{
+		{"repeated", []int{7, 7, 7}, 7},
+		{"behind a later one", []int{7, 9, 7}, 7},
+		{"the next one", []int{7, 9, 7, 9}, 9},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(*testing.T) {
+			w.await(func() bool { // again if the reports had become too old
+				for _, n := range tt.reports {
+					report(n)
+				}
+				return othersAt(p, at) == tt.want
+			})
+		})
+	}
+	w.await(func() bool { return othersAt(p, at) == 0 })
+}
