--- a/internal/edge/gatewayd/bad_callers_test.go
+++ b/internal/edge/gatewayd/bad_callers_test.go
@@ -1,11 +1,15 @@
 package gatewayd
 
 import (
+	"io"
+	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
 	"github.com/gladegauge/gladegauge/platform/standin"
@@ -53,3 +57,37 @@
 	}
 	w.is.Equal(w.call("/read/1").Status, http.StatusOK)
 }
+
+// A request for readiness whose head has no end or stops is answered or its connection is closed,
+// and the next request is served. The server of the metrics has the same limits.
+func TestBadReadinessRequests(t *testing.T) {
+	tests := []struct {
+		name  string
+		begin string
+		again string
+	}{
+		{"a head without end", "GET /api/ready HTTP/1.1\r\nA: ", strings.Repeat("x", 4<<10)},
+		{"a line without end", "", strings.Repeat("x", 4<<10)},
+		{"stops in the head", "GET /api/ready HTTP/1.1\r\nA: ", ""},
+		{"sends nothing", "", ""},
+	}
+	w := newTestEnv(t, 1, replyOK)
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			conn, err := net.Dial("tcp", w.server.ReadinessAddress())
+			is.NoErr(err)
+			defer func() { _ = conn.Close() }()
+			is.NoErr(conn.SetDeadline(time.Now().Add(testTimeout)))
+			_, err = io.WriteString(conn, tt.begin)
+			for err == nil && tt.again != "" {
+				_, err = io.WriteString(conn, tt.again)
+			}
+			is.True(!errors.Is(err, os.ErrDeadlineExceeded)) // the gateway does not read on
+			_, err = io.Copy(io.Discard, conn)
+			is.True(!errors.Is(err, os.ErrDeadlineExceeded)) // nor keep the connection
+			is.Equal(w.readiness(), http.StatusOK)
+		})
+	}
+}
