--- a/internal/edge/gatewayd/bad_callers_test.go
+++ b/internal/edge/gatewayd/bad_callers_test.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
+	"github.com/gladegauge/gladegauge/platform"
 	"github.com/gladegauge/gladegauge/platform/standin"
 )
 
@@ -66,9 +67,9 @@
 		begin string
 		again string
 	}{
-		{"a head without end", "GET /api/ready HTTP/1.1\r\nA: ", strings.Repeat("x", 4<<10)},
+		{"a head without end", "GET " + platform.ReadyPath + " HTTP/1.1\r\nA: ", strings.Repeat("x", 4<<10)},
 		{"a line without end", "", strings.Repeat("x", 4<<10)},
-		{"stops in the head", "GET /api/ready HTTP/1.1\r\nA: ", ""},
+		{"stops in the head", "GET " + platform.ReadyPath + " HTTP/1.1\r\nA: ", ""},
 		{"sends nothing", "", ""},
 	}
 	w := newTestEnv(t, 1, replyOK)
