--- a/internal/edge/gatewayd/endless_answers_test.go
+++ b/internal/edge/gatewayd/endless_answers_test.go
@@ -203,7 +203,7 @@
 		return sent.reply(list[n%len(list)])
 	})
 	w.extendTimeouts(standin.Route{Name: "other", Host: "x.example", Prefix: "/other/", Kind: "non_idempotent", Pool: "other", TargetLatencyMs: 1000, Attempts: 1})
-	sound := standin.NewReplica(t, "i-sound", func(int, standin.Request) standin.Reply { return standin.Reply{Body: "good"} })
+	sound := standin.NewReplica(t, "i-sound", replyOK)
 	w.store.PutReplica(sound, "other", false)
 	w.await(func() bool { return w.poolSize("other") == 1 && w.call("/other/1").Status == http.StatusOK })
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/edge/rpc/rpc.go
+++ b/internal/edge/rpc/rpc.go
@@ -22,7 +22,7 @@
 	"github.com/cockroachdb/errors"
 )
 
-// MaxHeaderBytes bounds the header of each call and of each answer.
+// MaxHeaderBytes bounds the header of each call and of each answer, also of an agent's upstream.
 const MaxHeaderBytes = 64 << 10
 
 // Timeouts and limits of connections.
--- a/internal/edge/upstream/upstream.go
+++ b/internal/edge/upstream/upstream.go
@@ -25,6 +25,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/gladegauge/gladegauge/internal/core/notice"
+	"github.com/gladegauge/gladegauge/internal/edge/rpc"
 )
 
 // Headers of the protocol of upstreams.
@@ -39,7 +40,6 @@
 
 // Limits of the parts of a response.
 const (
-	maxHeadBytes   = 64 << 10
 	maxEventBytes  = 1 << 20
 	maxStateBytes  = 1 << 20
 	readBufferSize = 16 << 10
@@ -115,7 +115,7 @@
 	return &http.Client{Transport: &http.Transport{
 		MaxIdleConnsPerHost:    maxIdle,
 		DisableCompression:     true,
-		MaxResponseHeaderBytes: maxHeadBytes,
+		MaxResponseHeaderBytes: rpc.MaxHeaderBytes,
 	}}
 }
 
--- a/internal/edge/upstream/upstream_test.go
+++ b/internal/edge/upstream/upstream_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/gladegauge/gladegauge/internal/edge/rpc"
 )
 
 // collectResponse collects the chunks of a response.
@@ -80,7 +82,7 @@
 func TestLongHead(t *testing.T) {
 	is := is.New(t)
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("X-Long", strings.Repeat("x", 2*maxHeadBytes))
+		w.Header().Set("X-Long", strings.Repeat("x", 2*rpc.MaxHeaderBytes))
 	}))
 	defer server.Close()
 	end := New(server.URL, NewHTTPClient(1)).Do(context.Background(), Call{Method: "POST", Path: "/", Headers: make(http.Header)}, func(Chunk) error { return nil })
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -45,18 +45,12 @@
 	var group errgroup.Group
 	startAll(loadCtx, &group, seed, h.GenerateLoad, h.SendUploads, h.SendBadRequests, h.InjectBadEntries,
 		h.InjectCrashes, h.InjectCrashingParts, h.InjectConcentrations)
-	group.Go(func() error {
-		h.RecordStalls(loadCtx)
-		return nil
-	})
-	group.Go(func() error {
-		h.InjectFalseReports(loadCtx)
-		return nil
-	})
-	group.Go(func() error {
-		h.RecordMemory(loadCtx)
-		return nil
-	})
+	for _, run := range []func(context.Context){h.RecordStalls, h.InjectFalseReports, h.RecordMemory} {
+		group.Go(func() error {
+			run(loadCtx)
+			return nil
+		})
+	}
 	faultCtx, endFaults := context.WithTimeout(context.Background(), *faultDuration)
 	defer endFaults()
 	startAll(faultCtx, &group, seed, h.Evacuate, h.InjectNotices, h.Limits, h.InjectRollouts)
