--- /dev/null
+++ b/review/standin-2/replica.go
@@ -0,0 +1,223 @@
+//go:build review
+
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Headers of the platform.
+const (
+	headerID     = "X-Gladegauge-Attempt-Id"
+	headerSeal   = "X-Gladegauge-Replica-Seal"
+	headerNotRun = "X-Gladegauge-Not-Run"
+	headerLoad   = "X-Gladegauge-Replica-Load"
+	headerExpect = "X-Gladegauge-Expect-Replica"
+)
+
+// event is what a replica tells of one request.
+type event struct {
+	At      time.Time
+	Replica string
+	What    string
+	ID      string
+	URI     string
+	Header  http.Header `json:",omitempty"`
+}
+
+// replica plays one replica of a plain service in a process of its own. It writes its events to
+// standard output.
+type replica struct {
+	id           string
+	slots, queue int
+	work         time.Duration
+
+	mu               sync.Mutex
+	running, waiting int
+	free             chan struct{}
+}
+
+func runReplica(args []string) {
+	f := flag.NewFlagSet("replica", flag.ExitOnError)
+	r := &replica{}
+	f.StringVar(&r.id, "id", "", "identity")
+	f.IntVar(&r.slots, "slots", 6, "requests at once")
+	f.IntVar(&r.queue, "queue", 24, "requests that wait")
+	f.DurationVar(&r.work, "work", 30*time.Millisecond, "time of a request")
+	_ = f.Parse(args)
+	r.free = make(chan struct{}, r.slots)
+	l := listen()
+	fmt.Println(l.Addr())
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go r.serve(c)
+	}
+}
+
+func (r *replica) tell(what string, req *http.Request, withHeader bool) {
+	e := event{At: time.Now(), Replica: r.id, What: what, ID: req.Header.Get(headerID), URI: req.RequestURI}
+	if withHeader {
+		e.Header = req.Header
+	}
+	data, _ := json.Marshal(e)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, _ = os.Stdout.Write(append(data, '\n'))
+}
+
+// serve answers the requests of one connection. A request is dropped when its connection closes.
+func (r *replica) serve(c net.Conn) {
+	defer c.Close()
+	br := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
+			return
+		}
+		if !r.answer(c, req, body) {
+			return
+		}
+	}
+}
+
+// answer runs one request. The status that it asks for in its path is that of the application.
+func (r *replica) answer(c net.Conn, req *http.Request, body []byte) bool {
+	head := func(status int, sealed bool, extra string, n int) string {
+		s := fmt.Sprintf("HTTP/1.1 %d %s\r\n%s: %s\r\n%s: %s\r\n%s", status, http.StatusText(status), headerID, req.Header.Get(headerID), headerLoad, r.load(), extra)
+		if sealed {
+			s += headerSeal + ": seal-" + r.id + "\r\n"
+		}
+		return s + fmt.Sprintf("Content-Type: application/json\r\nContent-Length: %d\r\n\r\n", n)
+	}
+	if expect := req.Header.Get(headerExpect); expect != "" && expect != r.id {
+		_, err := io.WriteString(c, head(421, false, headerNotRun+": 1\r\n", 0))
+		return err == nil
+	}
+	if req.URL.Path == "/healthz" {
+		_, err := io.WriteString(c, head(200, false, "X-Gladegauge-Replica-Id: "+r.id+"\r\n", 0))
+		return err == nil
+	}
+	if !r.enter() {
+		_, err := io.WriteString(c, head(503, false, headerNotRun+": 1\r\n", 0))
+		return err == nil
+	}
+	r.tell("runs", req, false)
+	time.Sleep(r.work)
+	status := 200
+	if strings.Contains(req.RequestURI, "/unknown/") {
+		status = 404
+	}
+	text := fmt.Sprintf(`{"request":%q,"status":%d,"bytes":%d}`, req.Header.Get(headerID), status, len(body))
+	r.leave()
+	r.tell(fmt.Sprint("ends ", status), req, false)
+	_, err := io.WriteString(c, head(status, true, "", len(text))+text)
+	return err == nil
+}
+
+func (r *replica) load() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return fmt.Sprintf("%d,%d,%d", r.running, r.waiting, r.slots)
+}
+
+// enter waits for a slot. It returns false if the queue is full.
+func (r *replica) enter() bool {
+	r.mu.Lock()
+	if r.waiting >= r.queue {
+		r.mu.Unlock()
+		return false
+	}
+	r.waiting++
+	r.mu.Unlock()
+	r.free <- struct{}{}
+	r.mu.Lock()
+	r.waiting--
+	r.running++
+	r.mu.Unlock()
+	return true
+}
+
+func (r *replica) leave() {
+	<-r.free
+	r.mu.Lock()
+	r.running--
+	r.mu.Unlock()
+}
+
+// replicaProcess is a replica that the case has started.
+type replicaProcess struct {
+	id, address string
+	cmd         *exec.Cmd
+	born        int64
+}
+
+// events collects the events of all replicas.
+type events struct {
+	mu   sync.Mutex
+	list []event
+}
+
+func (e *events) add(ev event) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.list = append(e.list, ev)
+}
+
+// startReplica starts a replica process and returns once it listens.
+func startReplica(id string, to *events, args ...string) *replicaProcess {
+	self, err := os.Executable()
+	if err != nil {
+		fatal("executable: %v", err)
+	}
+	p := &replicaProcess{id: id, born: time.Now().UnixMilli()}
+	p.cmd = exec.Command(self, append([]string{"replica", "-id", id}, args...)...)
+	out, err := p.cmd.StdoutPipe()
+	if err != nil {
+		fatal("pipe: %v", err)
+	}
+	if err := p.cmd.Start(); err != nil {
+		fatal("start replica: %v", err)
+	}
+	children.add(p.cmd.Process)
+	lines := bufio.NewScanner(out)
+	if !lines.Scan() {
+		fatal("replica %s does not listen", id)
+	}
+	p.address = lines.Text()
+	go func() {
+		for lines.Scan() {
+			var ev event
+			if json.Unmarshal(lines.Bytes(), &ev) == nil {
+				to.add(ev)
+			}
+		}
+		_ = p.cmd.Wait()
+	}()
+	return p
+}
+
+// entry is the entry that the replica keeps in the store.
+func (p *replicaProcess) entry(service, zone, state string, slots int) map[string]any {
+	return map[string]any{
+		"service": service, "address": p.address, "zone": zone, "version": "1", "slots": slots, "state": state,
+		"cold_remaining_ms": 0, "call_seq": 0, "born": p.born,
+	}
+}
