--- a/review/standin-2/replica.go
+++ b/review/standin-2/replica.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"flag"
 	"fmt"
@@ -14,6 +15,7 @@
 	"os/exec"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -57,7 +59,7 @@
 	f.DurationVar(&r.work, "work", 30*time.Millisecond, "time of a request")
 	_ = f.Parse(args)
 	r.free = make(chan struct{}, r.slots)
-	l := listen()
+	l := listenAsOnEthernet()
 	fmt.Println(l.Addr())
 	for {
 		c, err := l.Accept()
@@ -68,6 +70,24 @@
 	}
 }
 
+// ethernetSegment is the payload of a TCP segment on Ethernet. On the loopback link segments of 64
+// KiB would let a peer that does not read take several megabytes.
+const ethernetSegment = 1460
+
+// listenAsOnEthernet listens for connections whose windows are those of a link between machines.
+func listenAsOnEthernet() net.Listener {
+	c := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) {
+			_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, ethernetSegment)
+		})
+	}}
+	l, err := c.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		fatal("listen: %v", err)
+	}
+	return l
+}
+
 func (r *replica) tell(what string, req *http.Request, withHeader bool) {
 	e := event{At: time.Now(), Replica: r.id, What: what, ID: req.Header.Get(headerID), URI: req.RequestURI}
 	if withHeader {
@@ -88,6 +108,10 @@
 		if err != nil {
 			return
 		}
+		if strings.HasPrefix(req.RequestURI, "/import/") && req.Header.Get(headerExpect) == r.id {
+			r.answerEarly(c, req)
+			return
+		}
 		body, err := io.ReadAll(req.Body)
 		if err != nil {
 			return
@@ -132,6 +156,39 @@
 	return err == nil
 }
 
+// Parameters of an answer that begins before the body of its request was read.
+const (
+	earlyBytes  = 40 << 10
+	earlyPiece  = 1 << 10
+	earlyPause  = 5 * time.Millisecond
+	earlyIsRead = 64 << 10
+)
+
+// answerEarly answers after it has read the beginning of a long body, and reads on afterwards.
+// The answer has no length and ends with its connection.
+func (r *replica) answerEarly(c net.Conn, req *http.Request) {
+	if _, err := io.CopyN(io.Discard, req.Body, earlyIsRead); err != nil {
+		return
+	}
+	r.tell("runs", req, false)
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal-%s\r\n%s: %s\r\nContent-Type: text/plain\r\nConnection: close\r\n\r\n",
+		headerID, req.Header.Get(headerID), headerSeal, r.id, headerLoad, r.load())
+	if _, err := io.WriteString(c, head); err != nil {
+		return
+	}
+	piece := strings.Repeat("x", earlyPiece)
+	for range earlyBytes / earlyPiece {
+		if _, err := io.WriteString(c, piece); err != nil {
+			return
+		}
+		time.Sleep(earlyPause)
+	}
+	if _, err := io.Copy(io.Discard, req.Body); err != nil {
+		return
+	}
+	r.tell(fmt.Sprint("ends 200, ", earlyBytes, " bytes"), req, false)
+}
+
 func (r *replica) load() string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
