--- a/review/standin-2/case_cut.go
+++ b/review/standin-2/case_cut.go
@@ -6,20 +6,29 @@
 	"bytes"
 	"fmt"
 	"sync"
+	"syscall"
 	"time"
 )
 
-func init() { cases["cut-answer-looks-whole"] = cutAnswerLooksWhole }
+func init() {
+	cases["cut-by-crash"] = func(r *record, dir string, trouble bool) bool {
+		return cutAnswers(r, dir, trouble, crashReplica)
+	}
+	cases["cut-of-slow"] = func(r *record, dir string, trouble bool) bool {
+		return cutAnswers(r, dir, trouble, slowReplica)
+	}
+}
 
 // Parameters of the case.
 const (
-	cutGateways   = 2
-	cutReplicas   = 3
-	cutClients    = 12
-	cutBody       = 2 << 20
-	cutLength     = 30 * time.Second
-	cutCrashes    = 4
-	cutCrashEvery = 6 * time.Second
+	cutGateways    = 2
+	cutReplicas    = 3
+	cutClients     = 12
+	cutBody        = 2 << 20
+	cutLength      = 36 * time.Second
+	cutDisruptions = 4
+	// cutPause is the time before each disruption.
+	cutPause = 3 * time.Second
 )
 
 // importConfig is a configuration with one route for long bodies, whose requests run at most once.
@@ -32,9 +41,39 @@
 	return cfg
 }
 
-// cutAnswerLooksWhole has clients send long bodies to replicas that answer before they have read
-// them, without a length. Replicas crash in the middle of such answers.
-func cutAnswerLooksWhole(r *record, dir string, trouble bool) bool {
+// platformOf is what a disruption of replicas needs.
+type platformOf struct {
+	record   *record
+	replicas []*replicaProcess
+	put      func(zone int) *replicaProcess
+	store    *store
+}
+
+// crashReplica has a replica crash and come back.
+func crashReplica(p platformOf, k int) {
+	gone := p.replicas[k]
+	p.record.line("replica %s crashes", gone.id)
+	_ = gone.cmd.Process.Kill()
+	time.AfterFunc(3*1200*time.Millisecond, func() { p.store.remove("servers/" + gone.id) })
+	time.Sleep(downFor)
+	p.replicas[k] = p.put(k)
+}
+
+// slowFor is how long a replica is slow.
+const slowFor = 5 * time.Second
+
+// slowReplica turns a replica slow for a while.
+func slowReplica(p platformOf, k int) {
+	p.record.line("replica %s turns slow: its work takes %d times as long", p.replicas[k].id, slowTimes)
+	_ = p.replicas[k].cmd.Process.Signal(syscall.SIGUSR1)
+	time.Sleep(slowFor)
+	p.record.line("replica %s works as usual", p.replicas[k].id)
+	_ = p.replicas[k].cmd.Process.Signal(syscall.SIGUSR2)
+}
+
+// cutAnswers has clients send long bodies to replicas that answer before they have read them,
+// without a length. Replicas are disrupted in the middle of such answers.
+func cutAnswers(r *record, dir string, trouble bool, disrupt func(p platformOf, k int)) bool {
 	s := newStore()
 	s.put("op/config", importConfig())
 	var ran events
@@ -77,15 +116,9 @@
 			}
 		}()
 	}
-	for i := 0; trouble && i < cutCrashes; i++ {
-		time.Sleep(cutCrashEvery - downFor)
-		k := i % cutReplicas
-		r.line("replica %s crashes", replicas[k].id)
-		_ = replicas[k].cmd.Process.Kill()
-		gone := replicas[k]
-		time.AfterFunc(3*1200*time.Millisecond, func() { s.remove("servers/" + gone.id) })
-		time.Sleep(downFor)
-		replicas[k] = put(k)
+	for i := 0; trouble && i < cutDisruptions; i++ {
+		time.Sleep(cutPause)
+		disrupt(platformOf{r, replicas, put, s}, i%cutReplicas)
 	}
 	group.Wait()
 
--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -46,7 +46,7 @@
 }
 
 // send sends one request with a deadline. A request is an attempt of its own.
-func (c *client) send(method, path string, body []byte, deadline time.Duration) attempt {
+func (c *client) send(method, path string, body []byte, deadline time.Duration, header ...string) attempt {
 	a := attempt{at: time.Now(), id: newID(), method: method, path: path, gateway: c.gateway.name}
 	ctx, cancel := context.WithTimeout(context.Background(), deadline)
 	defer cancel()
@@ -58,6 +58,9 @@
 	req.Header.Set(headerID, a.id)
 	req.Header.Set("X-Gladegauge-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
 	req.Header.Set("X-Gladegauge-Key", c.key)
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
 	resp, err := c.http.Do(req)
 	if err != nil {
 		a.err, a.ended = err, time.Now()
--- a/review/standin-2/replica.go
+++ b/review/standin-2/replica.go
@@ -13,8 +13,10 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -44,6 +46,9 @@
 	id           string
 	slots, queue int
 	work         time.Duration
+	// slow is how many times as long as usual its work takes; SIGUSR1 sets it to slowTimes, and
+	// SIGUSR2 back to 1.
+	slow atomic.Int64
 
 	mu               sync.Mutex
 	running, waiting int
@@ -58,6 +63,8 @@
 	f.IntVar(&r.queue, "queue", 24, "requests that wait")
 	f.DurationVar(&r.work, "work", 30*time.Millisecond, "time of a request")
 	_ = f.Parse(args)
+	r.slow.Store(1)
+	go r.turnSlow()
 	r.free = make(chan struct{}, r.slots)
 	l := listenAsOnEthernet()
 	fmt.Println(l.Addr())
@@ -88,6 +95,21 @@
 	return l
 }
 
+// slowTimes is how many times as long as usual the work of a slow replica takes.
+const slowTimes = 4
+
+// turnSlow turns the replica slow, and back, by signals.
+func (r *replica) turnSlow() {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGUSR1, syscall.SIGUSR2)
+	for s := range signals {
+		r.slow.Store(1)
+		if s == syscall.SIGUSR1 {
+			r.slow.Store(slowTimes)
+		}
+	}
+}
+
 func (r *replica) tell(what string, req *http.Request, withHeader bool) {
 	e := event{At: time.Now(), Replica: r.id, What: what, ID: req.Header.Get(headerID), URI: req.RequestURI}
 	if withHeader {
@@ -144,6 +166,12 @@
 		return err == nil
 	}
 	r.tell("runs", req, false)
+	if strings.HasPrefix(req.RequestURI, "/report/") {
+		return r.stream(c, req, reportEvents, reportGap)
+	}
+	if strings.HasPrefix(req.RequestURI, "/lookup/") {
+		return r.stream(c, req, lookupEvents, lookupGap)
+	}
 	time.Sleep(r.work)
 	status := 200
 	if strings.Contains(req.RequestURI, "/unknown/") {
@@ -160,7 +188,7 @@
 const (
 	earlyBytes  = 40 << 10
 	earlyPiece  = 1 << 10
-	earlyPause  = 5 * time.Millisecond
+	earlyPause  = 15 * time.Millisecond
 	earlyIsRead = 64 << 10
 )
 
@@ -181,7 +209,7 @@
 		if _, err := io.WriteString(c, piece); err != nil {
 			return
 		}
-		time.Sleep(earlyPause)
+		time.Sleep(time.Duration(r.slow.Load()) * earlyPause)
 	}
 	if _, err := io.Copy(io.Discard, req.Body); err != nil {
 		return
@@ -189,6 +217,33 @@
 	r.tell(fmt.Sprint("ends 200, ", earlyBytes, " bytes"), req, false)
 }
 
+// Streams of the two kinds.
+const (
+	reportEvents, reportGap = 60, 200 * time.Millisecond
+	lookupEvents, lookupGap = 8, 25 * time.Millisecond
+)
+
+// stream answers with events.
+func (r *replica) stream(c net.Conn, req *http.Request, n int, gap time.Duration) bool {
+	defer r.leave()
+	time.Sleep(gap)
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal-%s\r\n%s: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+		headerID, req.Header.Get(headerID), headerSeal, r.id, headerLoad, r.load())
+	if _, err := io.WriteString(c, head); err != nil {
+		return false
+	}
+	for i := range n {
+		text := fmt.Sprintf("id: %d\ndata: %s-%d\n\n", i+1, req.Header.Get(headerID), i+1)
+		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text); err != nil {
+			return false
+		}
+		time.Sleep(gap)
+	}
+	r.tell("ends 200", req, false)
+	_, err := io.WriteString(c, "0\r\n\r\n")
+	return err == nil
+}
+
 func (r *replica) load() string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
