--- a/review/standin-2/case_prompt.go
+++ b/review/standin-2/case_prompt.go
@@ -18,8 +18,8 @@
 	promptLength     = 30 * time.Second
 	promptFirstCrash = 2 * time.Second
 	promptCrashEvery = 2200 * time.Millisecond
-	promptCrashes    = 4
-	reportEvery      = 100 * time.Millisecond
+	promptCrashes    = 5
+	reportEvery      = 80 * time.Millisecond
 	lookupEvery      = 60 * time.Millisecond
 )
 
--- a/review/standin-2/replica.go
+++ b/review/standin-2/replica.go
@@ -219,7 +219,7 @@
 
 // Streams of the two kinds.
 const (
-	reportEvents, reportGap = 60, 200 * time.Millisecond
+	reportEvents, reportGap = 68, 200 * time.Millisecond
 	lookupEvents, lookupGap = 8, 25 * time.Millisecond
 )
 
