--- a/review/standin-2/replica.go
+++ b/review/standin-2/replica.go
@@ -9,6 +9,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -46,9 +47,12 @@
 	id           string
 	slots, queue int
 	work         time.Duration
-	// slow is how many times as long as usual its work takes; SIGUSR1 sets it to slowTimes, and
-	// SIGUSR2 back to 1.
-	slow atomic.Int64
+	// extra is the part of its answers that are followed by an extra one while it is faulty.
+	extra float64
+	// slow is how many times as long as usual its work takes, and faulty whether it sends extra
+	// answers. SIGUSR1 makes it slow and faulty, and SIGUSR2 sound again.
+	slow   atomic.Int64
+	faulty atomic.Bool
 
 	mu               sync.Mutex
 	running, waiting int
@@ -62,9 +66,10 @@
 	f.IntVar(&r.slots, "slots", 6, "requests at once")
 	f.IntVar(&r.queue, "queue", 24, "requests that wait")
 	f.DurationVar(&r.work, "work", 30*time.Millisecond, "time of a request")
+	f.Float64Var(&r.extra, "extra", 0, "part of the answers that are followed by an extra one")
 	_ = f.Parse(args)
 	r.slow.Store(1)
-	go r.turnSlow()
+	go r.obeySignals()
 	r.free = make(chan struct{}, r.slots)
 	l := listenAsOnEthernet()
 	fmt.Println(l.Addr())
@@ -98,12 +103,13 @@
 // slowTimes is how many times as long as usual the work of a slow replica takes.
 const slowTimes = 4
 
-// turnSlow turns the replica slow, and back, by signals.
-func (r *replica) turnSlow() {
+// obeySignals makes the replica slow and faulty, and sound again.
+func (r *replica) obeySignals() {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGUSR1, syscall.SIGUSR2)
 	for s := range signals {
 		r.slow.Store(1)
+		r.faulty.Store(s == syscall.SIGUSR1)
 		if s == syscall.SIGUSR1 {
 			r.slow.Store(slowTimes)
 		}
@@ -125,11 +131,19 @@
 func (r *replica) serve(c net.Conn) {
 	defer c.Close()
 	br := bufio.NewReader(c)
+	// late is true if an extra answer is to come in the place of the next one.
+	late := false
 	for {
 		req, err := http.ReadRequest(br)
 		if err != nil {
 			return
 		}
+		if late {
+			r.tell("sends an extra answer, before it runs", req, false)
+			if _, err := io.WriteString(c, extraAnswer); err != nil {
+				return
+			}
+		}
 		if strings.HasPrefix(req.RequestURI, "/import/") && req.Header.Get(headerExpect) == r.id {
 			r.answerEarly(c, req)
 			return
@@ -141,9 +155,13 @@
 		if !r.answer(c, req, body) {
 			return
 		}
+		late = r.faulty.Load() && rand.Float64() < r.extra
 	}
 }
 
+// extraAnswer belongs to no request: it has no attempt id.
+const extraAnswer = "HTTP/1.1 503 Service Unavailable\r\n" + headerNotRun + ": 1\r\nContent-Length: 0\r\n\r\n"
+
 // answer runs one request. The status that it asks for in its path is that of the application.
 func (r *replica) answer(c net.Conn, req *http.Request, body []byte) bool {
 	head := func(status int, sealed bool, extra string, n int) string {
