--- a/review/standin-2/case_prompt.go
+++ b/review/standin-2/case_prompt.go
@@ -18,7 +18,7 @@
 	promptLength     = 30 * time.Second
 	promptFirstCrash = 2 * time.Second
 	promptCrashEvery = 2200 * time.Millisecond
-	promptCrashes    = 5
+	promptCrashes    = 6
 	reportEvery      = 80 * time.Millisecond
 	lookupEvery      = 60 * time.Millisecond
 )
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -36,6 +36,7 @@
 	for _, child := range p.list {
 		_ = child.Kill()
 	}
+	time.Sleep(200 * time.Millisecond) // They end before the case does.
 }
 
 var children processes
