--- a/review/standin-2/case_twice.go
+++ b/review/standin-2/case_twice.go
@@ -16,7 +16,7 @@
 const (
 	twiceGateways = 2
 	twiceReplicas = 3
-	twiceFaulty   = 2 // of the replicas, 0.6 rounded
+	twiceFaulty   = 1 // a share of 0.33
 	twiceClients  = 8
 	twiceWindows  = 3
 	// faultyFor is how long replicas are faulty, and soundFor how long they are sound before.
