socket, exchange, gatewayd: log how the connection of an answer without length ended

The log said "completed" for them as for the whole ones, so that three causes could not be told apart: an upstream that ends early in good order, one that crashes, and a connection that the gateway's own host closed.

socket.Conn knows whether the end of file of a connection is the peer's: the kernel counts its FIN as one more byte received (TCP_INFO), also after a reset. The line "ended" of a request whose answer has neither length nor chunks now has connection_end (open, closed, lost) and write_error.

--- a/internal/edge/exchange/answer.go
+++ b/internal/edge/exchange/answer.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/gladegauge/gladegauge/internal/edge/clock"
+	"github.com/gladegauge/gladegauge/internal/edge/socket"
 )
 
 // drainBytes is the maximum size of a remaining body that is read to reuse its connection.
@@ -49,6 +50,12 @@
 	return a.ContentLength < 0 && len(a.TransferEncoding) == 0
 }
 
+// ConnectionEnd returns how the connection ended for the reader of the response.
+func (a *Answer) ConnectionEnd() socket.End { return a.conn.End() }
+
+// WriteError returns why the request could not be written to the connection; nil if it could.
+func (a *Answer) WriteError() error { return a.conn.WriteError() }
+
 // RequestWritten reports whether the whole request was written.
 func (a *Answer) RequestWritten() bool { return a.writer.complete() }
 
--- a/internal/edge/exchange/conn.go
+++ b/internal/edge/exchange/conn.go
@@ -6,11 +6,13 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/gladegauge/gladegauge/internal/edge/socket"
 )
 
 // conn is one connection to an upstream.
 type conn struct {
-	net.Conn
+	*socket.Conn
 	client  *Client
 	address string
 	br      *bufio.Reader
@@ -28,8 +30,9 @@
 
 // newConn returns a new connection that is in use.
 func (c *Client) newConn(nc net.Conn, address string) *conn {
-	l := &limiter{conn: nc}
-	cn := &conn{Conn: nc, client: c, address: address, limiter: l, br: bufio.NewReaderSize(l, bufferBytes)}
+	sc := socket.NewConn(nc)
+	l := &limiter{conn: sc}
+	cn := &conn{Conn: sc, client: c, address: address, limiter: l, br: bufio.NewReaderSize(l, bufferBytes)}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.use(cn)
--- a/internal/edge/gatewayd/attempt.go
+++ b/internal/edge/gatewayd/attempt.go
@@ -42,6 +42,7 @@
 		x.server.metrics.invalidPaces.Inc()
 	}
 	failure, err := x.handleResponse(ctx, a)
+	x.connectionEnd, x.writeError = got.ConnectionEnd(), got.WriteError()
 	early := failure == gateway.None && !a.RequestWritten()
 	if !early {
 		endExchange(a, failure)
--- a/internal/edge/gatewayd/request.go
+++ b/internal/edge/gatewayd/request.go
@@ -14,6 +14,7 @@
 	"github.com/gladegauge/gladegauge/internal/core/rollout"
 	"github.com/gladegauge/gladegauge/internal/core/suspect"
 	"github.com/gladegauge/gladegauge/internal/edge/clock"
+	"github.com/gladegauge/gladegauge/internal/edge/socket"
 	"github.com/gladegauge/gladegauge/platform"
 )
 
@@ -99,6 +100,10 @@
 	// unframed is true if the answer of the current attempt has neither a length nor chunks, so
 	// that it ends with its connection.
 	unframed bool
+	// connectionEnd is how the connection of an unframed answer ended, and writeError why the
+	// request could not be written to it.
+	connectionEnd socket.End
+	writeError    error
 }
 
 // serve forwards one request to an upstream and the response back to the caller.
--- a/internal/edge/gatewayd/request_log.go
+++ b/internal/edge/gatewayd/request_log.go
@@ -151,6 +151,9 @@
 			Int64("body_read_at_head", x.bodyReadAtHead).
 			Str("body_end", rest.state())
 	}
+	if x.unframed {
+		line = line.Str("connection_end", string(x.connectionEnd)).AnErr("write_error", x.writeError)
+	}
 	if x.duplicateEvents > 0 {
 		line = line.Int("repeated", x.duplicateEvents)
 	}
