exchange: the head of an answer does not wait for the body of its request

Cause: requestWriter held one mutex while it wrote to the connection, and respondedTo, which records that the head was read, took the same one. A write that waits for a closed window so held the head back until the upstream read on or the connection ended.

The write has a mutex of its own now, which only the end of a failed exchange waits for: it must know whether any byte was written.

--- a/internal/edge/exchange/write.go
+++ b/internal/edge/exchange/write.go
@@ -20,7 +20,9 @@
 	done chan struct{}
 	err  error
 
-	// mu is held while the connection is written to.
+	// writing is held while the connection is written to, which may take long.
+	writing sync.Mutex
+
 	mu sync.Mutex
 	// written is the number of bytes that were written.
 	written int64
@@ -55,18 +57,41 @@
 
 // Write implements io.Writer. It writes nothing once the writer is sealed.
 func (w *requestWriter) Write(p []byte) (int, error) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.sealed {
-		w.connErr = net.ErrClosed
+	w.writing.Lock()
+	defer w.writing.Unlock()
+	if w.isSealed() {
+		w.wrote(0, net.ErrClosed)
 		return 0, net.ErrClosed
 	}
 	n, err := w.conn.Write(p)
+	w.wrote(n, err)
+	return n, errors.WithStack(err)
+}
+
+// wrote records the result of a write to the connection.
+func (w *requestWriter) wrote(n int, err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.written += int64(n)
 	if err != nil {
 		w.connErr = err
 	}
-	return n, errors.WithStack(err)
+}
+
+// isSealed reports whether no further byte may be written.
+func (w *requestWriter) isSealed() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.sealed
+}
+
+// seal ends the writing to a connection that was closed: no byte is written once it has returned.
+func (w *requestWriter) seal() {
+	w.mu.Lock()
+	w.sealed = true
+	w.mu.Unlock()
+	w.writing.Lock()
+	defer w.writing.Unlock()
 }
 
 // bodyFailed ends the exchange if it was the body that failed, and not the connection: the
@@ -102,9 +127,9 @@
 // failure returns the error of an exchange without a response, whose connection was closed.
 // Whether the request can have run depends on whether any byte was written.
 func (w *requestWriter) failure(err error) error {
+	w.seal()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.sealed = true
 	switch {
 	case w.written == 0:
 		return &UnsentError{Cause: err}
