socket: an answer whose connection was lost does not end like one that was closed

Cause: the kernel reports the loss of a connection once, to whichever call comes first. Where a long body is written beside the reading of the answer, that call may be the write; the next read returns 0, an end of file as after an orderly close, and an answer with neither length nor chunks ends with it.

socket.Conn returns ErrLost in place of io.EOF unless the peer closed the connection. The kernel's state tells (a half-closed state, or one byte more received than read, the FIN), so that the order of calls does not matter and no flag has to be set in time. A FIN followed by a reset stays a whole answer. Where the kernel does not count, the first error of a write decides.

--- a/internal/edge/socket/conn.go
+++ b/internal/edge/socket/conn.go
@@ -3,14 +3,14 @@
 // A message without a length ends with its connection, so that it is complete only if the peer
 // closed the connection. The kernel reports the loss of a connection (a reset, a timeout) once, to
 // whichever call comes first. If that is a write, the next read returns an end of file, like after
-// an orderly close. A Conn tells them apart.
+// an orderly close. A Conn returns ErrLost in its place.
 //
 // # Usage
 //
 //	nc, err := dialer.DialContext(ctx, "tcp", address)
 //	c := socket.NewConn(nc)
 //	body, err := io.ReadAll(c)
-//	if c.End() == socket.Lost { … } // body is a part of what the peer would have sent
+//	if errors.Is(err, socket.ErrLost) { … } // body is a part of what the peer would have sent
 package socket
 
 import (
@@ -23,6 +23,9 @@
 	"github.com/cockroachdb/errors"
 )
 
+// ErrLost is returned by Read at the end of a connection that its peer has not closed.
+var ErrLost = errors.New("the connection was lost")
+
 // Conn is a TCP connection. Only one goroutine may read from it at a time.
 type Conn struct {
 	// The connection is no *net.TCPConn here, as its WriteTo would read past Read.
@@ -52,26 +55,30 @@
 // NewConn returns a Conn that reads from and writes to nc, from which nothing may have been read.
 func NewConn(nc net.Conn) *Conn { return &Conn{Conn: nc, end: Open} }
 
-// Read implements io.Reader.
+// Read implements io.Reader. It returns io.EOF only if the peer has closed the connection, or its
+// direction of it.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.received += uint64(n)
-	if err != nil {
-		c.setEnd(c.endAfter(err))
+	switch {
+	case err == nil || errors.Is(err, os.ErrDeadlineExceeded):
+	case !errors.Is(err, io.EOF):
+		c.setEnd(Lost)
+	case c.closedByPeer():
+		c.setEnd(Closed)
+	default:
+		c.setEnd(Lost)
+		err = c.lossError()
 	}
 	return n, err //nolint:wrapcheck // io.EOF must stay as it is.
 }
 
-// endAfter returns how the connection ended, after an error of a read.
-func (c *Conn) endAfter(err error) End {
-	switch {
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return Open
-	case err == io.EOF && c.closedByPeer():
-		return Closed
-	default:
-		return Lost
+// lossError returns ErrLost, with the error that the kernel gave to a write.
+func (c *Conn) lossError() error {
+	if err := c.WriteError(); err != nil {
+		return errors.Mark(errors.Wrap(err, ErrLost.Error()), ErrLost)
 	}
+	return errors.WithStack(ErrLost)
 }
 
 // End returns how the connection ended for its reader.
