exchange: an answer without length to a part of a request is not whole

If the body of a request fails after the head of the answer was passed on, the gateway closes its direction of the connection (CloseWrite), so that the upstream does not wait for the rest. An upstream that then gives up its answer closes the connection in good order, and an answer without length looked whole to a caller that still reads. Found while looking for other ways by which the gateway itself ends an answer; its context, Close and Abort close the connection, whose reads then fail with net.ErrClosed.

The end of such an answer counts as the failure of the body.

--- a/internal/edge/exchange/answer.go
+++ b/internal/edge/exchange/answer.go
@@ -30,15 +30,23 @@
 type bodyState struct {
 	io.Reader
 	complete bool
+	// unframed is true if the body ends with its connection, and request writes the request.
+	unframed bool
+	request  *requestWriter
 }
 
-// Read reads the body.
+// Read reads the body. A body without length or chunks is incomplete if the upstream got only a
+// part of the request, as it then may have ended its response early.
 func (b *bodyState) Read(p []byte) (int, error) {
 	n, err := b.Reader.Read(p)
-	if err == io.EOF {
-		b.complete = true
+	if err != io.EOF {
+		return n, err //nolint:wrapcheck // Callers look for errors of package net.
 	}
-	return n, err
+	if cut := b.request.bodyFailure(); cut != nil && b.unframed {
+		return n, cut
+	}
+	b.complete = true
+	return n, err //nolint:wrapcheck // io.EOF must stay as it is.
 }
 
 // Read reads the body of the response.
@@ -46,9 +54,7 @@
 
 // EndsWithConnection reports whether the body has neither a length nor chunks. Its end then
 // looks the same as that of an upstream that crashes.
-func (a *Answer) EndsWithConnection() bool {
-	return a.ContentLength < 0 && len(a.TransferEncoding) == 0
-}
+func (a *Answer) EndsWithConnection() bool { return a.body.unframed }
 
 // ConnectionEnd returns how the connection ended for the reader of the response.
 func (a *Answer) ConnectionEnd() socket.End { return a.conn.End() }
--- a/internal/edge/exchange/exchange.go
+++ b/internal/edge/exchange/exchange.go
@@ -140,7 +140,13 @@
 		_ = cn.Close()
 		return nil, w.failure(err)
 	}
-	return &Answer{Response: resp, client: c, conn: cn, writer: w, body: &bodyState{Reader: resp.Body}}, nil
+	body := &bodyState{Reader: resp.Body, unframed: endsWithConnection(resp), request: w}
+	return &Answer{Response: resp, client: c, conn: cn, writer: w, body: body}, nil
+}
+
+// endsWithConnection reports whether the body of a response has neither a length nor chunks.
+func endsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 }
 
 // readHead returns the first response that belongs to the request. It fails if the head of a
--- a/internal/edge/exchange/write.go
+++ b/internal/edge/exchange/write.go
@@ -112,6 +112,16 @@
 	_ = w.conn.Close()
 }
 
+// bodyFailure returns why the body of the request could not be read; nil if it could.
+func (w *requestWriter) bodyFailure() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.bodyErr == nil {
+		return nil
+	}
+	return w.bodyErr
+}
+
 // respondedTo records that the head of the response was read. It returns an error if the body
 // of the request failed before.
 func (w *requestWriter) respondedTo() error {
