upstream: agents do not take an answer whose connection was lost for whole

The same cause at agents: net/http's transport writes the body beside the reading of the answer, and takes the end of file for the end of an answer without length. Streams were not affected, as they end with [DONE].

The transport of an agent dials through socket.Conn. Calls between our processes are HTTP/2 or have a length, and reads of the store, of manifests and of values have no body beside which the error could be lost; read, not played.

--- a/internal/edge/upstream/upstream.go
+++ b/internal/edge/upstream/upstream.go
@@ -26,6 +26,7 @@
 
 	"github.com/gladegauge/gladegauge/internal/core/notice"
 	"github.com/gladegauge/gladegauge/internal/edge/rpc"
+	"github.com/gladegauge/gladegauge/internal/edge/socket"
 )
 
 // Headers of the protocol of upstreams.
@@ -110,15 +111,27 @@
 	http *http.Client
 }
 
-// NewHTTPClient returns an HTTP client of one upstream that keeps so many idle connections.
+// NewHTTPClient returns an HTTP client of one upstream that keeps so many idle connections. A
+// response without length ends only if the upstream closes its connection.
 func NewHTTPClient(maxIdle int) *http.Client {
 	return &http.Client{Transport: &http.Transport{
+		DialContext:            dial,
 		MaxIdleConnsPerHost:    maxIdle,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: rpc.MaxHeaderBytes,
 	}}
 }
 
+// dial opens a connection to the upstream.
+func dial(ctx context.Context, network, address string) (net.Conn, error) {
+	var d net.Dialer
+	nc, err := d.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err //nolint:wrapcheck // resultOf looks for errors of package net.
+	}
+	return socket.NewConn(nc), nil
+}
+
 // New returns a client for the upstream at base.
 func New(base string, c *http.Client) *Client {
 	return &Client{base: strings.TrimSuffix(base, "/"), http: c}
