stream: what no gateway has recorded goes on only after an hour with one version

Report of a system like ours: after all gateways were killed at once beside a release, callers took up streams that had broken off and got the rest from another software version, with nothing in the answer to show it (ORDER).

It can happen here, once the gateways have run for some time. Cause: a pool counted as one of a single version after twice the longest timeout of a route, 10 s to a minute, and then every stream as one of that version. Callers state themselves how long they wait; no page ties that to a timeout.

The same time on related paths, with rows in TestWindows, TestKnownWith and TestConfirmedForShorterTime: timeouts over 30 s, callers who wait longer, shortened timeouts, no configuration yet, and the proof of another gateway, which was taken for this one's whole window.

Now a single version must have served for an hour, or twice the longest timeout, before a stream without a record goes on; records are kept for as long as the caller said that it waits; windows only grow; another gateway names the time that it vouches for. After a start of all gateways none can confirm anything, so that the questions about it double their interval, up to 32 s.

Tests replaced: the row of TestOldList that wanted a single version 10 s after a gap wants it unproven after a minute and single after the hour. TestWindow, which had the upper bound of a minute, is TestWindows. The rows of TestKnownWith in which another gateway confirms a version name the time.

--- a/internal/core/rollout/rollout.go
+++ b/internal/core/rollout/rollout.go
@@ -12,7 +12,7 @@
 //	t.Observe(now, serving)
 //	settled, recent := t.Settled(now, "pool", settling)
 //	t.Interrupt(now) // changes may have been missed
-//	t.Confirm(now, "pool", version, window)
+//	t.Confirm(now, "pool", version, observed)
 //	switch s := t.State(now, "pool", window); s.Kind {
 //	case rollout.Single: // s.Version began every stream
 //	case rollout.Several, rollout.Unproven: // the version of the stream has to be known
@@ -117,11 +117,13 @@
 	clear(t.confirmedSince)
 }
 
-// Confirm records that only the given version has served the pool within the window, as another
-// gateway has observed. It is ignored if another version was seen here.
-func (t *Tracker) Confirm(now time.Time, pool string, v Version, window time.Duration) {
-	if s := t.State(now, pool, window); s.Kind == Unproven && s.Version == v {
-		t.confirmedSince[pool] = now.Add(-window)
+// Confirm records that only the given version has served the pool for the given time, as another
+// gateway has observed. It is ignored if another version was seen here in that time.
+func (t *Tracker) Confirm(now time.Time, pool string, v Version, observed time.Duration) {
+	s := t.State(now, pool, observed)
+	since, ok := t.confirmedSince[pool]
+	if from := now.Add(-observed); s.Kind == Unproven && s.Version == v && (!ok || from.Before(since)) {
+		t.confirmedSince[pool] = from
 	}
 }
 
--- a/internal/core/stream/fleet_test.go
+++ b/internal/core/stream/fleet_test.go
@@ -148,12 +148,12 @@
 // record records a stream at its gateway, and reports it if others have to know it.
 func (r *replay) record(g *gateway, id, version string) {
 	v := rollout.VersionOf(pool, version)
-	if !g.tracker.Begin(r.now, pool, stream.AttemptOf(id), v) {
+	if !g.tracker.Begin(r.now, pool, stream.AttemptOf(id), v, maxReturn) {
 		return
 	}
 	for _, address := range g.fleet.Recorders(r.now, copies) {
 		if other := r.at(g, address); other != nil {
-			other.tracker.Record(r.now, v, stream.AttemptOf(id))
+			other.tracker.Record(r.now, v, maxReturn, stream.AttemptOf(id))
 			r.reported++
 		}
 	}
@@ -334,3 +334,78 @@
 		}
 	}
 }
+
+// After all gateways were killed at once, streams that had begun before went on at another version
+// once the gateways had watched the pool for as long as twice the longest timeout of a route.
+func TestStreamsJoinedAfterAllGatewaysWereKilled(t *testing.T) {
+	const streams, minShare = 50, 0.9
+	tests := []struct {
+		name string
+		// begun serves when the streams begin, before when the gateways are killed, and after when
+		// they start.
+		begun, before, after []string
+	}{
+		{"both versions serve on", repeated(3, "v1", "v2"), repeated(3, "v1", "v2"), repeated(3, "v1", "v2")},
+		{"the old version has just left", repeated(3, "v1", "v2"), repeated(3, "v2"), repeated(3, "v2")},
+		{"the new version has just left", repeated(3, "v1", "v2"), repeated(3, "v1"), repeated(3, "v1")},
+		{"the old version left meanwhile", repeated(3, "v1", "v2"), repeated(3, "v1", "v2"), repeated(3, "v2")},
+		{"the old version was replaced meanwhile", repeated(3, "v1"), repeated(3, "v1"), repeated(3, "v2")},
+		{"one version", repeated(3, "v1"), repeated(3, "v1"), repeated(3, "v1")},
+	}
+	for _, tt := range tests {
+		for _, late := range []time.Duration{time.Second, 11 * time.Second, 22 * time.Second, time.Minute, 10 * time.Minute} {
+			t.Run(fmt.Sprintf("%s, resumed after %v", tt.name, late), func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				r := newReplay(1, 3, tt.begun)
+				r.calm(2 * stream.MaxListAge)
+				r.beginMany(streams)
+				earlier := r.broken
+				r.changes = append(r.changes, change{r.now, tt.before})
+				r.calm(time.Second)
+				for _, g := range r.gateways {
+					r.start(g, false)
+				}
+				r.changes = append(r.changes, change{r.now, tt.after})
+				r.calm(touchTime + maxListDelay)
+				r.broken, r.begun = nil, 0
+				r.beginMany(streams)
+				later := r.broken
+				r.calm(late)
+				for _, s := range earlier {
+					r.resume(s)
+				}
+				is.Equal(r.mixed, 0)
+				r.unknown = 0
+				for _, s := range later {
+					r.resume(s)
+				}
+				is.Equal(r.mixed, 0)
+				if late <= (stream.Windows{}).WithTimeout(0).Record {
+					is.True(float64(streams-r.unknown) >= minShare*streams) // what began after the start goes on
+				}
+			})
+		}
+	}
+}
+
+// beginMany begins so many streams.
+func (r *replay) beginMany(n int) {
+	for range n {
+		r.begin()
+	}
+}
+
+// calm lets time pass without a fault.
+func (r *replay) calm(d time.Duration) {
+	const step = time.Second / 2
+	for end := r.now.Add(d); r.now.Before(end); {
+		r.now = r.now.Add(min(step, end.Sub(r.now)))
+		for i := range r.members {
+			r.members[i].Beat = uint64(r.now.UnixNano())
+		}
+		for _, g := range r.gateways {
+			r.update(g)
+		}
+	}
+}
--- a/internal/core/stream/registry.go
+++ b/internal/core/stream/registry.go
@@ -11,8 +11,8 @@
 //	t := stream.NewTracker(firstStart)
 //	t.Observe(now, serving)
 //	t.ListedAt(at)
-//	if t.Begin(now, pool, stream.AttemptOf(id), version) { // before the first event is sent
-//		report(attempt, version)
+//	if t.Begin(now, pool, stream.AttemptOf(id), version, wait) { // before the first event is sent
+//		report(attempt, version, wait)
 //	}
 //	known := t.Find(now, pool, stream.AttemptOf(resumes))
 //	known = known.With(answer) // of another gateway
@@ -26,23 +26,43 @@
 	"github.com/gladegauge/gladegauge/internal/core/rollout"
 )
 
-// Bounds of the time for which a caller may resume a stream.
+// Bounds of the time for which the record of a stream is kept.
 const (
-	// returnFactor is the multiple of the longest route timeout for which streams are kept:
-	// a caller may wait for longer than one attempt may last.
+	// returnFactor is the multiple of the longest route timeout for which streams are kept: a
+	// caller may wait for longer than one attempt may last.
 	returnFactor = 2
 	minWindow    = 10 * time.Second
-	maxWindow    = time.Minute
 )
 
+// proofWindow is the time for which a single version must have served before a stream without a
+// record may go on. Callers set the time for which they wait themselves, and nothing tells when a
+// stream began that is not recorded.
+const proofWindow = time.Hour
+
 // maxGeneration is the maximum number of streams that are kept for one window, at about 40
 // bytes each.
 const maxGeneration = 1 << 15
 
-// Window returns how long after its beginning a stream may be resumed, if the longest timeout
-// of a route with such streams is the given one.
-func Window(longest time.Duration) time.Duration {
-	return min(max(returnFactor*longest, minWindow), maxWindow)
+// Windows are how long the past matters for streams that callers may resume. They only grow: a
+// configuration does not shorten the time for which the callers of earlier streams wait.
+type Windows struct {
+	// Record is how long the record of a stream is kept after its beginning.
+	Record time.Duration
+	// Proof is how long a single version must have served.
+	Proof time.Duration
+}
+
+// WithTimeout returns the windows for a route with streams that may be resumed and its timeout.
+func (w Windows) WithTimeout(timeout time.Duration) Windows {
+	w.Proof = max(w.Proof, proofWindow, returnFactor*timeout)
+	w.Record = max(w.Record, minWindow, returnFactor*timeout)
+	return w
+}
+
+// WithWait returns the windows for a stream whose caller waits for so long; 0 if unspecified.
+func (w Windows) WithWait(wait time.Duration) Windows {
+	w.Record = max(w.Record, min(wait, w.Proof))
+	return w
 }
 
 // Attempt is the hash of the ID of a caller's attempt, which is the same on all gateways.
@@ -62,7 +82,7 @@
 
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
-	return &Registry{window: minWindow, current: make(map[Attempt]rollout.Version)}
+	return &Registry{current: make(map[Attempt]rollout.Version)}
 }
 
 // SetWindow sets how long streams are kept.
--- a/internal/core/stream/registry_test.go
+++ b/internal/core/stream/registry_test.go
@@ -28,7 +28,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			start := time.Unix(1000, 0)
-			r := NewRegistry()
+			r := newTestRegistry()
 			r.SetWindow(window)
 			r.Add(start, AttemptOf("first"), v1)
 			r.Add(start, AttemptOf("unstated"), rollout.Unstated)
@@ -48,7 +48,7 @@
 func TestBound(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
-	r := NewRegistry()
+	r := newTestRegistry()
 	v1 := rollout.VersionOf("p", "v1")
 	for i := range 4 * maxGeneration {
 		r.Add(now, Attempt(i), v1)
@@ -65,7 +65,7 @@
 func TestConflict(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
-	r := NewRegistry()
+	r := newTestRegistry()
 	v1, v2 := rollout.VersionOf("p", "v1"), rollout.VersionOf("p", "v2")
 	for _, v := range []rollout.Version{v1, v1, v2, v2, v1} {
 		r.Add(now, AttemptOf("x"), v)
@@ -75,14 +75,37 @@
 	is.Equal(len(r.All(now)), 0)
 }
 
-func TestWindow(t *testing.T) {
-	tests := []struct{ longest, want time.Duration }{
-		{0, minWindow},
-		{3 * time.Second, minWindow},
-		{15 * time.Second, 30 * time.Second},
-		{time.Hour, maxWindow},
+// Streams were forgotten while their callers could still resume them: routes with a timeout over a
+// minute, callers that wait for longer than twice the timeout, and timeouts that were shortened.
+func TestWindows(t *testing.T) {
+	tests := []struct {
+		name   string
+		w      Windows
+		record time.Duration
+		proof  time.Duration
+	}{
+		{"no route yet", Windows{}.WithTimeout(0), minWindow, proofWindow},
+		{"short timeout", Windows{}.WithTimeout(3 * time.Second), minWindow, proofWindow},
+		{"usual timeout", Windows{}.WithTimeout(15 * time.Second), 30 * time.Second, proofWindow},
+		{"timeout over a minute", Windows{}.WithTimeout(10 * time.Minute), 20 * time.Minute, proofWindow},
+		{"timeout over an hour", Windows{}.WithTimeout(2 * time.Hour), 4 * time.Hour, 4 * time.Hour},
+		{"shortened", Windows{}.WithTimeout(2 * time.Hour).WithTimeout(time.Second), 4 * time.Hour, 4 * time.Hour},
+		{"caller waits longer", Windows{}.WithTimeout(15 * time.Second).WithWait(5 * time.Minute), 5 * time.Minute, proofWindow},
+		{"caller does not say", Windows{}.WithTimeout(15 * time.Second).WithWait(0), 30 * time.Second, proofWindow},
+		{"caller waits for a day", Windows{}.WithTimeout(15 * time.Second).WithWait(24 * time.Hour), proofWindow, proofWindow},
 	}
 	for _, tt := range tests {
-		is.New(t).Equal(Window(tt.longest), tt.want)
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(tt.w.Record, tt.record)
+			is.Equal(tt.w.Proof, tt.proof)
+		})
 	}
 }
+
+// newTestRegistry returns a registry with the shortest window.
+func newTestRegistry() *Registry {
+	r := NewRegistry()
+	r.SetWindow(minWindow)
+	return r
+}
--- a/internal/core/stream/tracker.go
+++ b/internal/core/stream/tracker.go
@@ -37,28 +37,33 @@
 	Source  Source
 	// Pool is what this gateway knows of the versions of the stream's pool.
 	Pool rollout.State
+	// Window is how long a single version must have served for the stream to go on without a
+	// record.
+	Window time.Duration
 }
 
 // Answer is what another gateway answers when it is asked for a stream.
 type Answer struct {
 	// Version is that of the stream; unstated if it does not know the stream.
 	Version rollout.Version
-	// Single is true if the pool has had a single version, which is SingleVersion.
+	// Single is true if the pool has had a single version, which is SingleVersion, for at least
+	// SingleFor.
 	Single        bool
 	SingleVersion rollout.Version
+	SingleFor     time.Duration
 	// Settled are the versions of the pool at which streams may begin.
 	Settled []rollout.Version
 }
 
 // With returns what is known after another gateway answered. A gateway that knows the stream
 // decides. One that confirms a single version is believed if this gateway has seen only the
-// same one.
+// same one, and the other one has seen it for long enough.
 func (k Known) With(a Answer) Known {
 	switch {
 	case k.Source == Found:
 	case a.Version != rollout.Unstated:
 		k.Version, k.Source = a.Version, Found
-	case a.Single && a.SingleVersion == k.Pool.Version && k.Pool.Kind == rollout.Unproven:
+	case a.Single && a.SingleVersion == k.Pool.Version && a.SingleFor >= k.Window && k.Pool.Kind == rollout.Unproven:
 		k.Version, k.Source = a.SingleVersion, FoundSingle
 	}
 	return k
@@ -70,8 +75,7 @@
 	versions *rollout.Tracker
 	// own are the streams that this gateway began or resumed, reported those of others.
 	own, reported *Registry
-	// window is how long a stream may be resumed after its beginning.
-	window time.Duration
+	windows       Windows
 	// listedAt is the time as of which the list of upstreams is complete.
 	listedAt time.Time
 }
@@ -79,19 +83,21 @@
 // NewTracker returns an empty tracker. If first is set, the whole system starts for the first time.
 func NewTracker(first bool) *Tracker {
 	t := &Tracker{versions: rollout.NewTracker(first), own: NewRegistry(), reported: NewRegistry()}
-	t.SetLongestTimeout(0)
+	t.AddTimeout(0)
 	return t
 }
 
-// SetLongestTimeout sets the longest timeout of a route with streams that may be resumed.
-func (t *Tracker) SetLongestTimeout(d time.Duration) {
-	t.window = Window(d)
-	t.own.SetWindow(t.window)
-	t.reported.SetWindow(t.window)
+// AddTimeout records the timeout of a route with streams that may be resumed.
+func (t *Tracker) AddTimeout(timeout time.Duration) { t.setWindows(t.windows.WithTimeout(timeout)) }
+
+func (t *Tracker) setWindows(w Windows) {
+	t.windows = w
+	t.own.SetWindow(w.Record)
+	t.reported.SetWindow(w.Record)
 }
 
-// Window returns how long a stream may be resumed after its beginning.
-func (t *Tracker) Window() time.Duration { return t.window }
+// Windows returns how long the past matters.
+func (t *Tracker) Windows() Windows { return t.windows }
 
 // ListedAt records that the list of upstreams is complete as of the given time. If it was older
 // than MaxListAge until then, versions may have come and gone unseen.
@@ -115,7 +121,7 @@
 // Pool returns what is known of the versions that have served the pool. An old list proves
 // nothing, as another version may serve by now.
 func (t *Tracker) Pool(now time.Time, pool string) rollout.State {
-	s := t.versions.State(now, pool, t.window)
+	s := t.versions.State(now, pool, t.windows.Proof)
 	if s.Kind == rollout.Single && s.Version != rollout.Unstated && !t.IsListFresh(now) {
 		s.Kind = rollout.Unproven
 	}
@@ -151,7 +157,7 @@
 
 // Find returns what this gateway knows of a stream.
 func (t *Tracker) Find(now time.Time, pool string, a Attempt) Known {
-	k := Known{Source: Unknown, Pool: t.Pool(now, pool)}
+	k := Known{Source: Unknown, Pool: t.Pool(now, pool), Window: t.windows.Proof}
 	if v, ok := t.own.Find(now, a); ok {
 		k.Version, k.Source = v, Own
 	} else if v, ok := t.reported.Find(now, a); ok {
@@ -170,21 +176,25 @@
 	case Own, Reported:
 		answer.Version = k.Version
 	case Single:
-		answer.Single, answer.SingleVersion = true, k.Version
+		answer.Single, answer.SingleVersion, answer.SingleFor = true, k.Version, k.Window
 	default:
 	}
 	return answer
 }
 
-// Begin records the version of a stream that this gateway began or resumes. It returns true if
-// other gateways have to know it, because no single version is proven.
-func (t *Tracker) Begin(now time.Time, pool string, a Attempt, v rollout.Version) bool {
+// Begin records the version of a stream that this gateway began or resumes, and whose caller
+// waits for so long; 0 if unspecified. It returns true if other gateways have to know it, because
+// no single version is proven.
+func (t *Tracker) Begin(now time.Time, pool string, a Attempt, v rollout.Version, wait time.Duration) bool {
+	t.setWindows(t.windows.WithWait(wait))
 	t.own.Add(now, a, v)
 	return v != rollout.Unstated && t.Pool(now, pool).Kind != rollout.Single
 }
 
-// Record records the version of streams that another gateway reported.
-func (t *Tracker) Record(now time.Time, v rollout.Version, attempts ...Attempt) {
+// Record records the version of streams that another gateway reported, and whose callers wait for
+// so long at most.
+func (t *Tracker) Record(now time.Time, v rollout.Version, wait time.Duration, attempts ...Attempt) {
+	t.setWindows(t.windows.WithWait(wait))
 	for _, a := range attempts {
 		t.reported.Add(now, a, v)
 	}
@@ -193,7 +203,7 @@
 // Confirm records the answer of another gateway about the versions of a pool.
 func (t *Tracker) Confirm(now time.Time, pool string, a Answer) {
 	if a.Single && t.IsListFresh(now) {
-		t.versions.Confirm(now, pool, a.SingleVersion, t.window)
+		t.versions.Confirm(now, pool, a.SingleVersion, a.SingleFor)
 	}
 }
 
@@ -204,4 +214,4 @@
 func (t *Tracker) Reported() int { return t.reported.Len() }
 
 // Sweep drops the versions that no longer count.
-func (t *Tracker) Sweep(now time.Time) { t.versions.Sweep(now, t.window) }
+func (t *Tracker) Sweep(now time.Time) { t.versions.Sweep(now, t.windows.Proof) }
--- a/internal/core/stream/tracker_test.go
+++ b/internal/core/stream/tracker_test.go
@@ -26,16 +26,18 @@
 		{"no answer", seen, nil, Unknown, 0},
 		{"nobody knows", seen, []Answer{{}, {}}, Unknown, 0},
 		{"one knows", several, []Answer{{}, {Version: v2}}, Found, v2},
-		{"one knows, another confirms", seen, []Answer{{Single: true, SingleVersion: v1}, {Version: v2}}, Found, v2},
-		{"one confirms after one knows", seen, []Answer{{Version: v2}, {Single: true, SingleVersion: v1}}, Found, v2},
-		{"one confirms", seen, []Answer{{}, {Single: true, SingleVersion: v1}}, FoundSingle, v1},
-		{"one confirms another version", seen, []Answer{{Single: true, SingleVersion: v2}}, Unknown, 0},
-		{"one confirms, but several were seen", several, []Answer{{Single: true, SingleVersion: v1}}, Unknown, 0},
+		{"one knows, another confirms", seen, []Answer{{Single: true, SingleVersion: v1, SingleFor: proofWindow}, {Version: v2}}, Found, v2},
+		{"one confirms after one knows", seen, []Answer{{Version: v2}, {Single: true, SingleVersion: v1, SingleFor: proofWindow}}, Found, v2},
+		{"one confirms", seen, []Answer{{}, {Single: true, SingleVersion: v1, SingleFor: proofWindow}}, FoundSingle, v1},
+		{"one confirms a shorter time", seen, []Answer{{Single: true, SingleVersion: v1, SingleFor: proofWindow - 1}}, Unknown, 0},
+		{"one confirms no time", seen, []Answer{{Single: true, SingleVersion: v1}}, Unknown, 0},
+		{"one confirms another version", seen, []Answer{{Single: true, SingleVersion: v2, SingleFor: proofWindow}}, Unknown, 0},
+		{"one confirms, but several were seen", several, []Answer{{Single: true, SingleVersion: v1, SingleFor: proofWindow}}, Unknown, 0},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			k := Known{Source: Unknown, Pool: tt.pool}
+			k := Known{Source: Unknown, Pool: tt.pool, Window: proofWindow}
 			for _, a := range tt.answers {
 				k = k.With(a)
 			}
@@ -61,7 +63,8 @@
 		{"fresh", []time.Duration{0, time.Second}, time.Second + MaxListAge, rollout.Single},
 		{"too old", []time.Duration{0, time.Second}, time.Second + MaxListAge + 1, rollout.Unproven},
 		{"fresh again after a gap", []time.Duration{0, MaxListAge + 1}, MaxListAge + 2, rollout.Unproven},
-		{"long after a gap", []time.Duration{0, MaxListAge + 1, 6 * time.Second, 9 * time.Second, 12 * time.Second, 14 * time.Second}, 14 * time.Second, rollout.Single},
+		{"some time after a gap", calm(0, 2*MaxListAge, time.Minute), time.Minute, rollout.Unproven},
+		{"long after a gap", calm(0, 2*MaxListAge, 2*MaxListAge+proofWindow), 2*MaxListAge + proofWindow, rollout.Single},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -73,7 +76,7 @@
 			}
 			now := start.Add(tt.at)
 			is.Equal(b.Pool(now, "p").Kind, tt.want)
-			is.Equal(b.Begin(now, "p", AttemptOf("x"), v1), tt.want != rollout.Single) // reported unless proven
+			is.Equal(b.Begin(now, "p", AttemptOf("x"), v1, 0), tt.want != rollout.Single) // reported unless proven
 			is.Equal(b.Find(now, "p", AttemptOf("y")).Source == Single, tt.want == rollout.Single)
 			is.Equal(b.Answer(now, "p", AttemptOf("y")).Single, tt.want == rollout.Single)
 			is.Equal(b.Find(now, "p", AttemptOf("x")).Source, Own)
@@ -140,3 +143,42 @@
 	is.Equal(started.Unsettled(later, "p"), []rollout.Version{v2})
 	is.Equal(len(started.Unsettled(later.Add(MaxListAge), "p")), 0)
 }
+
+// calm returns the times of lists at the start and, after a gap, every second until the end.
+func calm(start, from, end time.Duration) []time.Duration {
+	times := []time.Duration{start}
+	for at := from; at <= end; at += time.Second {
+		times = append(times, at)
+	}
+	return times
+}
+
+// A gateway that was confirmed a single version by one that has watched for a shorter time took
+// that for a proof of its own, longer one.
+func TestConfirmedForShorterTime(t *testing.T) {
+	v1 := rollout.VersionOf("p", "v1")
+	start := time.Unix(1000, 0)
+	tests := []struct {
+		name      string
+		confirmed time.Duration
+		after     time.Duration
+		want      rollout.Kind
+	}{
+		{"long enough", proofWindow, 1, rollout.Single},
+		{"a shorter time", time.Minute, 1, rollout.Unproven},
+		{"a shorter time, and what was seen since", time.Minute, proofWindow - time.Minute, rollout.Single},
+		{"no time", 0, time.Minute, rollout.Unproven},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := NewTracker(false)
+			b.Observe(start, []rollout.Serving{{Pool: "p", Version: v1}})
+			b.ListedAt(start)
+			b.Confirm(start, "p", Answer{Single: true, SingleVersion: v1, SingleFor: tt.confirmed})
+			for at := time.Duration(0); at <= tt.after; at += time.Second {
+				b.ListedAt(start.Add(at))
+			}
+			is.New(t).Equal(b.Pool(start.Add(tt.after), "p").Kind, tt.want)
+		})
+	}
+}
--- a/internal/edge/gatewayd/apply.go
+++ b/internal/edge/gatewayd/apply.go
@@ -56,7 +56,7 @@
 	s.applyRoster(s.now())
 	s.table.SetPools(t)
 	s.demand.setTable(t)
-	s.streams.SetLongestTimeout(t.LongestResumable())
+	s.streams.AddTimeout(t.LongestResumable())
 	s.metrics.aboveLevel.Reset()
 	s.metrics.version.Set(float64(t.Version))
 	s.log.Info().Int64("version", t.Version).Int("routes", t.Routes()).Str("from", from).Int64("revision", s.feed.Position().Revision).Msg("configuration: in force")
--- a/internal/edge/gatewayd/stream_find.go
+++ b/internal/edge/gatewayd/stream_find.go
@@ -19,9 +19,11 @@
 	// findTimeout bounds the search for a stream at other gateways, whose region may be 20 ms
 	// away and which may have to be connected to. A refusal must not come later.
 	findTimeout = 150 * time.Millisecond
-	// confirmInterval is how often a gateway that cannot prove by itself that a pool has a single
-	// version asks another one.
-	confirmInterval = time.Second
+	// confirmInterval is how soon a gateway that cannot prove by itself that a pool has a single
+	// version asks another one. The interval doubles up to maxConfirmInterval, as after a start
+	// of all gateways none can confirm it for long.
+	confirmInterval    = time.Second
+	maxConfirmInterval = 32 * time.Second
 	// settledInterval is the least time between two questions for settled versions.
 	settledInterval = 200 * time.Millisecond
 )
@@ -96,14 +98,25 @@
 // confirmLoop asks other gateways about pools of which this one has not seen enough to prove that
 // they have a single version: after its start, or after it was cut off.
 func (s *Server) confirmLoop(ctx context.Context) error {
-	for loop.Sleep(ctx, confirmInterval) {
-		for _, pool := range s.unprovenPools() {
+	interval := confirmInterval
+	for loop.Sleep(ctx, interval) {
+		pools := s.unprovenPools()
+		for _, pool := range pools {
 			s.askToConfirm(ctx, pool)
 		}
+		interval = nextConfirmInterval(interval, len(pools))
 	}
 	return nil
 }
 
+// nextConfirmInterval returns the interval after one in which so many pools were not proven.
+func nextConfirmInterval(interval time.Duration, unproven int) time.Duration {
+	if unproven == 0 {
+		return confirmInterval
+	}
+	return min(2*interval, maxConfirmInterval)
+}
+
 // unprovenPools returns the pools for which a list that is new enough shows a single version
 // that is not proven.
 func (s *Server) unprovenPools() []string {
@@ -157,7 +170,12 @@
 
 // encodeAnswer converts an answer to its message.
 func encodeAnswer(a stream.Answer) *gladegaugev1.FindStreamResponse {
-	resp := &gladegaugev1.FindStreamResponse{Version: uint32(a.Version), Single: a.Single, SingleVersion: uint32(a.SingleVersion)}
+	resp := &gladegaugev1.FindStreamResponse{
+		Version:       uint32(a.Version),
+		Single:        a.Single,
+		SingleVersion: uint32(a.SingleVersion),
+		SingleForMs:   wholeMilliseconds(a.SingleFor),
+	}
 	for _, v := range a.Settled {
 		resp.Settled = append(resp.Settled, uint32(v))
 	}
@@ -170,6 +188,7 @@
 		Version:       rollout.Version(resp.GetVersion()),
 		Single:        resp.GetSingle(),
 		SingleVersion: rollout.Version(resp.GetSingleVersion()),
+		SingleFor:     time.Duration(resp.GetSingleForMs()) * time.Millisecond,
 	}
 	for _, v := range resp.GetSettled() {
 		a.Settled = append(a.Settled, rollout.Version(v))
--- a/internal/edge/gatewayd/stream_reports.go
+++ b/internal/edge/gatewayd/stream_reports.go
@@ -34,6 +34,8 @@
 type streamReport struct {
 	version  rollout.Version
 	attempts []stream.Attempt
+	// wait is how long the callers of the streams wait at most; 0 if unspecified.
+	wait time.Duration
 	// acknowledge is called once another gateway knows them, or there is none.
 	acknowledge func()
 }
@@ -49,11 +51,11 @@
 	return q
 }
 
-// report queues a report. It returns a channel that is closed once another gateway knows the
+// report queues a report of streams whose callers wait for so long at most. It returns a channel that is closed once another gateway knows the
 // streams, or there is none to know them.
-func (s *Server) report(v rollout.Version, attempts []stream.Attempt) <-chan struct{} {
+func (s *Server) report(v rollout.Version, wait time.Duration, attempts []stream.Attempt) <-chan struct{} {
 	acknowledged := make(chan struct{})
-	r := streamReport{version: v, attempts: attempts, acknowledge: sync.OnceFunc(func() { close(acknowledged) })}
+	r := streamReport{version: v, wait: wait, attempts: attempts, acknowledge: sync.OnceFunc(func() { close(acknowledged) })}
 	if s.o.Settings.Peers == "" {
 		r.acknowledge()
 		return acknowledged
@@ -74,7 +76,7 @@
 	for v, attempts := range s.streams.Own(now) {
 		for len(attempts) > 0 {
 			n := min(len(attempts), maxReportedStreams)
-			s.report(v, attempts[:n])
+			s.report(v, s.streams.Windows().Record, attempts[:n])
 			attempts = attempts[n:]
 		}
 	}
@@ -161,6 +163,7 @@
 			groups[r.version] = group
 			req.Streams = append(req.Streams, group)
 		}
+		group.WaitMs = max(group.GetWaitMs(), wholeMilliseconds(r.wait))
 		for _, a := range r.attempts {
 			group.Attempts = append(group.Attempts, uint64(a))
 		}
@@ -179,8 +182,9 @@
 	}
 	s.control.DoWithoutCancel(func(now time.Time) {
 		for _, group := range req.Msg.GetStreams() {
+			wait := time.Duration(group.GetWaitMs()) * time.Millisecond
 			for _, a := range group.GetAttempts() {
-				s.streams.Record(now, rollout.Version(group.GetVersion()), stream.Attempt(a))
+				s.streams.Record(now, rollout.Version(group.GetVersion()), wait, stream.Attempt(a))
 			}
 		}
 	})
--- a/internal/edge/gatewayd/streams.go
+++ b/internal/edge/gatewayd/streams.go
@@ -54,7 +54,7 @@
 		}
 		s.streams.kinds[pool] = kind
 		s.log.Info().Str("pool", pool).Stringer("software", kind).Stringer("before", before).
-			Dur("window", s.streams.Window()).Msg("upstreams: software versions changed")
+			Dur("window", s.streams.Windows().Proof).Msg("upstreams: software versions changed")
 		if before == rollout.Single {
 			s.reportAll(now)
 		}
@@ -123,10 +123,10 @@
 		return nil
 	}
 	attempt := stream.AttemptOf(id)
-	if !x.server.streams.Begin(now, x.admission.Pool, attempt, x.version) {
+	if !x.server.streams.Begin(now, x.admission.Pool, attempt, x.version, x.call.CallerTimeout) {
 		return nil
 	}
-	return x.server.report(x.version, []stream.Attempt{attempt})
+	return x.server.report(x.version, x.call.CallerTimeout, []stream.Attempt{attempt})
 }
 
 // checkVersion marks a response that has begun as impossible to resume if its upstreams may
--- a/internal/edge/gatewayd/version_fleet_test.go
+++ b/internal/edge/gatewayd/version_fleet_test.go
@@ -15,7 +15,9 @@
 	t        *testing.T
 	store    *standin.Store
 	replicas []*standin.Replica
-	all      []*testPeer
+	// removed are the replicas, by ID, that the store no longer lists.
+	removed map[string]bool
+	all     []*testPeer
 }
 
 // startVersionFleet starts the gateways and upstreams, and waits until all know each other.
@@ -24,7 +26,7 @@
 	if versions == nil {
 		versions = []string{"v1", "v1", "v2", "v2"}
 	}
-	f := &versionFleet{t: t, store: standin.NewStore(t)}
+	f := &versionFleet{t: t, store: standin.NewStore(t), removed: make(map[string]bool)}
 	f.store.PutConfig(configuration(1))
 	f.replicas = startVersions(t, f.store, versions...)
 	for range 3 {
@@ -49,21 +51,32 @@
 	w.await(func() bool { return g.version() >= want })
 }
 
-// start starts another gateway and waits until all know it.
+// start starts another gateway for the first time and waits until all know it.
 func (f *versionFleet) start() *testPeer {
+	f.t.Helper()
+	return f.startWith(true)
+}
+
+// startAgain is start for a gateway that ran before.
+func (f *versionFleet) startAgain() *testPeer {
+	f.t.Helper()
+	return f.startWith(false)
+}
+
+func (f *versionFleet) startWith(first bool) *testPeer {
 	f.t.Helper()
 	var seeds []string
 	if len(f.all) > 0 {
 		seeds = append(seeds, f.all[0].PeersAddress())
 	}
-	g := startPeer(f.t, f.store, seeds...)
+	g := startPeerWith(f.t, f.store, "a", first, seeds...)
 	f.all = append(f.all, g)
 	w := &testEnv{t: f.t, is: is.New(f.t)}
 	w.await(func() bool {
 		for _, g := range f.all {
 			listed := 0
 			g.control.DoWithoutCancel(func(time.Time) { listed = g.table.Size("app") })
-			if n, _ := g.known(); n < len(f.all) || listed != len(f.replicas) {
+			if n, _ := g.known(); n < len(f.all) || listed != len(f.replicas)-len(f.removed) {
 				return false
 			}
 		}
