gatewayd: TestWithheldBeforeSending does not leave to chance which upstream is chosen

Traced in the last one: all ten requests were meant for the other upstream, so that nothing could be withheld. Which of two idle upstreams is chosen is drawn, and the one that has answered is favoured. The line is written before the next attempt and so before the answer: the test did not look too early.

The other upstream reports a load before the first request, which is then meant for the one in backoff.

--- a/internal/edge/gatewayd/backoff_test.go
+++ b/internal/edge/gatewayd/backoff_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/gladegauge/gladegauge/internal/core/balance"
 	"github.com/gladegauge/gladegauge/internal/core/notice"
 	"github.com/gladegauge/gladegauge/platform/standin"
 )
@@ -97,8 +98,10 @@
 	w := newTestEnv(t, 2, func(int, standin.Request) standin.Reply { return standin.Reply{Body: "done"} })
 	closed := make(notice.Closed)
 	state := notice.State{}.With(time.Now(), notice.Notice{Backoff: time.Minute})
-	backingOff := w.replicas[0]
+	backingOff, other := w.replicas[0], w.replicas[1]
 	w.server.control.DoWithoutCancel(func(now time.Time) {
+		// The first request is then meant for the upstream in backoff.
+		w.server.table.SetLoad(now, other.ID, balance.Load{Running: 6, Waiting: 3, Slots: 6})
 		for _, in := range w.server.roster.Current(now) {
 			if in.ID == backingOff.ID {
 				closed[in.IncarnationKey()] = state
