exchange: an upstream that has begun to answer may read the body late

Cause: TCP_USER_TIMEOUT of 1.5 s, which is there for hosts that say nothing any more, also ends a connection whose peer answers each probe but has closed its window. It serves no promise once the head of the answer is there: the upstream was alive then, and the pause between events and the deadline of the request bound what follows.

The timeout is lifted when the head comes before the body is written, and put back before the connection is reused. TestUpstreamReadsOnLate: "connection timed out" before, the whole answer now. An upstream that has not begun to answer and takes nothing for 1.5 s still loses its connection.

--- a/internal/edge/exchange/answer.go
+++ b/internal/edge/exchange/answer.go
@@ -95,7 +95,7 @@
 	// An upstream may respond before it has read a long body. The rest of the body would
 	// then precede the next request on the connection.
 	keepIdle := a.body.complete && a.writer.complete() && !a.Response.Close && a.conn.br.Buffered() == 0
-	if !a.stop() || !keepIdle {
+	if !a.stop() || !keepIdle || a.conn.setAckTimeout(ackTimeout) != nil {
 		_ = a.conn.Close()
 		return
 	}
--- a/internal/edge/exchange/conn.go
+++ b/internal/edge/exchange/conn.go
@@ -26,13 +26,15 @@
 	// it was reused; 0 for a new one.
 	idleSince time.Time
 	idle      time.Duration
+	// ackTimeout is how long sent bytes may stay unacknowledged, or not taken; 0 for minutes.
+	ackTimeout time.Duration
 }
 
 // newConn returns a new connection that is in use.
 func (c *Client) newConn(nc net.Conn, address string) *conn {
 	sc := socket.NewConn(nc)
 	l := &limiter{conn: sc}
-	cn := &conn{Conn: sc, client: c, address: address, limiter: l, br: bufio.NewReaderSize(l, bufferBytes)}
+	cn := &conn{Conn: sc, client: c, address: address, ackTimeout: ackTimeout, limiter: l, br: bufio.NewReaderSize(l, bufferBytes)}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.use(cn)
@@ -57,6 +59,19 @@
 	}
 }
 
+// setAckTimeout sets how long sent bytes may stay unacknowledged, or not taken; 0 for minutes.
+func (cn *conn) setAckTimeout(d time.Duration) error {
+	if cn.ackTimeout == d {
+		return nil
+	}
+	cn.ackTimeout = d
+	raw, err := cn.SyscallConn()
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	return setAckTimeout(raw, d)
+}
+
 // Close closes the connection. It may be called more than once.
 func (cn *conn) Close() error {
 	cn.client.mu.Lock()
--- a/internal/edge/exchange/early_head_test.go
+++ b/internal/edge/exchange/early_head_test.go
@@ -51,6 +51,37 @@
 	a.Abort()
 }
 
+// The kernel closed the connection of an upstream that answers before it has read a long body and
+// reads on later, since it took none of the body for the time after which a host counts as dead.
+func TestUpstreamReadsOnLate(t *testing.T) {
+	is := is.New(t)
+	const rest = ", and the rest"
+	address := serveOnce(t, func(conn net.Conn) error {
+		req, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return err
+		}
+		if _, err := io.WriteString(conn, unframedHead+firstPart); err != nil {
+			return err
+		}
+		time.Sleep(2 * ackTimeout)
+		if _, err := io.WriteString(conn, rest); err != nil {
+			return err
+		}
+		if err := conn.(*net.TCPConn).CloseWrite(); err != nil {
+			return err
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		return nil
+	})
+	c, _ := client(&fakeClock{now: time.Unix(1000, 0)})
+	a := post(t, c, address, endlessBody{})
+	got, err := io.ReadAll(a)
+	is.NoErr(err)
+	is.Equal(string(got), firstPart+rest)
+	a.Abort()
+}
+
 // endlessBody is a body that never ends.
 type endlessBody struct{}
 
--- a/internal/edge/exchange/exchange.go
+++ b/internal/edge/exchange/exchange.go
@@ -140,6 +140,14 @@
 		_ = cn.Close()
 		return nil, w.failure(err)
 	}
+	// An upstream that answers before it has read the body is alive, however late it reads on. The
+	// deadline of the request bounds that.
+	if !w.complete() {
+		if err := cn.setAckTimeout(0); err != nil {
+			_ = cn.Close()
+			return nil, w.failure(err)
+		}
+	}
 	body := &bodyState{Reader: resp.Body, unframed: endsWithConnection(resp), request: w}
 	return &Answer{Response: resp, client: c, conn: cn, writer: w, body: body}, nil
 }
--- a/internal/edge/exchange/socket.go
+++ b/internal/edge/exchange/socket.go
@@ -14,12 +14,12 @@
 // ackTimeout is how long sent bytes may stay unacknowledged.
 const ackTimeout = 1500 * time.Millisecond
 
-// setUserTimeout makes the kernel close a connection whose peer does not acknowledge sent
-// data. Otherwise the connection would hang for minutes.
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+// setAckTimeout makes the kernel close a connection whose peer does not acknowledge sent data for
+// so long, or does not take any; 0 for minutes.
+func setAckTimeout(raw syscall.RawConn, d time.Duration) error {
 	var opt error
 	err := raw.Control(func(fd uintptr) {
-		opt = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(ackTimeout.Milliseconds()))
+		opt = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(d.Milliseconds()))
 	})
 	if err != nil {
 		return errors.WithStack(err)
@@ -27,6 +27,9 @@
 	return errors.Wrap(opt, "TCP_USER_TIMEOUT")
 }
 
+// setUserTimeout sets the timeout of a new connection. Otherwise it would hang for minutes.
+func setUserTimeout(_, _ string, raw syscall.RawConn) error { return setAckTimeout(raw, ackTimeout) }
+
 // healthy reports whether an idle connection is open and has no data to read. Data on an
 // idle connection belongs to no request.
 func healthy(c net.Conn) bool {
