soak: answers without length that are cut in the middle, slow readers, larger bodies

Uploads of 4 MiB; replicas that read on after 0.6 s; early answers without length, whole or reset in their middle. The check that an answer is whole or visibly cut was there.

It now reads through socket.Conn and resets the other side.

--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -5,10 +5,13 @@
 	"net"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
+
+	"github.com/gladegauge/gladegauge/internal/edge/socket"
 )
 
 // LinkFault is a way in which a link fails.
@@ -129,8 +132,9 @@
 		return
 	}
 	var both errgroup.Group
-	both.Go(func() error { return p.copy(t, c, Silent) })
-	both.Go(func() error { return p.copy(c, t, Silent, OneWay) })
+	fromCaller, fromTarget := socket.NewConn(c), socket.NewConn(t)
+	both.Go(func() error { return p.copy(t, c, fromCaller, Silent) })
+	both.Go(func() error { return p.copy(c, t, fromTarget, Silent, OneWay) })
 	_ = both.Wait()
 	p.mu.Lock()
 	delete(p.conns, c)
@@ -150,18 +154,21 @@
 	return true
 }
 
-// copy copies one direction. It drops the data while the link has one of the given
-// faults.
-func (p *Proxy) copy(dst, src net.Conn, lost ...LinkFault) error {
+// copy copies one direction, from src, which from reads. It drops the data while the link has one
+// of the given faults. A connection that was lost on one side is reset on the other.
+func (p *Proxy) copy(dst, src net.Conn, from io.Reader, lost ...LinkFault) error {
 	defer func() {
 		_ = dst.Close()
 		_ = src.Close()
 	}()
 	buf := make([]byte, 16<<10)
 	for {
-		n, err := src.Read(buf)
+		n, err := from.Read(buf)
 		if n > 0 && !p.drops(lost) {
 			if _, werr := dst.Write(buf[:n]); werr != nil {
+				if !errors.Is(werr, syscall.EPIPE) {
+					reset(src)
+				}
 				return nil // The other side is gone.
 			}
 		}
--- a/internal/soak/publish.go
+++ b/internal/soak/publish.go
@@ -32,6 +32,7 @@
 	h.store.PutConfig(standin.Config{
 		Version: h.version,
 		Engines: true,
+		MaxBody: maxUpload,
 		Routes: []standin.Route{
 			route(kindRead, "idempotent", 2, false),
 			route(kindWrite, "non_idempotent", 2, false),
--- a/internal/soak/replicas.go
+++ b/internal/soak/replicas.go
@@ -148,9 +148,7 @@
 	reply := standin.Reply{Body: expectedBody(kind, req.ID, "")}
 	if isStream(kind) {
 		reply.Events = streamEvents(req.ID, software)
-		pause := make(chan struct{})
-		time.AfterFunc(streamPause, func() { close(pause) })
-		reply.Pause = pause
+		reply.Pause = closedAfter(streamPause)
 	}
 	return reply
 }
--- a/internal/soak/uploads.go
+++ b/internal/soak/uploads.go
@@ -22,6 +22,8 @@
 	// body.
 	uploadPiece = 10_000
 	uploadPause = 5 * time.Millisecond
+	// maxPieces is the largest number of pieces of a body, so that the largest is sent in time.
+	maxPieces = 80
 	// stopOneIn is the number of bodies of which one is not sent to its end, and stopAfter the
 	// number of its bytes that are sent.
 	stopOneIn = 8
@@ -30,6 +32,13 @@
 	// them, and readOnDelay the time after which they read on.
 	earlyPercent = 50
 	readOnDelay  = 30 * time.Millisecond
+	// slowOneIn is the number of early answers of which one is of a replica that reads on only
+	// after slowReadOn. cutPercent is the percentage of them whose connection the replica's host
+	// resets after cutDelay, in the middle of an answer without length.
+	slowOneIn  = 4
+	slowReadOn = 600 * time.Millisecond
+	cutPercent = 20
+	cutDelay   = 50 * time.Millisecond
 	// pipelinedOneIn is the number of requests of which one is followed by another one on its
 	// connection before its answer has begun.
 	pipelinedOneIn = 4
@@ -37,9 +46,12 @@
 	uploadTimeout = 2 * callTimeout
 )
 
+// maxUpload is the maximum size of a body in bytes.
+const maxUpload = 4 << 20
+
 // uploadSizes are the sizes of long bodies in bytes. What is left of them after an early answer
-// is more or less than a server reads by itself.
-var uploadSizes = []int{80_000, 110_000, 400_000}
+// is more or less than a server reads by itself, or than the buffers of a connection hold.
+var uploadSizes = []int{80_000, 110_000, 400_000, maxUpload}
 
 // Upload is one request with a long body as its caller observed it.
 type Upload struct {
@@ -178,7 +190,7 @@
 	if u.Stopped {
 		rest = rest[:stopAfter]
 	}
-	if err := c.SendPieces(rest, uploadPiece, uploadPause); err != nil {
+	if err := c.SendPieces(rest, max(uploadPiece, len(rest)/maxPieces), uploadPause); err != nil {
 		return err
 	}
 	if u.Stopped {
@@ -190,9 +202,7 @@
 // uploadReply returns a replica's answer to an upload.
 func uploadReply(req standin.Request) standin.Reply {
 	if kindOf(req.URI) == kindChat {
-		pause := make(chan struct{})
-		time.AfterFunc(streamPause, func() { close(pause) })
-		return standin.Reply{Events: streamEvents(req.ID, ""), Pause: pause}
+		return standin.Reply{Events: streamEvents(req.ID, ""), Pause: closedAfter(streamPause)}
 	}
 	return standin.Reply{Body: uploadAnswer(req.ID)}
 }
@@ -204,7 +214,29 @@
 	}
 	h.record.addArrival(Arrival{ID: head.ID, Replica: replica, At: time.Now()})
 	h.record.addRun(Run{ID: head.ID, Replica: replica, At: time.Now(), Organisation: head.Tenant})
-	readOn := make(chan struct{})
-	time.AfterFunc(readOnDelay, func() { close(readOn) })
-	return standin.Early{Reply: uploadReply(head), ReadOn: readOn, OnRead: h.record.addBody}, true
+	delay := readOnDelay
+	if xxhash.Sum64String(head.ID)%slowOneIn == 0 {
+		delay = slowReadOn
+	}
+	e := standin.Early{Reply: uploadReply(head), ReadOn: closedAfter(delay), OnRead: h.record.addBody}
+	e.Reply.Unframed = xxhash.Sum64String(head.ID)%unframedOneIn == 0
+	if h.randomPercent() < cutPercent {
+		e.Reply, e.Reset = firstPart(e.Reply), closedAfter(cutDelay)
+	}
+	return e, true
+}
+
+// firstPart returns the first part of an answer, without length.
+func firstPart(whole standin.Reply) standin.Reply {
+	if whole.Events != nil {
+		return standin.Reply{Events: whole.Events[:1], Unframed: true}
+	}
+	return standin.Reply{Body: whole.Body[:len(whole.Body)/2], Unframed: true}
+}
+
+// closedAfter returns a channel that is closed after d.
+func closedAfter(d time.Duration) <-chan struct{} {
+	c := make(chan struct{})
+	time.AfterFunc(d, func() { close(c) })
+	return c
 }
