--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -131,6 +131,8 @@
 		reset(t)
 		return
 	}
+	narrow(c)
+	narrow(t)
 	var both errgroup.Group
 	fromCaller, fromTarget := socket.NewConn(c), socket.NewConn(t)
 	both.Go(func() error { return p.copy(t, c, fromCaller, Silent) })
@@ -142,6 +144,18 @@
 	p.mu.Unlock()
 }
 
+// linkWindow is the size in bytes of the buffers of a connection over a link. Those of the loopback
+// link would take most bodies whole.
+const linkWindow = 64 << 10
+
+// narrow bounds the buffers of a connection.
+func narrow(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetReadBuffer(linkWindow)
+		_ = t.SetWriteBuffer(linkWindow)
+	}
+}
+
 // register adds both connections to those that a fault resets. It returns false if the
 // link was reset or closed in the meantime.
 func (p *Proxy) register(c, t net.Conn) bool {
--- a/internal/soak/uploads.go
+++ b/internal/soak/uploads.go
@@ -37,7 +37,7 @@
 	// resets after cutDelay, in the middle of an answer without length.
 	slowOneIn  = 4
 	slowReadOn = 600 * time.Millisecond
-	cutPercent = 20
+	cutPercent = 40
 	cutDelay   = 50 * time.Millisecond
 	// pipelinedOneIn is the number of requests of which one is followed by another one on its
 	// connection before its answer has begun.
