exchange: a whole answer does not wait longer for the rest of its request than before

Reading the change: since the timeout for bytes that are not taken is lifted while an upstream answers, one that has answered and never reads the rest of the body would have kept its caller's connection until the deadline of the request, in place of 1.5 s. The timeout is put back once the answer was read (TestUpstreamNeverReadsOn).

gatewayd: what is logged of an unframed answer is that of the latest attempt.

--- a/internal/edge/exchange/answer.go
+++ b/internal/edge/exchange/answer.go
@@ -75,8 +75,12 @@
 	_ = a.conn.SetReadDeadline(until)
 }
 
-// AwaitRequest waits until the whole request is written or cannot be, or the context ends.
+// AwaitRequest waits until the whole request is written or cannot be, or the context ends. The
+// response has been read: an upstream that takes nothing more for ackTimeout is not waited for.
 func (a *Answer) AwaitRequest(ctx context.Context) {
+	if a.conn.setAckTimeout(ackTimeout) != nil {
+		return
+	}
 	select {
 	case <-a.writer.done:
 	case <-ctx.Done():
--- a/internal/edge/exchange/early_head_test.go
+++ b/internal/edge/exchange/early_head_test.go
@@ -82,6 +82,32 @@
 	a.Abort()
 }
 
+// An upstream that has answered and takes nothing of the rest of the body must not hold up the next
+// request of the caller until the deadline.
+func TestUpstreamNeverReadsOn(t *testing.T) {
+	is := is.New(t)
+	over := make(chan struct{})
+	address := serveOnce(t, func(conn net.Conn) error {
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+			return err
+		}
+		_, err := io.WriteString(conn, answer("mine", "ok"))
+		<-over
+		return err
+	})
+	c, _ := client(&fakeClock{now: time.Unix(1000, 0)})
+	a := post(t, c, address, endlessBody{})
+	got, err := io.ReadAll(a)
+	is.NoErr(err)
+	is.Equal(string(got), "ok")
+	began := time.Now()
+	a.AwaitRequest(t.Context())
+	is.True(time.Since(began) < 3*ackTimeout)
+	is.True(!a.RequestWritten())
+	a.Abort()
+	close(over)
+}
+
 // endlessBody is a body that never ends.
 type endlessBody struct{}
 
--- a/internal/edge/gatewayd/attempt.go
+++ b/internal/edge/gatewayd/attempt.go
@@ -21,6 +21,7 @@
 	x.sentAt = x.server.now()
 	x.headAt = time.Time{}
 	x.firstEventAt = time.Time{}
+	x.unframed, x.connectionEnd, x.writeError = false, "", nil
 	x.timeouts = x.newTimeouts(choice, cancel)
 	defer x.timeouts.stop()
 	got, err := x.server.client.Do(ctx, exchange.Call{
--- a/internal/edge/gatewayd/stream_reports.go
+++ b/internal/edge/gatewayd/stream_reports.go
@@ -51,8 +51,8 @@
 	return q
 }
 
-// report queues a report of streams whose callers wait for so long at most. It returns a channel that is closed once another gateway knows the
-// streams, or there is none to know them.
+// report queues a report of streams whose callers wait for so long at most. It returns a channel
+// that is closed once another gateway knows the streams, or there is none to know them.
 func (s *Server) report(v rollout.Version, wait time.Duration, attempts []stream.Attempt) <-chan struct{} {
 	acknowledged := make(chan struct{})
 	r := streamReport{version: v, wait: wait, attempts: attempts, acknowledge: sync.OnceFunc(func() { close(acknowledged) })}
