soak: the proxy passes a reset on as a reset when its write met a broken pipe

Traced: the gateway logged connection_end closed, so it had got a FIN. The replica had reset its connection; in the proxy the read took the error, the write of the other direction got EPIPE and closed both connections in good order before the read's direction reset them. It is the harness, not the gateway.

After EPIPE the end is left to the other direction, which knows it.

--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -171,19 +171,18 @@
 // copy copies one direction, from src, which from reads. It drops the data while the link has one
 // of the given faults. A connection that was lost on one side is reset on the other.
 func (p *Proxy) copy(dst, src net.Conn, from io.Reader, lost ...LinkFault) error {
-	defer func() {
-		_ = dst.Close()
-		_ = src.Close()
-	}()
 	buf := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buf)
 		if n > 0 && !p.drops(lost) {
-			if _, werr := dst.Write(buf[:n]); werr != nil {
-				if !errors.Is(werr, syscall.EPIPE) {
-					reset(src)
-				}
-				return nil // The other side is gone.
+			_, werr := dst.Write(buf[:n])
+			if errors.Is(werr, syscall.EPIPE) {
+				return nil // Its end is passed on by the other direction.
+			}
+			if werr != nil {
+				reset(src)
+				reset(dst)
+				return nil
 			}
 		}
 		if err != nil {
@@ -194,6 +193,8 @@
 			if !errors.Is(err, io.EOF) {
 				reset(dst)
 			}
+			_ = dst.Close()
+			_ = src.Close()
 			return nil
 		}
 	}
