socket: a connection that was lost before its first byte has not ended

Whether the kernel counts was told from the bytes that were read; with none, the error of the first write decided, and the read may look before that error is kept. It is now told from the bytes that were acknowledged, which include the SYN of each connection that was opened. No answer of an upstream was affected, as one without a byte has no head.

TestLossBeforeFirstByte fails before.

--- a/internal/edge/socket/conn_test.go
+++ b/internal/edge/socket/conn_test.go
@@ -137,6 +137,23 @@
 	}
 }
 
+// A connection that was lost before a byte was read has not ended either, whatever is known of its
+// writes.
+func TestLossBeforeFirstByte(t *testing.T) {
+	is := is.New(t)
+	c, peer := pair(t)
+	reset(t, c, peer)
+	_, err := c.Conn.Write([]byte("more")) // takes the error, which the Conn does not see
+	is.True(errors.Is(err, syscall.ECONNRESET))
+	_, err = c.Read(make([]byte, 1))
+	is.True(errors.Is(err, ErrLost))
+
+	c, peer = pair(t)
+	is.NoErr(peer.Close())
+	_, err = c.Read(make([]byte, 1))
+	is.Equal(err, io.EOF)
+}
+
 // A peer that does not read, so that the kernel closes the connection while a write waits, has not
 // ended what it sends.
 func TestTimeoutThatWriteWasToldOf(t *testing.T) {
--- a/internal/edge/socket/info.go
+++ b/internal/edge/socket/info.go
@@ -15,12 +15,12 @@
 		return c.writesEndedAsClosed()
 	case isHalfClosed(info.State):
 		return true
-	case info.Bytes_received >= c.received && c.received > 0:
+	case info.Bytes_acked == 0:
+		return c.writesEndedAsClosed() // some kernels do not count bytes, nor the acknowledged SYN
+	default:
 		// The kernel counts the FIN of the peer as one more byte. That holds whatever happened
 		// afterwards: a peer that has closed a connection resets it when it receives more.
 		return info.Bytes_received > c.received
-	default:
-		return c.writesEndedAsClosed() // some kernels do not count
 	}
 }
 
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -182,7 +182,7 @@
 			if werr != nil {
 				reset(src)
 				reset(dst)
-				return nil
+				return nil //nolint:nilerr // Both sides were reset.
 			}
 		}
 		if err != nil {
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -63,7 +63,7 @@
 func callReset(address string) error {
 	nc, err := net.Dial("tcp", address)
 	if err != nil {
-		return nil //nolint:nilerr // The reset came before the dialler looked.
+		return nil // The reset came before the dialler looked.
 	}
 	c := socket.NewConn(nc)
 	defer func() { _ = c.Close() }()
