exchange, standin, soak: one function resets a connection, and the socket option has its library name

TCP_USER_TIMEOUT comes from x/sys, as in package socket, in place of a constant of our own with the same value. Behaviour is as before; no test changed but for the name of the function.

--- a/internal/edge/exchange/socket.go
+++ b/internal/edge/exchange/socket.go
@@ -6,11 +6,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 )
 
-// tcpUserTimeout is Linux's TCP_USER_TIMEOUT, which package syscall lacks.
-const tcpUserTimeout = 0x12
-
 // ackTimeout is how long sent bytes may stay unacknowledged.
 const ackTimeout = 1500 * time.Millisecond
 
@@ -19,7 +17,7 @@
 func setAckTimeout(raw syscall.RawConn, d time.Duration) error {
 	var opt error
 	err := raw.Control(func(fd uintptr) {
-		opt = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(d.Milliseconds()))
+		opt = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
 	})
 	if err != nil {
 		return errors.WithStack(err)
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/gladegauge/gladegauge/internal/edge/socket"
+	"github.com/gladegauge/gladegauge/platform/standin"
 )
 
 // LinkFault is a way in which a link fails.
@@ -70,7 +71,7 @@
 	p.fault = f
 	if f == Reset || lost {
 		for c := range p.conns {
-			reset(c)
+			standin.Reset(c)
 		}
 	}
 }
@@ -82,7 +83,7 @@
 	p.mu.Lock()
 	p.closed = true
 	for c := range p.conns {
-		reset(c)
+		standin.Reset(c)
 	}
 	p.mu.Unlock()
 	_ = p.group.Wait()
@@ -94,14 +95,6 @@
 	return p.fault
 }
 
-// reset closes a connection so that its peer receives a TCP reset.
-func reset(c net.Conn) {
-	if t, ok := c.(*net.TCPConn); ok {
-		_ = t.SetLinger(0)
-	}
-	_ = c.Close()
-}
-
 func (p *Proxy) accept() error {
 	for {
 		c, err := p.listener.Accept()
@@ -109,7 +102,7 @@
 			return nil //nolint:nilerr // The listener was closed.
 		}
 		if p.currentFault() == Reset {
-			reset(c)
+			standin.Reset(c)
 			continue
 		}
 		p.group.Go(func() error {
@@ -123,12 +116,12 @@
 func (p *Proxy) forward(c net.Conn) {
 	t, err := net.Dial("tcp", p.target)
 	if err != nil {
-		reset(c)
+		standin.Reset(c)
 		return
 	}
 	if !p.register(c, t) {
-		reset(c)
-		reset(t)
+		standin.Reset(c)
+		standin.Reset(t)
 		return
 	}
 	narrow(c)
@@ -180,8 +173,8 @@
 				return nil // Its end is passed on by the other direction.
 			}
 			if werr != nil {
-				reset(src)
-				reset(dst)
+				standin.Reset(src)
+				standin.Reset(dst)
 				return nil //nolint:nilerr // Both sides were reset.
 			}
 		}
@@ -191,7 +184,7 @@
 				time.Sleep(slowDelay)
 			}
 			if !errors.Is(err, io.EOF) {
-				reset(dst)
+				standin.Reset(dst)
 			}
 			_ = dst.Close()
 			_ = src.Close()
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/gladegauge/gladegauge/internal/edge/socket"
+	"github.com/gladegauge/gladegauge/platform/standin"
 )
 
 // A reset of the target reached the other side of the link as an orderly end, so that a part of an
@@ -34,7 +35,7 @@
 			group.Go(func() error {
 				_, err := io.WriteString(c, part)
 				time.Sleep(time.Millisecond)
-				reset(c)
+				standin.Reset(c)
 				return err
 			})
 		}
