exchange: a response with a status that HTTP does not have is no response

What callers saw: an upstream in trouble answered with status 000. Played here with a gateway and a scripted upstream, its caller got no answer at all: its connection was closed without a byte, also where another upstream could have answered. 600 and 999 were passed on as they were.

Cause: http.ReadResponse takes any three characters that strconv.Atoi takes for a status, and nothing behind exchange.readHead asked. WriteHeader panics for a status below 100 ("invalid WriteHeader code 0"), so that the attempt was never finished and no line of the log named the request.

Fix: internal/core/responsehead says which status a response may have: 100 to 599 (RFC 9110, section 15: "All valid status codes are within the range of 100 to 599, inclusive"). The head is judged where it is read, before its notices and before the response is compared with the request, for each one on the connection. An invalid one means what a head means that net/http refuses: the attempt is lost, its connection is closed, another upstream answers a request that may be repeated, others get 502 (RFC 9110, section 15.6.3: "received an invalid response from an inbound server"). No status can reach WriteHeader any more that it does not take.

600 and above were an error of the upstream's own before, as section 15 asks of clients ("SHOULD process the response as if it had a 5xx"). A caller sees an error of that class still, 502, and no longer a status that HTTP does not have.

An invalid head is no sign that the upstream had dropped an idle connection, so that it does not shorten how long idle connections are kept.

--- a/internal/edge/exchange/exchange.go
+++ b/internal/edge/exchange/exchange.go
@@ -22,6 +22,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/gladegauge/gladegauge/internal/core/responsehead"
 )
 
 // DefaultDialTimeout is the time limit for opening a connection. Hosts of a region are a few
@@ -159,7 +161,7 @@
 }
 
 // readHead returns the first response that belongs to the request. It fails if the head of a
-// response exceeds its bounds, or if more must be skipped than the bounds allow.
+// response exceeds its bounds or is invalid, or if more must be skipped than the bounds allow.
 func readHead(cn *conn, call Call) (*http.Response, error) {
 	skipped := newSkipper(cn)
 	first := cn.idleSince.IsZero()
@@ -170,6 +172,9 @@
 		if err != nil {
 			return nil, errors.WithStack(cmp.Or(cn.limiter.exceeded(), err))
 		}
+		if err := responsehead.Check(resp.StatusCode); err != nil {
+			return nil, err
+		}
 		if call.OnResponse != nil {
 			call.OnResponse(resp)
 		}
--- a/internal/edge/exchange/exchange_test.go
+++ b/internal/edge/exchange/exchange_test.go
@@ -147,13 +147,19 @@
 func isMine(r *http.Response, _ bool) bool { return r.Header.Get("Id") == "mine" }
 
 func get(t *testing.T, c *Client, address string, body string) (string, error) {
+	t.Helper()
+	return getWith(t, c, address, body, nil)
+}
+
+// getWith is get with a function that is called with the head of each response.
+func getWith(t *testing.T, c *Client, address string, body string, onResponse func(*http.Response)) (string, error) {
 	t.Helper()
 	req := &http.Request{Method: http.MethodPost, URL: &url.URL{Opaque: "/a%2Fb?q"}, Host: "h", Header: http.Header{"User-Agent": {""}}}
 	req.Body = io.NopCloser(strings.NewReader(body))
 	req.ContentLength = int64(len(body))
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
-	a, err := c.Do(ctx, Call{Address: address, Request: req, Matches: isMine})
+	a, err := c.Do(ctx, Call{Address: address, Request: req, Matches: isMine, OnResponse: onResponse})
 	if err != nil {
 		return "", err
 	}
--- a/internal/edge/exchange/idle.go
+++ b/internal/edge/exchange/idle.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/gladegauge/gladegauge/internal/core/responsehead"
 )
 
 // Parameters of the learned idle limit. Some upstreams drop an idle connection sooner than
@@ -74,10 +76,11 @@
 }
 
 // mayBeDropped reports whether an exchange may have failed because the upstream had dropped its
-// connection: not if the body of the request failed, or if bytes without end arrived.
+// connection: not if the body of the request failed, or if bytes without end or an invalid head
+// arrived.
 func mayBeDropped(err error) bool {
 	var body *BodyError
-	return !errors.As(err, &body) && !errors.Is(err, ErrHeadTooLarge) && !errors.Is(err, ErrSkippedTooLarge)
+	return !errors.As(err, &body) && !errors.IsAny(err, ErrHeadTooLarge, ErrSkippedTooLarge, responsehead.ErrInvalid)
 }
 
 // recordReset records that a connection to the address failed on its first use after the
