exchange: a response with an invalid field name is no response

What callers saw: an upstream in trouble answered with a head in which the name of a field held a blank. The caller got the answer as it was, with a body that was not the upstream's where that field said how long it is: with the sizes of its chunks, or cut short and complete by all signs.

Cause: the parser of net/http keeps names with blanks (for servers of old) under that very name. It then does not know Transfer-Encoding or Content-Length, and reads the body to the end of the connection. Nothing behind exchange.readHead asked.

Three rows of TestInvalidHead (inside a name, before the colon, in an interim head) pass such a head.

Fix: responsehead.Check asks of each name whether it is a token (RFC 9110, section 5.1), with the definition of golang.org/x/net/http/httpguts, which was an indirect module already. Such a head means what one with a control byte means: the attempt is lost. It promises nothing either, not even with the header that a request did not run.

RFC 9112, section 5.1, lets a proxy remove a blank before the colon and go on. The users ask that callers don't get such an answer, and its body would have to be read anew by what the field says; RFC 9110, section 15.6.3, is followed instead. A folded value is joined by net/http and passed on, as RFC 9112, section 5.2, allows ("replace each received obs-fold with one or more SP octets"). Trailers are neither passed on nor do they frame the body: an answer with an invalid name there stays as it is.

--- a/internal/core/responsehead/responsehead_test.go
+++ b/internal/core/responsehead/responsehead_test.go
@@ -1,6 +1,8 @@
 package responsehead
 
 import (
+	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -27,7 +29,46 @@
 	}
 	for _, tt := range tests {
 		is := is.New(t)
-		is.Equal(Check(tt.status) == nil, tt.valid)
-		is.Equal(errors.Is(Check(tt.status), ErrInvalid), !tt.valid)
+		err := Check(tt.status, http.Header{"Date": {""}})
+		is.Equal(err == nil, tt.valid)
+		is.Equal(errors.Is(err, ErrInvalid), !tt.valid)
 	}
 }
+
+func TestCheckFieldNames(t *testing.T) {
+	tests := []struct {
+		name  string
+		valid bool
+	}{
+		{"Content-Length", true},
+		{"x", true},
+		{"!#$%&'*+-.^_`|~0Az", true}, // all characters of a token that are no letters or digits
+		{"Bad Name", false},
+		{"Bad ", false},
+		{" Bad", false},
+		{" ", false},
+		{"", false},
+		{"Bad\tName", false},
+		{"Bad\x00", false},
+		{"Bad\x7f", false},
+		{"Bad\r", false},
+		{"Bad:", false},
+		{"Bad(", false},
+		{"B\xe9d", false},
+		{"Bäd", false},
+	}
+	for _, tt := range tests {
+		is := is.New(t)
+		err := Check(http.StatusOK, http.Header{"Date": {""}, tt.name: {"v"}})
+		is.Equal(err == nil, tt.valid)
+		is.Equal(errors.Is(err, ErrInvalid), !tt.valid)
+	}
+}
+
+// The error of a long name quotes only its beginning.
+func TestLongFieldName(t *testing.T) {
+	is := is.New(t)
+	err := Check(http.StatusOK, http.Header{strings.Repeat("a ", 10_000): {"v"}})
+	is.True(errors.Is(err, ErrInvalid))
+	is.True(len(err.Error()) < 2*maxQuotedBytes)
+}
--- a/internal/edge/exchange/exchange.go
+++ b/internal/edge/exchange/exchange.go
@@ -172,7 +172,7 @@
 		if err != nil {
 			return nil, errors.WithStack(cmp.Or(cn.limiter.exceeded(), err))
 		}
-		if err := responsehead.Check(resp.StatusCode); err != nil {
+		if err := responsehead.Check(resp.StatusCode, resp.Header); err != nil {
 			return nil, err
 		}
 		if call.OnResponse != nil {
--- a/internal/edge/exchange/invalid_head_test.go
+++ b/internal/edge/exchange/invalid_head_test.go
@@ -21,6 +21,9 @@
 		{"status 000", strings.Replace(sound, "200 OK", "000", 1)},
 		{"status with a sign", strings.Replace(sound, "200 OK", "+20 OK", 1)},
 		{"status above 599", strings.Replace(sound, "200 OK", "600 OK", 1)},
+		{"blank in the name of a field", strings.Replace(sound, "\r\n", "\r\nBad Name: v\r\n", 1)},
+		{"blank before the colon", strings.Replace(sound, "\r\n", "\r\nContent-Length : 9\r\n", 1)},
+		{"in an interim response", "HTTP/1.1 103 Early Hints\r\nBad Name: v\r\n\r\n" + sound},
 		{"in a response to another request", strings.Replace(answer("other", "no"), "200 OK", "000", 1) + sound},
 	}
 	for _, tt := range tests {
--- a/internal/edge/gatewayd/invalid_head_test.go
+++ b/internal/edge/gatewayd/invalid_head_test.go
@@ -1,6 +1,7 @@
 package gatewayd
 
 import (
+	"cmp"
 	"net/http"
 	"slices"
 	"strings"
@@ -17,6 +18,17 @@
 	playInvalidHeads(t, standin.InvalidStatuses())
 }
 
+// An answer with a blank in the name of a field was passed on. Its body was that of another length
+// or framing than its upstream had stated, if that was in this field.
+func TestBlankInFieldNameReachesCaller(t *testing.T) {
+	playInvalidHeads(t, standin.BlankFieldNames())
+}
+
+// An answer with another invalid byte in the name of a field is not passed on.
+func TestInvalidByteInFieldName(t *testing.T) {
+	playInvalidHeads(t, standin.InvalidFieldNames())
+}
+
 // playInvalidHeads checks that no caller gets an answer with one of the heads: another upstream
 // answers a request that may be repeated, and others get an error of the gateway.
 func playInvalidHeads(t *testing.T, heads []standin.InvalidHead) {
@@ -54,3 +66,49 @@
 		}
 	}
 }
+
+// A head that HTTP allows is passed on as it is, however unusual.
+func TestUnusualHeadsPass(t *testing.T) {
+	const ok, length = "200 OK", "Content-Length: 5\r\n"
+	tests := []struct {
+		name          string
+		status, lines string
+		body          string
+		field, value  string
+		want          int
+	}{
+		{name: "no reason", status: "200", lines: length, want: 200},
+		{name: "empty reason", status: "200 ", lines: length, want: 200},
+		{name: "status of no known meaning", status: "299 Any", lines: length, want: 299},
+		{name: "error of the caller", status: "404 Not Found", lines: length, want: 404},
+		{name: "error of no known meaning", status: "599 Any", lines: length, want: 599},
+		{name: "empty value", status: ok, lines: "X-Empty:\r\n" + length, field: "X-Empty", want: 200},
+		{name: "blanks around a value", status: ok, lines: "X-Blanks: \t a b \t\r\n" + length, field: "X-Blanks", value: "a b", want: 200},
+		{name: "all characters of a name", status: ok, lines: "!#$%&'*+-.^_`|~09azAZ: v\r\n" + length, field: "!#$%&'*+-.^_`|~09azAZ", value: "v", want: 200},
+		{name: "folded value", status: ok, lines: "X-Folded: a\r\n b\r\n" + length, field: "X-Folded", value: "a b", want: 200},
+		{
+			name: "blank in the name of a trailer, which is not passed on", status: ok, lines: "Transfer-Encoding: chunked\r\n",
+			body: "5\r\nother\r\n0\r\nBad Name: v\r\n\r\n", want: 200,
+		},
+	}
+	for _, tt := range tests {
+		for _, uri := range []string{"/read/1", "/write/1"} {
+			t.Run(tt.name+", "+uri, func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				w := newTestEnv(t, 2, func(_ int, r standin.Request) standin.Reply {
+					return standin.Reply{Raw: standin.RawAnswerWithStatus(r.ID, tt.status, tt.lines, cmp.Or(tt.body, "other")), RawOpen: true}
+				})
+				a := w.call(uri)
+				is.NoErr(a.Err)
+				is.True(a.Whole)
+				is.Equal(a.Status, tt.want)
+				is.Equal(a.Body, "other")
+				is.True(a.Sealed())
+				if tt.field != "" {
+					is.Equal(a.Header[http.CanonicalHeaderKey(tt.field)], []string{tt.value})
+				}
+			})
+		}
+	}
+}
