upstream: an agent forwards no response with an invalid head

What callers saw: the fault of gateways at agents. A response of an engine with status 000, 099, +20 or 600, or with a blank in the name of a field, was forwarded to the entry as complete, with the sizes of its chunks in the body, or cut short, where the blank hid how long it is.

Cause: http.Transport reads by the same parser as http.ReadResponse, and Client.Do forwarded what it gave.

Fix: Do judges the head by responsehead.Check before anything is forwarded. The attempt has failed, as with a head that net/http refuses. Interim heads are dropped by the transport, which passes none of them on.

--- a/internal/edge/upstream/upstream.go
+++ b/internal/edge/upstream/upstream.go
@@ -26,6 +26,7 @@
 
 	"github.com/gladegauge/gladegauge/internal/core/eventstream"
 	"github.com/gladegauge/gladegauge/internal/core/notice"
+	"github.com/gladegauge/gladegauge/internal/core/responsehead"
 	"github.com/gladegauge/gladegauge/internal/edge/rpc"
 	"github.com/gladegauge/gladegauge/internal/edge/socket"
 )
@@ -140,7 +141,8 @@
 	return &Client{base: strings.TrimSuffix(base, "/"), http: c}
 }
 
-// Do sends the request and forwards the chunks of the response.
+// Do sends the request and forwards the chunks of the response. A response with an invalid head is
+// not forwarded.
 func (c *Client) Do(ctx context.Context, call Call, forward func(Chunk) error) End {
 	req, err := http.NewRequestWithContext(ctx, call.Method, c.base+call.Path, oneShotBody{bytes.NewReader(call.Body)})
 	if err != nil {
@@ -156,6 +158,9 @@
 		return End{Result: resultOf(err), Err: errors.Wrap(err, "upstream")}
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if err := responsehead.Check(resp.StatusCode, resp.Header); err != nil {
+		return End{Result: Aborted, Err: errors.Wrap(err, "upstream")}
+	}
 	if err := forward(Chunk{Head: &Head{Status: resp.StatusCode, Headers: resp.Header}, Offset: call.ResumeOffset}); err != nil {
 		return End{Result: Aborted, Length: call.ResumeOffset, Err: err}
 	}
