entryd: a run whose head is invalid is lost

What callers saw: an agent of an earlier version forwards heads with status 000 or a blank in the name of a field. An entry passed the answer on, with a body that may not be the engine's. For a status below 100 or above 999 the caller of a plain service got no answer at all; a caller of the chat API without stream got 200.

Cause: relay.head and assembler.head took what the agent said. WriteHeader then panics; the request's streams are not drained after that, and its end is not recorded.

Fix: the head is judged by responsehead.Check before it is relayed, also that of a run that goes on with a response. The run counts as lost, as one whose agent breaks off: another agent runs a request that may be repeated, others get 502 (outcome_unknown). A line of the log says which agent sent what.

--- a/internal/edge/entryd/events.go
+++ b/internal/edge/entryd/events.go
@@ -1,9 +1,11 @@
 package entryd
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/gladegauge/gladegauge/internal/core/dispatch"
+	"github.com/gladegauge/gladegauge/internal/core/responsehead"
 	"github.com/gladegauge/gladegauge/internal/edge/convert"
 	gladegaugev1 "github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1"
 )
@@ -17,7 +19,7 @@
 	}
 	switch ev := e.event.GetEvent().(type) {
 	case *gladegaugev1.AttemptEvent_Head:
-		return nil, x.onHead(e.n, ev.Head)
+		return x.onHead(e.n, a, ev.Head)
 	case *gladegaugev1.AttemptEvent_Chunk:
 		return nil, x.onChunk(e.n, ev.Chunk)
 	default:
@@ -112,15 +114,41 @@
 	return x.admitted.Ended(n)
 }
 
-func (x *call) onHead(n int, h *gladegaugev1.Head) error {
-	if !x.admitted.Deliver(x.s.now(), n, 0) || x.admitted.Delivered() > 0 {
-		return nil
+// onHead relays the head of a response. A run whose head is invalid is lost.
+func (x *call) onHead(n int, a *attempt, h *gladegaugev1.Head) ([]dispatch.Effect, error) {
+	if !x.admitted.Deliver(x.s.now(), n, 0) {
+		return nil, nil
+	}
+	if err := checkHead(h); err != nil {
+		return x.onInvalidHead(n, a, err), nil
+	}
+	if x.admitted.Delivered() > 0 {
+		return nil, nil
 	}
 	x.status = int(h.GetStatus())
 	if !convert.IsEventStream(h) {
 		x.admitted.MarkNotEventStream()
 	}
-	return x.out.head(h)
+	return nil, x.out.head(h)
+}
+
+// checkHead returns an error if HTTP allows no such head.
+func checkHead(h *gladegaugev1.Head) error {
+	names := make(http.Header, len(h.GetHeaders()))
+	for _, header := range h.GetHeaders() {
+		names[header.GetName()] = nil
+	}
+	return responsehead.Check(int(h.GetStatus()), names)
+}
+
+// onInvalidHead ends the run whose response has an invalid head: its body may not be that of the
+// upstream either.
+func (x *call) onInvalidHead(n int, a *attempt, err error) []dispatch.Effect {
+	x.s.o.Log.Error().Str("request", x.id).Str("agent", a.agent).Err(err).Msg("agent sent an invalid head")
+	a.cancel()
+	var effects []dispatch.Effect
+	x.s.loop.DoWithoutCancel(func(now time.Time) { effects = x.attemptLost(now, n, a, false) })
+	return effects
 }
 
 // onChunk relays a chunk that directly follows the data that the caller has received. Any
