gatewayd: a call to another gateway fails if the head of its answer is invalid

What would be seen: an answer to a call between gateways whose length stood in "Content-Length : 48", with a blank before the colon, was taken for whole where it was cut behind one of its entries. The gateway then missed the changes of the store behind the cut, such as an upstream that is draining.

Cause: http.Transport reads by the same parser, so that the body ended with the connection, and a message of protobuf that is cut behind a field is a message.

The same cut with a length that is seen was an error already, and so was status 000, which connect compares with 200.

Fix: the transport of calls between gateways judges the head by responsehead.Check. The call has failed, as with a head that net/http refuses.

--- a/internal/edge/gatewayd/invalid_head_test.go
+++ b/internal/edge/gatewayd/invalid_head_test.go
@@ -1,14 +1,22 @@
 package gatewayd
 
 import (
+	"bufio"
 	"cmp"
+	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
 	"testing"
 
+	"connectrpc.com/connect"
 	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
 
+	gladegaugev1 "github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1"
 	"github.com/gladegauge/gladegauge/platform/standin"
 )
 
@@ -112,3 +120,69 @@
 		}
 	}
 }
+
+// An answer to a call between gateways whose length or chunks stood in a field with a blank in its
+// name was taken for whole where it was cut: the changes of the store behind the cut were missed.
+func TestInvalidHeadOfGateway(t *testing.T) {
+	is := is.New(t)
+	entries := []*gladegaugev1.StoreEntry{{Key: "servers/i-1"}, {Key: "servers/i-2"}}
+	whole, err := proto.Marshal(&gladegaugev1.FollowResponse{Revision: 9, Entries: entries})
+	is.NoErr(err)
+	first, err := proto.Marshal(&gladegaugev1.FollowResponse{Revision: 9, Entries: entries[:1]})
+	is.NoErr(err)
+	const kind = "Content-Type: application/proto\r\n"
+	tests := []struct {
+		name, status, lines string
+		body                []byte
+		valid               bool
+	}{
+		{"sound", "200 OK", fmt.Sprintf("Content-Length: %d\r\n", len(whole)), whole, true},
+		{"cut", "200 OK", fmt.Sprintf("Content-Length: %d\r\n", len(whole)), first, false},
+		{"cut, length that is not seen", "200 OK", fmt.Sprintf("Content-Length : %d\r\n", len(whole)), first, false},
+		{"blank in a name", "200 OK", fmt.Sprintf("Bad Name: v\r\nContent-Length: %d\r\n", len(whole)), whole, false},
+		{"status 000", "000", fmt.Sprintf("Content-Length: %d\r\n", len(whole)), whole, false},
+	}
+	p := startPeer(t, standin.NewStore(t))
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			address := serveRaw(t, "HTTP/1.1 "+tt.status+"\r\n"+kind+tt.lines+"\r\n"+string(tt.body))
+			resp, err := p.peer(address).Follow(t.Context(), connect.NewRequest(&gladegaugev1.FollowRequest{}))
+			is.Equal(err == nil, tt.valid)
+			if tt.valid {
+				is.Equal(len(resp.Msg.GetEntries()), len(entries))
+			}
+		})
+	}
+}
+
+// serveRaw serves one request with the bytes and closes the connection. It returns its address.
+func serveRaw(t *testing.T, text string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var group errgroup.Group
+	group.Go(func() error {
+		conn, err := l.Accept()
+		if err != nil {
+			return err
+		}
+		defer func() { _ = conn.Close() }()
+		req, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return err
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return err
+		}
+		_, err = io.WriteString(conn, text)
+		return err
+	})
+	t.Cleanup(func() {
+		is.New(t).NoErr(group.Wait())
+		_ = l.Close()
+	})
+	return l.Addr().String()
+}
--- a/internal/edge/gatewayd/peer_transport.go
+++ b/internal/edge/gatewayd/peer_transport.go
@@ -8,6 +8,7 @@
 	dto "github.com/prometheus/client_model/go"
 	"github.com/rs/zerolog"
 
+	"github.com/gladegauge/gladegauge/internal/core/responsehead"
 	"github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1/gladegaugev1connect"
 )
 
@@ -39,17 +40,31 @@
 func (t *peerTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	kind, ok := callKinds[r.URL.Path]
 	if !ok {
-		return t.next.RoundTrip(r)
+		return t.roundTrip(r)
 	}
 	if r.Body != nil && r.Body != http.NoBody {
 		r = r.WithContext(r.Context())
 		r.Body = &countingBody{r.Body, t.bytes.WithLabelValues(kind, directionSent)}
 	}
+	resp, err := t.roundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	resp.Body = &countingBody{resp.Body, t.bytes.WithLabelValues(kind, directionReceived)}
+	return resp, nil
+}
+
+// roundTrip makes the call. It fails if the head of the response is invalid: a message that was cut
+// can look whole to its decoder.
+func (t *peerTransport) roundTrip(r *http.Request) (*http.Response, error) {
 	resp, err := t.next.RoundTrip(r)
 	if err != nil {
 		return nil, err //nolint:wrapcheck // The transport's errors are the caller's.
 	}
-	resp.Body = &countingBody{resp.Body, t.bytes.WithLabelValues(kind, directionReceived)}
+	if err := responsehead.Check(resp.StatusCode, resp.Header); err != nil {
+		_ = resp.Body.Close()
+		return nil, err
+	}
 	return resp, nil
 }
 
