--- a/internal/edge/gatewayd/invalid_head_test.go
+++ b/internal/edge/gatewayd/invalid_head_test.go
@@ -1,11 +1,8 @@
 package gatewayd
 
 import (
-	"bufio"
 	"cmp"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -13,10 +10,10 @@
 
 	"connectrpc.com/connect"
 	"github.com/matryer/is"
-	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
 
 	gladegaugev1 "github.com/gladegauge/gladegauge/internal/gen/gladegauge/v1"
+	"github.com/gladegauge/gladegauge/internal/standin/rawserver"
 	"github.com/gladegauge/gladegauge/platform/standin"
 )
 
@@ -146,7 +143,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			address := serveRaw(t, "HTTP/1.1 "+tt.status+"\r\n"+kind+tt.lines+"\r\n"+string(tt.body))
+			address := rawserver.New(t, "HTTP/1.1 "+tt.status+"\r\n"+kind+tt.lines+"\r\n"+string(tt.body))
 			resp, err := p.peer(address).Follow(t.Context(), connect.NewRequest(&gladegaugev1.FollowRequest{}))
 			is.Equal(err == nil, tt.valid)
 			if tt.valid {
@@ -155,34 +152,3 @@
 		})
 	}
 }
-
-// serveRaw serves one request with the bytes and closes the connection. It returns its address.
-func serveRaw(t *testing.T, text string) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	var group errgroup.Group
-	group.Go(func() error {
-		conn, err := l.Accept()
-		if err != nil {
-			return err
-		}
-		defer func() { _ = conn.Close() }()
-		req, err := http.ReadRequest(bufio.NewReader(conn))
-		if err != nil {
-			return err
-		}
-		if _, err := io.Copy(io.Discard, req.Body); err != nil {
-			return err
-		}
-		_, err = io.WriteString(conn, text)
-		return err
-	})
-	t.Cleanup(func() {
-		is.New(t).NoErr(group.Wait())
-		_ = l.Close()
-	})
-	return l.Addr().String()
-}
--- a/internal/edge/upstream/invalid_head_test.go
+++ b/internal/edge/upstream/invalid_head_test.go
@@ -1,53 +1,23 @@
 package upstream
 
 import (
-	"bufio"
-	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"testing"
 
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/gladegauge/gladegauge/internal/core/responsehead"
+	"github.com/gladegauge/gladegauge/internal/standin/rawserver"
 )
 
-// serveHead serves one request with the bytes and closes the connection. It returns a client of it.
-func serveHead(t *testing.T, text string) *Client {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	var group errgroup.Group
-	group.Go(func() error {
-		conn, err := l.Accept()
-		if err != nil {
-			return err
-		}
-		defer func() { _ = conn.Close() }()
-		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
-			return err
-		}
-		_, err = io.WriteString(conn, text)
-		return err
-	})
-	t.Cleanup(func() {
-		is.New(t).NoErr(group.Wait())
-		_ = l.Close()
-	})
-	return New("http://"+l.Addr().String(), NewHTTPClient())
-}
-
 // forward calls an upstream that sends the bytes. It returns the number of chunks that are forwarded,
 // with the head, and the end.
 func forward(t *testing.T, text string) (int, End) {
 	t.Helper()
 	forwarded := 0
-	end := serveHead(t, text).Do(t.Context(), Call{Method: http.MethodPost, Path: "/", Headers: make(http.Header)}, func(Chunk) error {
+	end := New("http://"+rawserver.New(t, text), NewHTTPClient()).Do(t.Context(), Call{Method: http.MethodPost, Path: "/", Headers: make(http.Header)}, func(Chunk) error {
 		forwarded++
 		return nil
 	})
@@ -91,7 +61,8 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			_, err := serveHead(t, "HTTP/1.1 "+tt.status+"\r\n"+tt.lines+"\r\n"+tt.body).State(t.Context())
+			address := rawserver.New(t, "HTTP/1.1 "+tt.status+"\r\n"+tt.lines+"\r\n"+tt.body)
+			_, err := New("http://"+address, NewHTTPClient()).State(t.Context())
 			is.True(err != nil)
 		})
 	}
