platform client: a value with an invalid head is an error

What would be seen: a list of hosts or a manifest whose length stood in "Content-Length : 10", with a blank before the colon, was taken for whole where it was cut. Both are messages of protobuf, which can be read where they are cut behind an item, so that hosts or pools are missing.

A version in such a field, a cut with a length that is seen and status 000 were errors already.

Fix: fetch judges the head by responsehead.Check. The read has failed, and the configuration in force stays.

--- a/internal/edge/platform/platform.go
+++ b/internal/edge/platform/platform.go
@@ -23,6 +23,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/gladegauge/gladegauge/internal/core/config"
+	"github.com/gladegauge/gladegauge/internal/core/responsehead"
 )
 
 // Names of values.
@@ -126,6 +127,9 @@
 		return Value{}, errors.Wrapf(err, "read %s", name)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if err := responsehead.Check(resp.StatusCode, resp.Header); err != nil {
+		return Value{}, errors.Wrapf(err, "read %s", name)
+	}
 	switch resp.StatusCode {
 	case http.StatusOK:
 	case http.StatusNotFound:
