gatewayd: FuzzGateway plays heads that HTTP does not allow

Its seeds had none, and its check of answers looked at streams and at answers to other requests only.

--- a/internal/edge/gatewayd/fuzz_test.go
+++ b/internal/edge/gatewayd/fuzz_test.go
@@ -20,6 +20,7 @@
 	"github.com/matryer/is"
 
 	"github.com/gladegauge/gladegauge/internal/core/eventstream"
+	"github.com/gladegauge/gladegauge/internal/core/responsehead"
 	"github.com/gladegauge/gladegauge/platform/standin"
 )
 
@@ -112,8 +113,8 @@
 }
 
 // FuzzGateway plays any bytes of a caller and any bytes of an upstream. The gateway must not
-// panic and keeps no goroutine, no caller gets bytes of an answer to another one, a stream holds
-// nothing but one run, and the upstream gets no request that no caller sent.
+// panic and keeps no goroutine, no caller gets bytes of an answer to another one or an answer with an
+// invalid head, a stream holds nothing but one run, and the upstream gets no request that no caller sent.
 func FuzzGateway(f *testing.F) {
 	w := newFuzzEnv(f)
 	for _, sent := range callerSeeds() {
@@ -132,8 +133,15 @@
 			}
 		}
 	}
+	for _, h := range slices.Concat(standin.InvalidStatuses(), standin.BlankFieldNames(), standin.InvalidFieldNames()) {
+		head := standin.RawHead("/read/1", "x.example", "key-a", 0)
+		f.Add([]byte(head), []byte(h.Answer("raw", "text/plain", "other")), false)
+	}
 	f.Fuzz(func(t *testing.T, sent, raw []byte, open bool) {
 		received := w.play(t, sent, standin.Reply{Raw: string(raw), RawOpen: open})
+		if hasInvalidHead(raw) && isSealed(received) {
+			t.Fatalf("the scripted caller got the answer of an invalid head: %q", received)
+		}
 		answer, want := w.callSound(t)
 		if answer.Status == http.StatusOK && answer.Whole && answer.Body != want {
 			t.Fatalf("the sound caller got %q in place of %q", answer.Body, want)
@@ -156,6 +164,19 @@
 	})
 }
 
+// hasInvalidHead reports whether the bytes of an upstream begin with a head that net/http accepts and
+// HTTP does not allow.
+func hasInvalidHead(raw []byte) bool {
+	resp, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(raw)), nil)
+	return err == nil && responsehead.Check(resp.StatusCode, resp.Header) != nil
+}
+
+// isSealed reports whether the first answer that a caller received is that of an upstream.
+func isSealed(received []byte) bool {
+	resp, err := readFinal(bufio.NewReader(bytes.NewReader(received)), http.MethodGet)
+	return err == nil && standin.Answer{Header: resp.Header}.Sealed()
+}
+
 // isSameRequest reports whether the upstream got what the caller sent.
 func isSameRequest(sent, got standin.Request) bool {
 	return sent.Method == got.Method && sent.URI == got.URI && sent.ID == got.ID && sent.Body == got.Body
