gatewayd: an answer with an invalid head is no sign of a crash

Found while the fix was read: a request whose attempt was lost by an invalid head was noted as one that may have crashed its upstream.

Fix: mayHaveCrashed leaves out invalid heads, as it leaves out streams with bytes that no run made. Heads that net/http refuses count as before.

--- a/internal/edge/gatewayd/failure.go
+++ b/internal/edge/gatewayd/failure.go
@@ -9,6 +9,7 @@
 
 	"github.com/gladegauge/gladegauge/internal/core/balance"
 	"github.com/gladegauge/gladegauge/internal/core/gateway"
+	"github.com/gladegauge/gladegauge/internal/core/responsehead"
 	"github.com/gladegauge/gladegauge/internal/edge/exchange"
 )
 
@@ -23,10 +24,10 @@
 func (e *unusableError) Unwrap() error { return e.cause }
 
 // mayHaveCrashed reports whether an attempt failed in a way in which it fails if its upstream
-// crashes.
+// crashes. One that sends an invalid head has answered.
 func mayHaveCrashed(f gateway.Failure, err error) bool {
 	var unusable *unusableError
-	return f == gateway.Lost && !errors.As(err, &unusable)
+	return f == gateway.Lost && !errors.As(err, &unusable) && !errors.Is(err, responsehead.ErrInvalid)
 }
 
 // failureOf classifies an error of the exchange.
