entryd: tests of an invalid head check the log line and a resumed stream

TestInvalidHeadOfAgent checks the line of the log, which says which agent sent what, in place of a count of requests in progress that could not have failed. TestInvalidHeadOfResumedStream: a run that goes on with a stream and has an invalid head; on its events are passed on, now the stream is visibly cut.

--- a/internal/edge/entryd/invalid_head_test.go
+++ b/internal/edge/entryd/invalid_head_test.go
@@ -29,12 +29,14 @@
 
 const testKey = "key-a"
 
-// scriptedAgent is an agent that grants each offer. The first run gets the head, later ones get 200.
+// scriptedAgent is an agent that grants each offer and answers the nth run, counted from 0, with the
+// events that run returns.
 type scriptedAgent struct {
 	gladegaugev1connect.UnimplementedAgentServiceHandler
-	head *gladegaugev1.Head
-	body string
+	run  func(n int64) []*gladegaugev1.AttemptEvent
 	runs atomic.Int64
+	// reported is the number of lines that the entry has logged about invalid heads.
+	reported atomic.Int64
 }
 
 // Attempt implements the service of agents.
@@ -50,16 +52,7 @@
 	if err != nil || command.GetRun() == nil {
 		return err
 	}
-	head, body := a.head, []byte("other")
-	if a.runs.Add(1) > 1 {
-		head, body = &gladegaugev1.Head{Status: http.StatusOK, Headers: a.head.GetHeaders()[:1]}, []byte(a.body)
-	}
-	n := uint64(len(body))
-	for _, e := range []*gladegaugev1.AttemptEvent{
-		{Event: &gladegaugev1.AttemptEvent_Head{Head: head}},
-		{Event: &gladegaugev1.AttemptEvent_Chunk{Chunk: &gladegaugev1.Chunk{Data: body, Next: n}}},
-		{Event: &gladegaugev1.AttemptEvent_End{End: &gladegaugev1.End{Length: n}}},
-	} {
+	for _, e := range a.run(a.runs.Add(1) - 1) {
 		if err := stream.Send(e); err != nil {
 			return err
 		}
@@ -67,14 +60,38 @@
 	return nil
 }
 
+// Run implements zerolog.Hook.
+func (a *scriptedAgent) Run(_ *zerolog.Event, _ zerolog.Level, message string) {
+	if message == "agent sent an invalid head" {
+		a.reported.Add(1)
+	}
+}
+
+// headOf returns the head of a response with one field and its type.
+func headOf(status uint32, kind, field string) *gladegaugev1.AttemptEvent {
+	headers := []*gladegaugev1.Header{{Name: "Content-Type", Value: kind}, {Name: field, Value: "v"}}
+	return &gladegaugev1.AttemptEvent{Event: &gladegaugev1.AttemptEvent_Head{Head: &gladegaugev1.Head{Status: status, Headers: headers}}}
+}
+
+// chunkOf returns the part of a response between two offsets.
+func chunkOf(offset, next int, data string) *gladegaugev1.AttemptEvent {
+	c := &gladegaugev1.Chunk{Offset: uint64(offset), Next: uint64(next), Data: []byte(data)}
+	return &gladegaugev1.AttemptEvent{Event: &gladegaugev1.AttemptEvent_Chunk{Chunk: c}}
+}
+
+// endOf returns the end of a response of the length.
+func endOf(length int) *gladegaugev1.AttemptEvent {
+	return &gladegaugev1.AttemptEvent{Event: &gladegaugev1.AttemptEvent_End{End: &gladegaugev1.End{Length: uint64(length)}}}
+}
+
 // newTestServer starts an entry whose only agents, two of a plain service and two of a model, are the
 // scripted one. It returns the address for callers.
-func newTestServer(t *testing.T, a *scriptedAgent) (*Server, string) {
+func newTestServer(t *testing.T, a *scriptedAgent) string {
 	t.Helper()
 	is := is.New(t)
 	o := &Options{
 		Common:  program.Common{ID: "e", Zone: "a", Platform: "http://127.0.0.1:1", Keys: rpc.Keys{Plaintext: true}},
-		MaxBody: 1 << 20, ReadTimeout: time.Second, Log: zerolog.Nop(),
+		MaxBody: 1 << 20, ReadTimeout: time.Second, Log: zerolog.New(io.Discard).Hook(a),
 	}
 	_, handler := gladegaugev1connect.NewAgentServiceHandler(a)
 	agents, err := o.Keys.Server(handler)
@@ -116,7 +133,7 @@
 		cancel()
 		_ = group.Wait()
 	})
-	return s, callers.URL
+	return callers.URL
 }
 
 // A head that HTTP does not allow, as an agent of an earlier version forwards it, ended its caller's
@@ -147,30 +164,49 @@
 			for _, class := range []string{"again", "once"} {
 				t.Run(h.name+", "+class+", "+route.path, func(t *testing.T) {
 					is := is.New(t)
-					a := &scriptedAgent{body: route.body, head: &gladegaugev1.Head{
-						Status: h.status, Headers: []*gladegaugev1.Header{{Name: "Content-Type", Value: route.kind}, {Name: h.field, Value: "v"}},
+					a := &scriptedAgent{run: func(n int64) []*gladegaugev1.AttemptEvent {
+						if n == 0 {
+							return []*gladegaugev1.AttemptEvent{headOf(h.status, route.kind, h.field), chunkOf(0, 1, "other"), endOf(1)}
+						}
+						return []*gladegaugev1.AttemptEvent{headOf(http.StatusOK, route.kind, "Date"), chunkOf(0, 1, route.body), endOf(1)}
 					}}
-					s, address := newTestServer(t, a)
-					status, body := post(t, address+route.path, class, route.request)
+					resp, body, err := post(t, newTestServer(t, a)+route.path, class, route.request)
+					is.NoErr(err)
 					if class == "again" {
-						is.Equal(status, http.StatusOK)
+						is.Equal(resp.StatusCode, http.StatusOK)
 						is.True(strings.Contains(body, route.want))
 						is.Equal(a.runs.Load(), int64(2))
 					} else {
-						is.Equal(status, http.StatusBadGateway)
+						is.Equal(resp.StatusCode, http.StatusBadGateway)
 						is.True(strings.Contains(body, string(CodeOutcomeUnknown)))
 						is.Equal(a.runs.Load(), int64(1))
 					}
-					is.Equal(s.inFlight.Load(), int64(0))
+					is.Equal(a.reported.Load(), int64(1))
 				})
 			}
 		}
 	}
 }
 
-// post sends a request of the class and returns the status and the body of the response; 0 if there
-// is none.
-func post(t *testing.T, url, class, body string) (int, string) {
+// The head of a run that goes on with a stream was not looked at.
+func TestInvalidHeadOfResumedStream(t *testing.T) {
+	const kind = "text/event-stream"
+	is := is.New(t)
+	failed := &gladegaugev1.AttemptEvent{Event: &gladegaugev1.AttemptEvent_Failed{Failed: &gladegaugev1.Failed{}}}
+	runs := [][]*gladegaugev1.AttemptEvent{
+		{headOf(http.StatusOK, kind, "Date"), chunkOf(0, 1, "data: a\n\n"), failed},
+		{headOf(http.StatusOK, kind, "Bad Name"), chunkOf(1, 2, "data: other\n\n"), endOf(2)},
+	}
+	a := &scriptedAgent{run: func(n int64) []*gladegaugev1.AttemptEvent { return runs[n] }}
+	resp, body, err := post(t, newTestServer(t, a)+"/services/app/x", "again", "")
+	is.Equal(resp.StatusCode, http.StatusOK)
+	is.Equal(body, "data: a\n\n")
+	is.True(err != nil) // a response is resumed once; this one is visibly cut
+	is.Equal(a.reported.Load(), int64(1))
+}
+
+// post sends a request of the class and returns the response and its body, as far as it arrived.
+func post(t *testing.T, url, class, body string) (*http.Response, string, error) {
 	t.Helper()
 	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url, strings.NewReader(body))
 	if err != nil {
@@ -180,13 +216,9 @@
 	req.Header.Set(ClassHeader, class)
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		t.Log(err)
-		return 0, ""
+		return nil, "", err
 	}
 	defer func() { _ = resp.Body.Close() }()
 	text, err := io.ReadAll(resp.Body)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return resp.StatusCode, string(text)
+	return resp, string(text), err
 }
