--- a/internal/edge/gatewayd/invalid_head_test.go
+++ b/internal/edge/gatewayd/invalid_head_test.go
@@ -122,7 +122,7 @@
 // name was taken for whole where it was cut: the changes of the store behind the cut were missed.
 func TestInvalidHeadOfGateway(t *testing.T) {
 	is := is.New(t)
-	entries := []*gladegaugev1.StoreEntry{{Key: "servers/i-1"}, {Key: "servers/i-2"}}
+	entries := []*gladegaugev1.StoreEntry{{Key: "a"}, {Key: "b"}}
 	whole, err := proto.Marshal(&gladegaugev1.FollowResponse{Revision: 9, Entries: entries})
 	is.NoErr(err)
 	first, err := proto.Marshal(&gladegaugev1.FollowResponse{Revision: 9, Entries: entries[:1]})
