entryd: an invalid head ends its run as the end of its stream does

onInvalidHead closes the stream of its run and then repeated what onStreamClosed does when a stream has ended. It calls that now. The one difference, closing the offer, has no effect: the offer of a run was closed when it was granted. Behaviour and tests are as before.

--- a/internal/edge/entryd/events.go
+++ b/internal/edge/entryd/events.go
@@ -146,9 +146,7 @@
 func (x *call) onInvalidHead(n int, a *attempt, err error) []dispatch.Effect {
 	x.s.o.Log.Error().Str("request", x.id).Str("agent", a.agent).Err(err).Msg("agent sent an invalid head")
 	a.cancel()
-	var effects []dispatch.Effect
-	x.s.loop.DoWithoutCancel(func(now time.Time) { effects = x.attemptLost(now, n, a, false) })
-	return effects
+	return x.onStreamClosed(n, a)
 }
 
 // onChunk relays a chunk that directly follows the data that the caller has received. Any
